--- a/Makefile
+++ b/Makefile
@@ -26,8 +26,10 @@
 unit:
 	$(GO) run ./internal/tools/knownred -- $(GO) test -json -race -count=1 -timeout 8m ./...
 
+# The plugins are the versions that go.mod names.
 generate:
-	protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative api/peer/v1/peer.proto api/claims/v1/claims.proto
+	$(GO) build -o $(BIN)/plugins/ google.golang.org/protobuf/cmd/protoc-gen-go google.golang.org/grpc/cmd/protoc-gen-go-grpc
+	PATH="$(CURDIR)/$(BIN)/plugins:$$PATH" protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative api/peer/v1/peer.proto api/claims/v1/claims.proto
 
 # Runs the shell blocks of the pages that are marked as runnable.
 .PHONY: docs-check
--- /dev/null
+++ b/cmd/dragonfly-entry/assemble.go
@@ -0,0 +1,170 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/phuslu/log"
+	gometrics "github.com/rcrowley/go-metrics"
+	"google.golang.org/grpc"
+
+	"github.com/dragonflyrail/dragonflyrail/internal/adapter/decisions"
+	"github.com/dragonflyrail/dragonflyrail/internal/adapter/grpcpeer"
+	"github.com/dragonflyrail/dragonflyrail/internal/adapter/httpadmin"
+	"github.com/dragonflyrail/dragonflyrail/internal/adapter/httprecords"
+	"github.com/dragonflyrail/dragonflyrail/internal/adapter/httpserver"
+	"github.com/dragonflyrail/dragonflyrail/internal/adapter/metrics"
+	"github.com/dragonflyrail/dragonflyrail/internal/core/record"
+	"github.com/dragonflyrail/dragonflyrail/internal/core/route"
+	"github.com/dragonflyrail/dragonflyrail/internal/core/routing"
+	"github.com/dragonflyrail/dragonflyrail/internal/fleet"
+	"github.com/dragonflyrail/dragonflyrail/internal/gateway"
+	"github.com/dragonflyrail/dragonflyrail/internal/keeper"
+	"github.com/dragonflyrail/dragonflyrail/internal/port"
+	"github.com/dragonflyrail/dragonflyrail/platform"
+)
+
+// idleConnections per endpoint are kept for reuse.
+const idleConnections = 16
+
+// closeTimeout bounds the end of the listeners, once no request is open.
+const closeTimeout = 200 * time.Millisecond
+
+// assembly is the daemon's parts, joined.
+type assembly struct {
+	settings *entrySettings
+	logger   *log.Logger
+	keeper   *keeper.Keeper
+	gateway  *gateway.Gateway
+	callers  *http.Server
+	servers  []listening
+	peers    *grpc.Server
+}
+
+// listening is an HTTP server with its address.
+type listening struct {
+	field   string
+	address string
+	server  *http.Server
+}
+
+func assemble(s *entrySettings, logger *log.Logger) *assembly {
+	registry := gometrics.NewRegistry()
+	store := decisions.New(logger, s.RememberDecisions)
+	a := &assembly{settings: s, logger: logger, peers: grpc.NewServer(grpcpeer.ServerOptions()...)}
+	a.keeper = newKeeper(s, logger, registry, store)
+	a.keeper.Service(nil).Register(a.peers)
+	a.gateway = gateway.New(s.options(), gateway.Ports{
+		Endpoints: platform.NewRunners(platform.RunnersOptions{
+			DialTimeout: s.ConnectTimeout, LoadTimeout: s.ReportTimeout,
+			IdleConnections: idleConnections, IdleTimeout: s.IdleTimeout,
+		}),
+		Scheduler: routing.NewScheduler(routing.Options{RouterID: s.ID, Routers: fleet.New(s.ID, a.keeper)}),
+		View:      a.keeper, Announcer: a.keeper, Sink: store, Policy: record.Policy, Metrics: registry,
+	})
+	a.callers = httpserver.New(&platform.Callers{App: a.gateway, Logger: logger})
+	a.servers = []listening{
+		{"listen.callers", s.Listen.Callers, a.callers},
+		{"directory", s.Directory, httpserver.New(platform.DirectoryHandler(a.gateway))},
+		{"readiness", s.Readiness, httpserver.New(platform.ReadinessHandler(a.gateway))},
+		{"metrics", s.Metrics, httpserver.New(metrics.Handler(registry))},
+		{"listen.admin", s.Listen.Admin, a.admin(store, registry)},
+	}
+	return a
+}
+
+func newKeeper(s *entrySettings, logger *log.Logger, registry gometrics.Registry, sink port.DecisionSink) *keeper.Keeper {
+	store := platform.NewStore(platform.StoreOptions{
+		Address: s.Store, Timeout: s.StoreTimeout, Logger: logger, Registry: registry,
+	})
+	return keeper.New(keeper.Options{
+		Self: port.Member{
+			ID: s.ID, Host: s.Host, FailureDomain: s.FailureDomain,
+			CallerAddress: s.Listen.Callers, AdminAddress: s.Listen.Admin, PeerAddress: s.Listen.Peers,
+		},
+		Keepers: s.Keepers, Platform: store, Endpoints: store, Kinds: []string{route.RecordKind},
+		Decisions: sink, Logger: logger, Registry: registry,
+		Watchers: s.Watchers, WatchWait: s.WatchWait, WatchPause: s.WatchPause, FallbackAfter: s.FallbackAfter,
+		RelistEvery: s.RelistEvery, HeartbeatEvery: s.HeartbeatEvery, SilenceAfter: s.SilenceAfter,
+		DutyCheck: dutyCheck, RetryPause: retryPause, RetryPauseMax: retryPauseMax,
+	})
+}
+
+// Pauses towards the store. They are short, as endpoints leave at a notice of
+// two seconds and routes must be in force within as many.
+const (
+	dutyCheck     = 100 * time.Millisecond
+	retryPause    = 100 * time.Millisecond
+	retryPauseMax = time.Second
+)
+
+func (a *assembly) admin(store *decisions.Store, registry gometrics.Registry) *http.Server {
+	records := &httprecords.Handler{Keeper: a.keeper, Decisions: store}
+	return httpserver.New(httpadmin.New(httpadmin.Options{
+		TokenSHA256: a.settings.AdminTokenSHA256, Decisions: store, Registry: registry,
+		Ready: a.gateway.Ready, Drain: func() { go a.gateway.Drain(context.Background()) },
+		Register: records.Register,
+	}))
+}
+
+// serve runs until the context ends or an operator drains the daemon, then
+// shuts down gracefully.
+func (a *assembly) serve(stop context.Context) error {
+	failed := make(chan error, len(a.servers)+1)
+	for _, l := range a.servers {
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return merry.Prepend(err, l.field)
+		}
+		go func() { failed <- l.server.Serve(listener) }()
+	}
+	peers, err := net.Listen("tcp", a.settings.Listen.Peers)
+	if err != nil {
+		return merry.Prepend(err, "listen.peers")
+	}
+	go func() { failed <- a.peers.Serve(peers) }()
+	running, end := context.WithCancel(context.Background())
+	defer end()
+	var background sync.WaitGroup
+	background.Go(func() { a.run(running) })
+	background.Go(func() { a.gateway.Run(running) })
+	a.logger.Info().Str("event", "started").Str("callers", a.settings.Listen.Callers).
+		Str("admin", a.settings.Listen.Admin).Str("peers", a.settings.Listen.Peers).Msg("")
+	select {
+	case err := <-failed:
+		return err
+	case <-stop.Done():
+	case <-a.gateway.Draining():
+	}
+	a.shutDown()
+	end()
+	background.Wait()
+	return nil
+}
+
+func (a *assembly) run(ctx context.Context) {
+	if err := a.keeper.Run(ctx); err != nil && !errors.Is(err, context.Canceled) {
+		a.logger.Error().Err(err).Str("event", "keeper_failed").Msg("")
+	}
+}
+
+// shutDown drains, then closes. The other listeners stay to the end, so that
+// callers are told of other daemons and operators can watch.
+func (a *assembly) shutDown() {
+	a.logger.Info().Str("event", "draining").Int("open_requests", a.gateway.Open()).Msg("")
+	a.gateway.Drain(context.Background())
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	for _, l := range a.servers {
+		if err := l.server.Shutdown(ctx); errors.Is(err, context.DeadlineExceeded) {
+			_ = l.server.Close()
+		}
+	}
+	a.peers.Stop()
+	a.logger.Info().Str("event", "stopped").Int("open_requests", a.gateway.Open()).Msg("")
+}
--- /dev/null
+++ b/cmd/dragonfly-entry/settings.go
@@ -0,0 +1,101 @@
+package main
+
+import (
+	"time"
+
+	"github.com/dragonflyrail/dragonflyrail/internal/adapter/daemon"
+	"github.com/dragonflyrail/dragonflyrail/internal/core/breaker"
+	"github.com/dragonflyrail/dragonflyrail/internal/gateway"
+	"github.com/dragonflyrail/dragonflyrail/internal/keeper"
+	"github.com/dragonflyrail/dragonflyrail/platform"
+)
+
+// entrySettings are the settings of one entry daemon.
+type entrySettings struct {
+	daemon.Common
+	// Directory and Readiness are the addresses at which callers ask where to
+	// connect, and the platform asks whether this daemon serves. Metrics are
+	// served without a token.
+	Directory string `json:"directory" validate:"required,hostname_port"`
+	Readiness string `json:"readiness" validate:"required,hostname_port"`
+	Metrics   string `json:"metrics" validate:"required,hostname_port"`
+	// Store is the address of the platform's store.
+	Store        string        `json:"store" validate:"required,hostname_port"`
+	StoreTimeout time.Duration `json:"store_timeout" validate:"min=10ms,max=1m"`
+	// Watchers is how many daemons of the whole system watch the store.
+	Watchers       int           `json:"watchers" validate:"min=1,max=64"`
+	WatchWait      time.Duration `json:"watch_wait" validate:"min=100ms,max=30s"`
+	WatchPause     time.Duration `json:"watch_pause" validate:"min=0,max=10s"`
+	FallbackAfter  time.Duration `json:"fallback_after" validate:"min=200ms,max=5m,gtfield=WatchWait"`
+	RelistEvery    time.Duration `json:"relist_every" validate:"min=1s,max=24h"`
+	HeartbeatEvery time.Duration `json:"heartbeat_every" validate:"min=50ms,max=10s"`
+	SilenceAfter   time.Duration `json:"silence_after" validate:"min=200ms,max=1m,gtfield=HeartbeatEvery"`
+	EntryValidity  time.Duration `json:"entry_validity" validate:"min=10ms,max=1h"`
+	ConnectTimeout time.Duration `json:"connect_timeout" validate:"min=10ms,max=1m"`
+	ReportTimeout  time.Duration `json:"report_timeout" validate:"min=10ms,max=1m"`
+	// IdleTimeout is how long an unused connection to an endpoint is kept.
+	IdleTimeout time.Duration `json:"idle_timeout" validate:"min=10ms,max=10m"`
+	// Grace is the time from the order to stop to the kill.
+	Grace float64 `json:"grace_seconds" validate:"min=1,max=86400"`
+	// RetryRatio and RetrySlack bound what all daemons together send to a
+	// second endpoint: a share of the requests, and a number in a window.
+	RetryRatio float64 `json:"retry_ratio" validate:"min=0,max=1"`
+	RetrySlack float64 `json:"retry_slack" validate:"min=0,max=1000000"`
+	// MaxOpen bounds the requests open at once.
+	MaxOpen           int `json:"max_open_requests" validate:"min=1,max=1000000"`
+	RememberDecisions int `json:"remember_decisions" validate:"min=32,max=1000000"`
+}
+
+func defaults() entrySettings {
+	return entrySettings{
+		Common: daemon.CommonDefaults(), StoreTimeout: platform.DefaultStoreTimeout,
+		Watchers: 5, WatchWait: time.Second, WatchPause: 20 * time.Millisecond,
+		FallbackAfter: 1500 * time.Millisecond, RelistEvery: keeper.DefaultRelistEvery,
+		HeartbeatEvery: 250 * time.Millisecond, SilenceAfter: time.Second,
+		EntryValidity: 2 * time.Second, ConnectTimeout: 500 * time.Millisecond,
+		ReportTimeout: 500 * time.Millisecond, IdleTimeout: 2 * time.Second,
+		Grace: 8, RetryRatio: 0.2, RetrySlack: 20, MaxOpen: 4000, RememberDecisions: 4096,
+	}
+}
+
+// Breaker limits that no operator has needed to change.
+const (
+	breakerFailures     = 3
+	breakerOpenFor      = 500 * time.Millisecond
+	breakerMaxOpenFor   = 4 * time.Second
+	breakerMaxEndpoints = 4096
+)
+
+// Parts of what is granted that this daemon uses.
+const (
+	// retryPart keeps the sum over all daemons under the bound while daemons
+	// restart, each with its burst anew.
+	retryPart = 0.5
+	// Parts of the grace until which generations and calls are taken, and at
+	// which the rest is broken off.
+	takeGenerationsPart = 0.3
+	takeCallsPart       = 0.7
+	endPart             = 0.93
+	// refusalsTried bounds the endpoints asked in turn while each is full.
+	refusalsTried = 3
+	// reportMaxAge: what rode on an answer is old after that.
+	reportMaxAge = 2 * time.Second
+)
+
+func (s *entrySettings) options() gateway.Options {
+	grace := time.Duration(s.Grace * float64(time.Second))
+	part := func(p float64) time.Duration { return time.Duration(p * float64(grace)) }
+	return gateway.Options{
+		ID: s.ID, CallerAddress: s.Listen.Callers,
+		Breaker: breaker.Options{
+			Failures: breakerFailures, OpenFor: breakerOpenFor, MaxOpenFor: breakerMaxOpenFor,
+			MaxEndpoints: breakerMaxEndpoints,
+		},
+		RetryShare: s.RetryRatio * retryPart, RetryBurst: int(s.RetrySlack * retryPart),
+		MaxOpen: s.MaxOpen, RefusalsTried: refusalsTried, ReportMaxAge: reportMaxAge,
+		EntryValidity: s.EntryValidity,
+		Drain: gateway.DrainOptions{
+			TakeGenerations: part(takeGenerationsPart), TakeCalls: part(takeCallsPart), End: part(endPart),
+		},
+	}
+}
--- a/cmd/dragonfly-router/system.go
+++ b/cmd/dragonfly-router/system.go
@@ -15,6 +15,7 @@
 	"github.com/dragonflyrail/dragonflyrail/internal/adapter/grpcpeer"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/record"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/routing"
+	"github.com/dragonflyrail/dragonflyrail/internal/fleet"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 	"github.com/dragonflyrail/dragonflyrail/internal/router"
 )
@@ -28,7 +29,7 @@
 	settings  *routerSettings
 	logger    *log.Logger
 	view      *grpcpeer.View
-	fleet     *fleet
+	fleet     *fleet.Fleet
 	scheduler port.Scheduler
 	claims    *grpcclaim.Client
 	server    *grpc.Server
@@ -45,7 +46,7 @@
 		Keepers: s.Keepers, Routers: s.Routers, Logger: logger,
 		HeartbeatEvery: s.HeartbeatEvery, SilenceAfter: s.SilenceAfter,
 	})
-	sys.fleet = &fleet{selfID: s.ID, view: sys.view}
+	sys.fleet = fleet.New(s.ID, sys.view)
 	sys.scheduler = routing.NewScheduler(routing.Options{RouterID: s.ID, Routers: sys.fleet})
 	sys.claims = grpcclaim.NewClient(grpcclaim.Options{Keepers: sys.keepers, Timeout: s.ClaimTimeout, TryTimeout: s.ClaimTimeout / 2})
 	sys.policy(nil)
@@ -75,7 +76,7 @@
 // keepers are the addresses of keepers that may be asked: those known to be
 // live, else those of the settings.
 func (s *system) keepers() []string {
-	if live := s.fleet.liveKeepers(); len(live) > 0 {
+	if live := s.fleet.LiveKeepers(); len(live) > 0 {
 		return live
 	}
 	return s.settings.Keepers
--- a/internal/adapter/grpcpeer/convert.go
+++ b/internal/adapter/grpcpeer/convert.go
@@ -26,6 +26,7 @@
 		FailureDomain: e.FailureDomain, Incarnation: e.Incarnation, State: string(e.State),
 		FencesOrders: e.FencesOrders, Models: e.Models,
 		Version: e.Observation, Unreachable: e.Unreachable, Confirmed: e.Confirmed,
+		Revision: e.Revision, Said: string(e.Said), Slots: uint32(e.Slots),
 	}
 }
 
@@ -35,8 +36,9 @@
 			ID: e.GetId(), Kind: port.EndpointKind(e.GetKind()), Pool: e.GetPool(), Address: e.GetAddress(),
 			FailureDomain: e.GetFailureDomain(), Incarnation: e.GetIncarnation(),
 			State: port.EndpointState(e.GetState()), FencesOrders: e.GetFencesOrders(), Models: e.GetModels(),
-			Unreachable: e.GetUnreachable(),
+			Unreachable: e.GetUnreachable(), Revision: e.GetRevision(), Slots: int(e.GetSlots()),
 		},
+		Said:        port.EndpointState(e.GetSaid()),
 		Observation: e.GetVersion(), Confirmed: e.GetConfirmed(),
 	}
 }
--- a/internal/adapter/httpplatform/client.go
+++ b/internal/adapter/httpplatform/client.go
@@ -33,9 +33,6 @@
 	watchSlack = 5 * time.Second
 )
 
-// ErrGone: the revision to watch from is too old; list again.
-var ErrGone = merry.Sentinel("platform: revision is too old to watch from")
-
 // errBadReply is a reply that makes no sense. For a read it counts as
 // unavailable, for a write as of unknown outcome.
 var errBadReply = merry.Sentinel("platform: reply makes no sense")
@@ -236,7 +233,7 @@
 	case http.StatusNotFound:
 		return nil, port.ErrNotFound
 	case http.StatusGone:
-		return nil, ErrGone
+		return nil, port.ErrRevisionGone
 	case http.StatusTooManyRequests:
 		return nil, port.ErrThrottled
 	default:
--- a/internal/adapter/httpplatform/client_test.go
+++ b/internal/adapter/httpplatform/client_test.go
@@ -162,7 +162,7 @@
 		"revision goes back": answer(200, `{"objects":[],"revision":3}`),
 	} {
 		t.Run(name, func(t *testing.T) {
-			if _, _, err := serve(t, h).Watch(context.Background(), "k", 9, time.Second); !errors.Is(err, ErrGone) {
+			if _, _, err := serve(t, h).Watch(context.Background(), "k", 9, time.Second); !errors.Is(err, port.ErrRevisionGone) {
 				t.Fatalf("got %v", err)
 			}
 		})
--- a/internal/adapter/httpplatform/decode.go
+++ b/internal/adapter/httpplatform/decode.go
@@ -41,7 +41,7 @@
 	if l.Revision < after {
 		// The platform went back, as after a restore: everything is to be
 		// read again.
-		return nil, 0, ErrGone
+		return nil, 0, port.ErrRevisionGone
 	}
 	for i := range l.Objects {
 		o := &l.Objects[i]
--- a/internal/adapter/oncehttp/oncehttp.go
+++ b/internal/adapter/oncehttp/oncehttp.go
@@ -25,10 +25,15 @@
 type Options struct {
 	// DialTimeout bounds a connect.
 	DialTimeout time.Duration
-	// IdleConnections per endpoint are kept for reuse.
+	// IdleConnections per endpoint are kept for reuse, each for IdleTimeout;
+	// zero is DefaultIdleTimeout.
 	IdleConnections int
+	IdleTimeout     time.Duration
 }
 
+// DefaultIdleTimeout is how long an unused connection is kept.
+const DefaultIdleTimeout = 30 * time.Second
+
 // Client sends each request at most once. It follows no redirect, as the
 // place that a redirect names is not an endpoint of the system.
 type Client struct {
@@ -37,6 +42,9 @@
 
 // New returns a client.
 func New(o Options) *Client {
+	if o.IdleTimeout <= 0 {
+		o.IdleTimeout = DefaultIdleTimeout
+	}
 	dialer := net.Dialer{Timeout: o.DialTimeout, KeepAlive: 15 * time.Second}
 	return &Client{transport: &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -47,7 +55,7 @@
 			return &countedConn{Conn: c}, nil
 		},
 		MaxIdleConnsPerHost:    o.IdleConnections,
-		IdleConnTimeout:        30 * time.Second,
+		IdleConnTimeout:        o.IdleTimeout,
 		MaxResponseHeaderBytes: 64 << 10,
 		ReadBufferSize:         bufferBytes,
 		WriteBufferSize:        bufferBytes,
--- a/internal/core/breaker/breaker_test.go
+++ b/internal/core/breaker/breaker_test.go
@@ -80,7 +80,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		share := rapid.Float64Range(0, 1).Draw(t, "share")
 		limit := rapid.IntRange(0, 20).Draw(t, "limit")
-		b := NewBudget(share, limit)
+		b := NewBudget(share, float64(limit))
 		firsts, retries := 0, 0
 		for range rapid.IntRange(0, 300).Draw(t, "calls") {
 			if rapid.Bool().Draw(t, "first") {
--- a/internal/core/breaker/budget.go
+++ b/internal/core/breaker/budget.go
@@ -15,8 +15,17 @@
 
 // NewBudget returns a budget that gains share of a retry with each first try
 // and holds at most limit. It starts full, for the first faults after a start.
-func NewBudget(share float64, limit int) *Budget {
-	return &Budget{share: share, limit: float64(limit), tokens: float64(limit)}
+func NewBudget(share, limit float64) *Budget {
+	return &Budget{share: share, limit: limit, tokens: limit}
+}
+
+// SetLimit changes what the budget may hold, as when the number of those who
+// share it changes.
+func (b *Budget) SetLimit(limit float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.limit = limit
+	b.tokens = min(b.tokens, limit)
 }
 
 // FirstTry adds the share of one first try.
--- a/internal/core/membership/endpoint.go
+++ b/internal/core/membership/endpoint.go
@@ -9,11 +9,13 @@
 )
 
 // Endpoint is what the system knows of one endpoint. State is sticky within
-// an incarnation; whether it can be reached is not, as a cut link heals.
+// an incarnation, but for a registry that lists it again; whether it can be reached is not, as a cut link heals.
 type Endpoint struct {
 	port.Endpoint
 	// Confirmed: the endpoint itself named the incarnation.
 	Confirmed bool
+	// Said is the endpoint's own word on its state; it only grows.
+	Said port.EndpointState
 	// Observation counts the changes of Unreachable and Models within the
 	// incarnation; the larger is newer.
 	Observation uint64
@@ -31,7 +33,9 @@
 }
 
 // EndpointOrder is the semilattice of endpoints: the larger incarnation wins
-// whole; within one, the state only grows and the newer observation wins.
+// whole; within one, the listing of the larger revision and the newer
+// observation win, what the endpoint itself said only grows, and so does the
+// state between listings of one revision.
 type EndpointOrder struct{}
 
 // Key is the endpoint's id.
@@ -46,16 +50,17 @@
 		return b
 	}
 	out := a
-	if compareIdentity(&a, &b) < 0 {
+	if compareListings(&a, &b) < 0 {
 		out = b
 	}
+	out.Said = laterState(a.Said, b.Said)
 	// Leaving must survive the list that still says live, and a late message
 	// of any daemon that has not heard of it: else new work goes to an
 	// endpoint that is about to stop.
-	out.State = a.State
-	if endpointRank(b.State) > endpointRank(a.State) {
-		out.State = b.State
+	if a.Revision == b.Revision {
+		out.State = laterState(a.State, b.State)
 	}
+	out.State = laterState(out.State, out.Said)
 	out.Confirmed = a.Confirmed || b.Confirmed
 	seen := &a
 	if compareObservations(&a, &b) < 0 {
@@ -65,13 +70,25 @@
 	return out
 }
 
-func compareIdentity(a, b *Endpoint) int {
+// laterState is the one of two states that comes after the other.
+func laterState(a, b port.EndpointState) port.EndpointState {
+	if endpointRank(b) > endpointRank(a) {
+		return b
+	}
+	return a
+}
+
+// compareListings orders what lists said. Where the platform has a registry
+// its revision decides, and the rest only breaks ties.
+func compareListings(a, b *Endpoint) int {
 	return cmp.Or(
+		cmp.Compare(a.Revision, b.Revision),
 		cmp.Compare(a.Address, b.Address),
 		cmp.Compare(a.Kind, b.Kind),
 		cmp.Compare(a.Pool, b.Pool),
 		cmp.Compare(a.FailureDomain, b.FailureDomain),
 		compareBools(a.FencesOrders, b.FencesOrders),
+		cmp.Compare(a.Slots, b.Slots),
 	)
 }
 
@@ -106,6 +123,9 @@
 	h.Uint64(uint64(endpointRank(e.State)))
 	h.Bool(e.FencesOrders)
 	h.Bool(e.Confirmed)
+	h.Uint64(e.Revision)
+	h.Uint64(uint64(endpointRank(e.Said)))
+	h.Uint64(uint64(e.Slots))
 	h.Uint64(e.Observation)
 	h.Bool(e.Unreachable)
 	h.Uint64(uint64(len(e.Models)))
@@ -140,13 +160,12 @@
 	next := known
 	if r.Incarnation > known.Incarnation {
 		next.Incarnation = r.Incarnation
-		next.State = port.EndpointLive
+		next.State, next.Said = port.EndpointLive, ""
 		next.Observation = 0
 		next.Unreachable = false
 	}
-	if endpointRank(r.State) > endpointRank(next.State) {
-		next.State = r.State
-	}
+	next.Said = laterState(next.Said, r.State)
+	next.State = laterState(next.State, r.State)
 	next.Confirmed = true
 	models := slices.Sorted(slices.Values(r.Models))
 	if next.Unreachable || !slices.Equal(models, next.Models) {
@@ -167,6 +186,15 @@
 	return next
 }
 
+// Removed returns the entry of an endpoint that the platform's registry took
+// out at the revision. It may serve on for a while, but is offered nothing new.
+func Removed(known Endpoint, revision uint64) Endpoint {
+	next := known
+	next.Revision = revision
+	next.State = port.EndpointLeaving
+	return next
+}
+
 // Delisted returns the entry of an endpoint that the platform's list no longer
 // names. It is gone only if it can't be reached either: the list lags, and an
 // endpoint that answers is not given up for it.
--- a/internal/core/routing/runner.go
+++ b/internal/core/routing/runner.go
@@ -23,6 +23,9 @@
 	endpoint port.Endpoint
 	shard    *shard
 
+	// said is the runner's own word on its state.
+	said port.EndpointState
+
 	report     port.LoadReport
 	reported   bool
 	reportTime time.Time
--- a/internal/core/routing/scheduler.go
+++ b/internal/core/routing/scheduler.go
@@ -104,13 +104,26 @@
 	if e := s.find(r.RequestID); e != nil {
 		return e.shard.again(now, e, r)
 	}
-	pools := s.routes.Load().byModel[r.Model]
+	pools := inPool(s.routes.Load().byModel[r.Model], r.Pool)
 	if len(pools) == 0 {
 		return s.refusal(ReasonRefusedModel, noEndpointRetry)
 	}
 	return s.pick(pools, r.RequestID).submit(now, r)
 }
 
+// inPool keeps the named pool; the empty name keeps all.
+func inPool(pools []*shard, name string) []*shard {
+	if name == "" {
+		return pools
+	}
+	for i := range pools {
+		if pools[i].pool == name {
+			return pools[i : i+1]
+		}
+	}
+	return nil
+}
+
 // noEndpointRetry is promised where no endpoint serves the model: the host
 // list and load orders take some seconds to show a new one.
 const noEndpointRetry = 5 * time.Second
--- a/internal/core/routing/shard.go
+++ b/internal/core/routing/shard.go
@@ -145,13 +145,17 @@
 	if e.Incarnation < r.endpoint.Incarnation {
 		return
 	}
-	state := laterState(r.endpoint.State, e.State)
+	state := e.State
+	if e.Revision <= r.endpoint.Revision {
+		state = laterState(r.endpoint.State, e.State)
+	}
 	r.endpoint = *e
-	r.endpoint.State = state
+	r.endpoint.State = laterState(state, r.said)
 }
 
 // laterState keeps leaving sticky: a late message that still says live must
 // not bring an endpoint back, or it would get new work until the next list.
+// The empty state is before all others.
 func laterState(a, b port.EndpointState) port.EndpointState {
 	order := []port.EndpointState{port.EndpointLive, port.EndpointLeaving, port.EndpointGone}
 	if slices.Index(order, a) > slices.Index(order, b) {
@@ -169,6 +173,7 @@
 	}
 	r.takeReport(now, report, s.scheduler.options.ReportLag)
 	if report.State != "" && report.State != port.EndpointLive {
+		r.said = laterState(r.said, report.State)
 		r.endpoint.State = laterState(r.endpoint.State, report.State)
 		s.rebuild()
 	}
--- a/cmd/dragonfly-router/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -1,4 +1,4 @@
-package main
+package fleet
 
 import (
 	"fmt"
@@ -26,7 +26,7 @@
 }
 
 func routerMember(id string, state port.MemberState) port.Member {
-	return port.Member{ID: id, Role: port.RoleRouter, State: state}
+	return port.Member{ID: id, Role: port.RoleRouter, State: state, CallerAddress: "127.0.0.1:1"}
 }
 
 func TestRankFollowsTheLiveRouters(t *testing.T) {
@@ -43,7 +43,7 @@
 	}
 	view := &fakeMembers{}
 	view.set()
-	f := &fleet{selfID: "r2", view: view}
+	f := New("r2", view)
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			view.set(c.members...)
@@ -57,10 +57,10 @@
 func TestMembersAreReadOncePerChange(t *testing.T) {
 	view := &fakeMembers{}
 	view.set(routerMember("r1", port.MemberLive))
-	f := &fleet{selfID: "r2", view: view}
+	f := New("r2", view)
 	for range 100 {
 		f.RouterRank()
-		f.liveKeepers()
+		f.LiveKeepers()
 	}
 	view.set(routerMember("r1", port.MemberDead))
 	if live := f.LiveRouters(); live != 1 {
@@ -80,7 +80,7 @@
 				members[i] = routerMember(fmt.Sprint("r", i), port.MemberLive)
 			}
 			view.set(members...)
-			f := &fleet{selfID: "r2", view: view}
+			f := New("r2", view)
 			b.Run("kept", func(b *testing.B) {
 				for range b.N {
 					f.RouterRank()
--- /dev/null
+++ b/internal/gateway/apply.go
@@ -0,0 +1,95 @@
+package gateway
+
+import (
+	"github.com/dragonflyrail/dragonflyrail/internal/core/route"
+	"github.com/dragonflyrail/dragonflyrail/internal/port"
+)
+
+// takers are the endpoints that may take new work.
+type takers struct {
+	// byPool lists the endpoints of plain services.
+	byPool map[string][]port.Endpoint
+	// byID finds any endpoint that is known, those leaving included.
+	byID map[string]port.Endpoint
+}
+
+// apply takes over what the view holds. Two changes at a time are taken in
+// turn, so that the later view stays.
+func (g *Gateway) apply() {
+	g.applying.Lock()
+	defer g.applying.Unlock()
+	records := g.View.Records()
+	g.applyRoutes(records)
+	g.applyEndpoints()
+	g.Scheduler.SetPolicy(g.policy(records))
+}
+
+// applyRoutes puts the newest table in force. The view never goes back, so
+// neither does this.
+func (g *Gateway) applyRoutes(records []port.Record) {
+	for i := range records {
+		r := &records[i]
+		if r.Kind != route.RecordKind {
+			continue
+		}
+		current := g.index.Load()
+		if current != nil && current.Version() >= r.Version {
+			continue
+		}
+		table, err := route.Decode(r.Body)
+		if err != nil {
+			g.decideOn("configuration", r.Kind+"/"+r.Name, "refuse", err.Error(), r.Version)
+			continue
+		}
+		g.index.Store(route.NewIndex(table))
+		g.metrics.version.Update(int64(r.Version))
+		g.decideOn("configuration", r.Kind+"/"+r.Name, "in_force", "the newest version heard of", r.Version)
+	}
+}
+
+// policy joins what the operators' records say with the organisations of the
+// routes.
+func (g *Gateway) policy(records []port.Record) port.Policy {
+	p := g.Policy(records)
+	index := g.index.Load()
+	if index == nil {
+		return p
+	}
+	p.Version = max(p.Version, index.Version())
+	return p
+}
+
+func (g *Gateway) applyEndpoints() {
+	t := &takers{byPool: make(map[string][]port.Endpoint), byID: make(map[string]port.Endpoint)}
+	known := make(map[string]bool)
+	var runners []port.Endpoint
+	for _, e := range g.View.Endpoints() {
+		known[e.ID] = true
+		if g.departed.Has(e) && e.State == port.EndpointLive {
+			e.State = port.EndpointLeaving
+		}
+		t.byID[e.ID] = e
+		if e.Kind == port.KindRunner {
+			runners = append(runners, e)
+			continue
+		}
+		if e.State == port.EndpointLive {
+			t.byPool[e.Pool] = append(t.byPool[e.Pool], e)
+		}
+	}
+	g.takers.Store(t)
+	g.Scheduler.SetEndpoints(g.Clock(), runners)
+	g.balancer.Keep(known)
+	g.departed.Keep(known)
+}
+
+// sawLeaving takes an endpoint's own word that it leaves.
+func (g *Gateway) sawLeaving(e port.Endpoint, reason string) {
+	if !g.departed.Add(e) {
+		return
+	}
+	g.decideOn("endpoint", e.ID, "leave", reason, 0)
+	g.applying.Lock()
+	defer g.applying.Unlock()
+	g.applyEndpoints()
+}
--- /dev/null
+++ b/internal/gateway/entry.go
@@ -0,0 +1,42 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/dragonflyrail/dragonflyrail/internal/port"
+)
+
+// MaxEntryAddresses bounds the addresses of one entry answer.
+const MaxEntryAddresses = 64
+
+// Entry lists the daemons that a caller in the failure domain should use, and
+// how long the answer may be kept. Callers choose among them at random. Where
+// there are more than an answer holds, those of the caller's own domain are
+// named first.
+func (g *Gateway) Entry(failureDomain string) (addresses []string, valid time.Duration) {
+	var near, far []string
+	for _, m := range g.View.Members() {
+		if m.ID == g.o.ID || m.CallerAddress == "" || m.State != port.MemberLive {
+			continue
+		}
+		if m.FailureDomain == failureDomain {
+			near = append(near, m.CallerAddress)
+			continue
+		}
+		far = append(far, m.CallerAddress)
+	}
+	if g.Ready() {
+		near = append(near, g.o.CallerAddress)
+	}
+	shuffle(near)
+	shuffle(far)
+	addresses = slices.Concat(near, far)
+	return addresses[:min(len(addresses), MaxEntryAddresses)], g.o.EntryValidity
+}
+
+// Ready reports whether this daemon wants new callers.
+func (g *Gateway) Ready() bool { return g.Synced() && g.View.Synced() && !g.Leaving() }
+
+func shuffle(s []string) { rand.Shuffle(len(s), func(i, j int) { s[i], s[j] = s[j], s[i] }) }
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,146 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"github.com/dragonflyrail/dragonflyrail/internal/core/balance"
+	"github.com/dragonflyrail/dragonflyrail/internal/core/breaker"
+	"github.com/dragonflyrail/dragonflyrail/internal/core/membership"
+	"github.com/dragonflyrail/dragonflyrail/internal/core/route"
+	"github.com/dragonflyrail/dragonflyrail/internal/port"
+)
+
+// Announcer tells the rest of the system that this daemon is leaving.
+type Announcer interface {
+	SetLeaving()
+}
+
+// Ports are what a gateway reaches the world through.
+type Ports struct {
+	Endpoints port.Exchanger
+	Scheduler port.Scheduler
+	View      port.StateView
+	Announcer Announcer
+	Sink      port.DecisionSink
+	// Policy turns the records in force into the scheduler's policy.
+	Policy func([]port.Record) port.Policy
+	// Clock gives the time; nil is time.Now.
+	Clock   func() time.Time
+	Metrics gometrics.Registry
+}
+
+// Options are a gateway's settings.
+type Options struct {
+	ID            string
+	CallerAddress string
+	Breaker       breaker.Options
+	// RetryShare and RetryBurst bound, for each pool, what is sent to a
+	// second endpoint, see breaker.Budget. They hold for all daemons together.
+	RetryShare float64
+	RetryBurst int
+	// MaxOpen bounds the requests open at once.
+	MaxOpen int
+	// RefusalsTried bounds the endpoints that one request is offered to while
+	// each says that it didn't take it.
+	RefusalsTried int
+	// ReportMaxAge is the age past which a load report says nothing.
+	ReportMaxAge time.Duration
+	// EntryValidity is how long callers may keep an answer of Entry.
+	EntryValidity time.Duration
+	// Drain bounds a graceful shutdown.
+	Drain DrainOptions
+}
+
+// Gateway is the application. Create it with New, then call Run.
+type Gateway struct {
+	Ports
+	o        Options
+	breakers *breaker.Set
+	budgets  *budgets
+	balancer *balance.Balancer
+	metrics  *instruments
+	departed membership.Departures
+	index    atomic.Pointer[route.Index]
+	takers   atomic.Pointer[takers]
+	applying sync.Mutex
+
+	life lifecycle
+}
+
+// New returns a gateway that serves once Run is called.
+func New(o Options, p Ports) *Gateway {
+	if p.Clock == nil {
+		p.Clock = time.Now
+	}
+	if p.Metrics == nil {
+		p.Metrics = gometrics.NewRegistry()
+	}
+	g := &Gateway{
+		Ports:    p,
+		o:        o,
+		breakers: breaker.NewSet(o.Breaker),
+		balancer: balance.New(balance.Options{Draw: draw, ReportMaxAge: o.ReportMaxAge}),
+		metrics:  newInstruments(p.Metrics),
+	}
+	g.budgets = newBudgets(o.RetryShare, o.RetryBurst, g.daemons)
+	g.takers.Store(&takers{})
+	g.life.init()
+	return g
+}
+
+// tickInterval is the time between the scheduler's ticks: held requests are
+// released by ends of others, so a tick only finds those that grew too old.
+const tickInterval = 50 * time.Millisecond
+
+// Run keeps the routes and endpoints current until the context ends.
+func (g *Gateway) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() { g.tick(ctx) })
+	g.follow(ctx)
+	wg.Wait()
+}
+
+func (g *Gateway) tick(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			g.Scheduler.Tick(g.Clock())
+		}
+	}
+}
+
+// follow applies each change of the view.
+func (g *Gateway) follow(ctx context.Context) {
+	for {
+		changed := g.View.Changed()
+		g.apply()
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+// Synced reports whether the routes are known.
+func (g *Gateway) Synced() bool { return g.index.Load() != nil }
+
+// daemons counts the daemons that share what holds for all together.
+func (g *Gateway) daemons() int {
+	n := 0
+	for _, m := range g.View.Members() {
+		if m.State == port.MemberLive || m.State == port.MemberLeaving {
+			n++
+		}
+	}
+	return max(1, n)
+}
--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,59 @@
+package gateway
+
+import (
+	"time"
+
+	gometrics "github.com/rcrowley/go-metrics"
+)
+
+// Sample of the histograms: exponentially decaying, for the last minutes.
+const (
+	sampleSize  = 1028
+	sampleAlpha = 0.015
+)
+
+// instruments are the gateway's metrics. Times are in microseconds.
+type instruments struct {
+	registry gometrics.Registry
+
+	open       gometrics.Counter
+	answered   gometrics.Counter
+	retries    gometrics.Counter
+	events     gometrics.Counter
+	version    gometrics.Gauge
+	hold       gometrics.Histogram
+	firstEvent gometrics.Histogram
+	eventGap   gometrics.Histogram
+	calls      gometrics.Histogram
+}
+
+func newInstruments(r gometrics.Registry) *instruments {
+	counter := func(name string) gometrics.Counter { return gometrics.GetOrRegisterCounter(name, r) }
+	histogram := func(name string) gometrics.Histogram {
+		return gometrics.GetOrRegisterHistogram(name, r, gometrics.NewExpDecaySample(sampleSize, sampleAlpha))
+	}
+	return &instruments{
+		registry:   r,
+		open:       counter("requests_open_count"),
+		answered:   counter("requests_answered_total"),
+		retries:    counter("request_retries_total"),
+		events:     counter("stream_events_total"),
+		version:    gometrics.GetOrRegisterGauge("routes_version", r),
+		hold:       histogram("request_hold_us"),
+		firstEvent: histogram("stream_first_event_us"),
+		eventGap:   histogram("stream_event_gap_us"),
+		calls:      histogram("endpoint_answer_us"),
+	}
+}
+
+// refused counts a request without a whole answer by its cause.
+func (i *instruments) refused(c Cause) {
+	gometrics.GetOrRegisterCounter("requests_refused_"+string(c)+"_total", i.registry).Inc(1)
+}
+
+// lost counts a failed attempt by what failed.
+func (i *instruments) lost(kind string) {
+	gometrics.GetOrRegisterCounter("endpoint_failures_"+kind+"_total", i.registry).Inc(1)
+}
+
+func observe(h gometrics.Histogram, d time.Duration) { h.Update(d.Microseconds()) }
--- /dev/null
+++ b/internal/gateway/place.go
@@ -0,0 +1,172 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/dragonflyrail/dragonflyrail/internal/port"
+)
+
+// placement is an endpoint that was chosen for one attempt.
+type placement struct {
+	endpoint port.Endpoint
+	rank     int
+	// generation: the scheduler placed it, and is told of its end.
+	generation bool
+	// tokens are those seen of the answer.
+	tokens int
+}
+
+// blockTokens is the part of a prompt that one hash stands for, where shared
+// prompts are recognised.
+const blockTokens = 16
+
+// holdPart is the part of a caller's time within which a generation must be
+// placed: one that is placed later can hardly end in time.
+const holdPart = 2
+
+// drawPart turns an id into a number from 0 up to 1, the same at each try.
+func drawPart(id string) float64 {
+	return float64(xxhash.Sum64String(id)>>11) / (1 << 53)
+}
+
+// place chooses an endpoint for the next attempt, or says why there is none.
+func (x *exchange) place(ctx context.Context) (*placement, *Refusal) {
+	if x.req.Generation != nil && x.engine != nil {
+		return x.schedule(ctx)
+	}
+	return x.balance()
+}
+
+// schedule asks the scheduler until it places or refuses.
+func (x *exchange) schedule(ctx context.Context) (*placement, *Refusal) {
+	ask := x.ask()
+	for {
+		now := x.g.Clock()
+		d := x.g.Scheduler.Submit(now, ask)
+		x.endpoint = d.Endpoint.ID
+		x.record(d.Verdict.String(), d.Reason, "", d.Candidates)
+		switch d.Verdict {
+		case port.VerdictPlace:
+			observe(x.g.metrics.hold, now.Sub(x.req.Arrived))
+			return x.chosen(&placement{endpoint: d.Endpoint, generation: true, rank: x.req.Pass.Rank}), nil
+		case port.VerdictHold:
+			if refusal := x.hold(ctx, now, ask, &d); refusal != nil {
+				return nil, refusal
+			}
+		default:
+			return nil, &Refusal{Cause: CauseOverloaded, Detail: d.Reason, RetryAfter: d.RetryAfter}
+		}
+	}
+}
+
+// chosen counts the attempt that follows.
+func (x *exchange) chosen(p *placement) *placement {
+	x.attempts++
+	x.endpoint = p.endpoint.ID
+	x.tried = append(x.tried, p.endpoint.ID)
+	return p
+}
+
+// ask is the request as the scheduler sees it.
+func (x *exchange) ask() *port.GenerationRequest {
+	a := x.req.Generation
+	left := x.deadline.Sub(x.req.Arrived)
+	return &port.GenerationRequest{
+		RequestID: x.req.ID, Organisation: x.req.Pass.Organisation, Pool: x.pool, Model: a.Model,
+		PromptTokens: a.PromptTokens, MaxTokens: a.MaxTokens, PrefixHashes: prefixHashes(a.Parts),
+		Excluded: x.tried, Attempt: x.attempts + 1,
+		Arrived: x.req.Arrived, Deadline: x.req.Arrived.Add(left / holdPart),
+	}
+}
+
+// prefixHashes gives each block of the prompt's parts a hash of all before it.
+func prefixHashes(parts []PromptPart) []uint64 {
+	var out []uint64
+	chain := uint64(0)
+	for _, p := range parts {
+		for block := range p.Tokens / blockTokens {
+			chain = chain*31 + p.ID + uint64(block) + 1
+			out = append(out, chain)
+		}
+	}
+	return out
+}
+
+// hold waits until the request should be submitted again.
+func (x *exchange) hold(ctx context.Context, now time.Time, ask *port.GenerationRequest, d *port.Decision) *Refusal {
+	timer := time.NewTimer(ask.Deadline.Sub(now))
+	defer timer.Stop()
+	refusal := &Refusal{RetryAfter: max(d.RetryAfter, retrySoon)}
+	select {
+	case <-x.g.Scheduler.Ready(ask.RequestID):
+		return nil
+	case <-timer.C:
+		refusal.Cause, refusal.Detail = CauseHeldTooLong, "no place in time: "+d.Reason
+	case <-ctx.Done():
+		x.interrupted(ctx, refusal)
+	}
+	x.g.Scheduler.Withdraw(x.g.Clock(), ask.RequestID)
+	return refusal
+}
+
+// balance draws an endpoint of a plain service.
+func (x *exchange) balance() (*placement, *Refusal) {
+	g := x.g
+	now := g.Clock()
+	var candidates, spared []port.Endpoint
+	for _, e := range g.takers.Load().byPool[x.pool] {
+		switch {
+		case slices.Contains(x.tried, e.ID):
+		case e.Unreachable || g.breakers.Open(now, e.ID):
+			spared = append(spared, e)
+		default:
+			candidates = append(candidates, e)
+		}
+	}
+	if len(candidates) == 0 && x.attempts == 0 {
+		// None looks well, but breakers may be late: a try is better than a
+		// refusal.
+		candidates = spared
+	}
+	endpoint, scores, ok := g.balancer.Choose(now, candidates)
+	if !ok {
+		return nil, x.noEndpoint()
+	}
+	p := x.chosen(&placement{endpoint: endpoint, rank: x.req.Pass.Rank})
+	x.record(port.VerdictPlace.String(), "least calls of two drawn in pool "+x.pool, "", scores)
+	return p, nil
+}
+
+func (x *exchange) noEndpoint() *Refusal {
+	if x.attempts > 0 {
+		return &Refusal{Cause: CauseEndpointFailed, Detail: x.reason + "; no other endpoint is left", RetryAfter: retrySoon}
+	}
+	return &Refusal{Cause: CauseNoEndpoint, Detail: "no live endpoint in pool " + x.pool, RetryAfter: retrySoon}
+}
+
+// begin tells the breakers and the balancer that an attempt begins.
+func (x *exchange) beginAttempt(p *placement) {
+	if !p.generation {
+		x.g.breakers.Begin(x.g.Clock(), p.endpoint.ID)
+	}
+}
+
+// endAttempt tells those who placed the attempt how it ended.
+func (x *exchange) endAttempt(p *placement, kind port.FinishKind) {
+	g := x.g
+	if p.generation {
+		g.Scheduler.Finished(g.Clock(), x.req.ID, p.tokens, kind)
+		return
+	}
+	g.balancer.End(p.endpoint.ID)
+	switch kind {
+	case port.FinishDone:
+		g.breakers.Success(p.endpoint.ID)
+	case port.FinishFailed, port.FinishNotStarted:
+		g.breakers.Failure(g.Clock(), p.endpoint.ID)
+	}
+}
--- /dev/null
+++ b/internal/gateway/refusal.go
@@ -0,0 +1,48 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/dragonflyrail/dragonflyrail/internal/core/outcome"
+)
+
+// Cause is why a request has no whole answer.
+type Cause string
+
+// The causes. They are stable: logs and counters name them.
+const (
+	CauseNotSynced      Cause = "routes_unknown"
+	CauseNoRoute        Cause = "no_route"
+	CauseNoKey          Cause = "unknown_key"
+	CauseNoEndpoint     Cause = "no_endpoint"
+	CauseOverloaded     Cause = "overloaded"
+	CauseHeldTooLong    Cause = "held_too_long"
+	CauseEndpointFailed Cause = "endpoint_failed"
+	CauseTimeout        Cause = "timeout"
+	CauseStopping       Cause = "daemon_stopping"
+	CauseTooManyOpen    Cause = "too_many_open_requests"
+	CauseCallerGone     Cause = "caller_gone"
+)
+
+// Refusal is an honest answer in place of a whole one.
+type Refusal struct {
+	Cause   Cause
+	Outcome outcome.Outcome
+	// Detail is for people.
+	Detail     string
+	DecisionID string
+	// RetryAfter is zero where a retry can't help.
+	RetryAfter time.Duration
+	// Begun: a part of the answer has reached the caller, which must see that
+	// it isn't whole.
+	Begun bool
+	// Version is that of the routes behind the refusal.
+	Version uint64
+}
+
+// Error is the detail with its cause.
+func (r *Refusal) Error() string { return string(r.Cause) + ": " + r.Detail }
+
+// retrySoon is the promise of refusals that the scheduler doesn't make: by
+// then the caller asks another daemon, or this one knows more.
+const retrySoon = 500 * time.Millisecond
--- a/internal/keeper/duty_test.go
+++ b/internal/keeper/duty_test.go
@@ -64,7 +64,7 @@
 func TestEmptyPlatformIsListedOnce(t *testing.T) {
 	p := newFakePlatform()
 	k, _ := newTestKeeper(p)
-	w := watch{keeper: k, kind: testKind, retry: retryPauseFirst}
+	w := newWatch(k, testKind, &recordSource{keeper: k, kind: testKind})
 	w.step(t.Context())
 	if !w.listed || w.revision != 0 {
 		t.Fatalf("listed %v at revision %d", w.listed, w.revision)
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -15,6 +15,7 @@
 
 	"github.com/dragonflyrail/dragonflyrail/internal/adapter/grpcpeer"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/membership"
+	"github.com/dragonflyrail/dragonflyrail/internal/core/record"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/spread/node"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
@@ -42,6 +43,17 @@
 	// between two attempts to find it.
 	DefaultSettleWithin = 8 * time.Second
 	DefaultSettlePause  = 100 * time.Millisecond
+	// DefaultDutyCheck is how often a keeper asks itself whether it should
+	// watch.
+	DefaultDutyCheck = 250 * time.Millisecond
+	// DefaultWatchPause lets a burst of changes come as one reply: calls then
+	// don't grow with the rate of changes past a few a second.
+	DefaultWatchPause    = 250 * time.Millisecond
+	DefaultRetryPause    = 250 * time.Millisecond
+	DefaultRetryPauseMax = 4 * time.Second
+	// DefaultLapseGrace is how long the platform takes to list again, after it
+	// was away, the endpoints that still live.
+	DefaultLapseGrace = 2500 * time.Millisecond
 	// hostPollers of the watchers read the list of hosts.
 	hostPollers = 2
 )
@@ -56,8 +68,13 @@
 	// Self needs ID, FailureDomain, Host and the addresses.
 	Self port.Member
 	// Keepers are the peer addresses tried first.
-	Keepers   []string
-	Platform  port.Platform
+	Keepers  []string
+	Platform port.Platform
+	// Registry of endpoints, where the platform has one that can be watched;
+	// else Platform.Hosts is polled.
+	Endpoints port.EndpointRegistry
+	// Kinds of records that are watched; nil is record.Kinds.
+	Kinds     []string
 	Prober    EndpointProber
 	Decisions port.DecisionSink
 	Logger    *log.Logger
@@ -73,7 +90,18 @@
 	SilenceAfter   time.Duration
 	SettleWithin   time.Duration
 	SettlePause    time.Duration
-	DialOptions    []grpc.DialOption
+	// WatchPause lets a burst of changes come as one reply.
+	WatchPause time.Duration
+	// DutyCheck is how often a keeper asks itself whether it should watch.
+	DutyCheck time.Duration
+	// RetryPause is the first pause after a failed call, RetryPauseMax the
+	// longest.
+	RetryPause    time.Duration
+	RetryPauseMax time.Duration
+	// LapseGrace is how long endpoints that a list leaves out are believed
+	// where the platform was away before.
+	LapseGrace  time.Duration
+	DialOptions []grpc.DialOption
 }
 
 func (o *Options) setDefaults() {
@@ -81,6 +109,9 @@
 	if o.Watchers <= 0 {
 		o.Watchers = DefaultWatchers
 	}
+	if o.Kinds == nil {
+		o.Kinds = record.Kinds()
+	}
 	if o.Registry == nil {
 		o.Registry = gometrics.NewRegistry()
 	}
@@ -97,6 +128,11 @@
 		{&o.SilenceAfter, grpcpeer.DefaultSilenceAfter},
 		{&o.SettleWithin, DefaultSettleWithin},
 		{&o.SettlePause, DefaultSettlePause},
+		{&o.WatchPause, DefaultWatchPause},
+		{&o.DutyCheck, DefaultDutyCheck},
+		{&o.RetryPause, DefaultRetryPause},
+		{&o.RetryPauseMax, DefaultRetryPauseMax},
+		{&o.LapseGrace, DefaultLapseGrace},
 	} {
 		if *d.field <= 0 {
 			*d.field = d.standard
@@ -144,11 +180,15 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return k.linkForever(ctx) })
 	group.Go(func() error { return k.judgeForever(ctx) })
-	group.Go(func() error { return k.pollHostsForever(ctx) })
+	if k.options.Endpoints != nil {
+		group.Go(func() error { return k.watchEndpointsForever(ctx) })
+	} else {
+		group.Go(func() error { return k.pollHostsForever(ctx) })
+	}
 	if k.options.Prober != nil {
 		group.Go(func() error { return k.probeForever(ctx) })
 	}
-	for _, kind := range recordKinds() {
+	for _, kind := range k.options.Kinds {
 		group.Go(func() error { return k.watchForever(ctx, kind) })
 	}
 	return group.Wait()
--- a/internal/keeper/watch.go
+++ b/internal/keeper/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -10,39 +11,40 @@
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
 
-// Pauses between calls to the platform.
-const (
-	// dutyCheck is how often a keeper asks itself whether it should watch.
-	dutyCheck = 250 * time.Millisecond
-	// watchPause lets a burst of changes come as one reply: calls then don't
-	// grow with the rate of changes past a few a second.
-	watchPause      = 250 * time.Millisecond
-	retryPauseFirst = 250 * time.Millisecond
-	retryPauseMax   = 4 * time.Second
-)
-
-func recordKinds() []string { return record.Kinds() }
-
 // listedKinds are the kinds whose list was read in full.
 type listedKinds struct {
 	mu    sync.Mutex
 	kinds map[string]bool
 }
 
-// add reports whether all kinds have been read by now.
-func (l *listedKinds) add(kind string) bool {
+// add reports whether as many kinds as wanted have been read by now.
+func (l *listedKinds) add(kind string, wanted int) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.kinds == nil {
 		l.kinds = map[string]bool{}
 	}
 	l.kinds[kind] = true
-	return len(l.kinds) == len(recordKinds())
+	return len(l.kinds) == wanted
+}
+
+// source is what one watch reads from the platform.
+type source interface {
+	// list reads all of it. With away the platform could not be read for a
+	// while before.
+	list(ctx context.Context, away bool) (revision uint64, err error)
+	// watch takes the changes past a revision and counts them.
+	watch(ctx context.Context, revision uint64, wait time.Duration) (changes int, newRevision uint64, err error)
 }
 
 // watchForever keeps one kind of record current.
 func (k *Keeper) watchForever(ctx context.Context, kind string) error {
-	w := watch{keeper: k, kind: kind, retry: retryPauseFirst}
+	return k.follow(ctx, kind, &recordSource{keeper: k, kind: kind})
+}
+
+// follow keeps what a source holds current.
+func (k *Keeper) follow(ctx context.Context, name string, s source) error {
+	w := newWatch(k, name, s)
 	for ctx.Err() == nil {
 		if err := pause(ctx, w.step(ctx)); err != nil {
 			return err
@@ -51,16 +53,23 @@
 	return ctx.Err()
 }
 
-// watch is the state of watching one kind.
+// watch is the state of watching one source.
 type watch struct {
 	keeper   *Keeper
-	kind     string
+	name     string
+	source   source
 	revision uint64
-	// listed: the kind was read in full this turn. The revision alone doesn't
-	// tell, as an empty platform's is zero.
+	// listed: the source was read in full this turn. The revision alone
+	// doesn't tell, as an empty platform's is zero.
 	listed   bool
 	listedAt time.Time
 	retry    time.Duration
+	// failing: the platform did not answer the last call.
+	failing bool
+}
+
+func newWatch(k *Keeper, name string, s source) watch {
+	return watch{keeper: k, name: name, source: s, retry: k.options.RetryPause}
 }
 
 // step does one call to the platform, if any, and returns the pause after it.
@@ -70,16 +79,20 @@
 	if !k.onDuty(now) {
 		// Changes are missed from here on; the next turn begins with a list.
 		w.listed = false
-		return dutyCheck
+		return k.options.DutyCheck
 	}
 	changed, err := w.call(ctx, now)
+	if ctx.Err() != nil {
+		return 0
+	}
 	if err != nil {
 		return w.failed(err)
 	}
-	w.retry = retryPauseFirst
+	w.regained()
+	w.retry = k.options.RetryPause
 	k.ownAnswer(time.Now())
 	if changed {
-		return watchPause
+		return k.options.WatchPause
 	}
 	return 0
 }
@@ -89,49 +102,88 @@
 	if !w.listed || now.Sub(w.listedAt) >= k.options.RelistEvery {
 		return true, w.list(ctx, now)
 	}
-	objects, revision, err := k.options.Platform.Watch(ctx, w.kind, w.revision, k.options.WatchWait)
+	changes, revision, err := w.source.watch(ctx, w.revision, k.options.WatchWait)
 	if err != nil {
 		return false, err
 	}
-	w.apply(objects)
 	w.revision = revision
-	return len(objects) > 0, nil
+	return changes > 0, nil
 }
 
 func (w *watch) list(ctx context.Context, now time.Time) error {
-	objects, revision, err := w.keeper.options.Platform.List(ctx, w.kind)
+	revision, err := w.source.list(ctx, w.failing)
 	if err != nil {
 		return err
 	}
-	w.apply(objects)
 	w.revision, w.listed, w.listedAt = revision, true, now
-	if w.keeper.listed.add(w.kind) {
-		w.keeper.node.SetComplete()
-	}
 	return nil
 }
 
-func (w *watch) apply(objects []port.Object) {
+// failed returns a growing pause with jitter, so that a platform that comes
+// back isn't met by all keepers at once.
+func (w *watch) failed(err error) time.Duration {
+	// Whatever the error, a list is right; for an old revision it is needed.
+	w.listed = false
+	if errors.Is(err, port.ErrRevisionGone) {
+		// The platform answers, so there is no outage to wait out.
+		w.keeper.options.Logger.Info().Str("event", "platform_history_gone").Str("kind", w.name).Uint64("revision", w.revision).Msg("")
+		w.keeper.ownAnswer(time.Now())
+		return w.keeper.options.WatchPause
+	}
+	w.keeper.options.Logger.Warn().Str("event", "platform_watch_failed").Str("kind", w.name).Err(err).Msg("")
+	w.failing = true
+	d := w.retry
+	w.retry = min(2*w.retry, w.keeper.options.RetryPauseMax)
+	return d/2 + rand.N(d)
+}
+
+func (w *watch) regained() {
+	if !w.failing {
+		return
+	}
+	w.failing = false
+	w.keeper.options.Logger.Info().Str("event", "platform_regained").Str("kind", w.name).Uint64("revision", w.revision).Msg("")
+}
+
+// recordSource reads one kind of record.
+type recordSource struct {
+	keeper *Keeper
+	kind   string
+}
+
+func (s *recordSource) list(ctx context.Context, _ bool) (uint64, error) {
+	k := s.keeper
+	objects, revision, err := k.options.Platform.List(ctx, s.kind)
+	if err != nil {
+		return 0, err
+	}
+	s.apply(objects)
+	if k.listed.add(s.kind, len(k.options.Kinds)) {
+		k.node.SetComplete()
+	}
+	return revision, nil
+}
+
+func (s *recordSource) watch(ctx context.Context, revision uint64, wait time.Duration) (int, uint64, error) {
+	objects, next, err := s.keeper.options.Platform.Watch(ctx, s.kind, revision, wait)
+	if err != nil {
+		return 0, 0, err
+	}
+	s.apply(objects)
+	return len(objects), next, nil
+}
+
+func (s *recordSource) apply(objects []port.Object) {
+	k := s.keeper
 	for i := range objects {
 		r, err := record.FromObject(&objects[i])
 		if err != nil {
 			// What can't be read is left as it is: the record in force stays.
-			w.keeper.options.Logger.Error().Str("event", "record_unreadable").
+			k.options.Logger.Error().Str("event", "record_unreadable").
 				Str("kind", objects[i].Kind).Str("name", objects[i].Name).
 				Uint64("version", objects[i].Version).Err(err).Msg("")
 			continue
 		}
-		w.keeper.node.PutRecord(r)
+		k.node.PutRecord(r)
 	}
 }
-
-// failed returns a growing pause with jitter, so that a platform that comes
-// back isn't met by all keepers at once.
-func (w *watch) failed(err error) time.Duration {
-	w.keeper.options.Logger.Warn().Str("event", "platform_watch_failed").Str("kind", w.kind).Err(err).Msg("")
-	// Whatever the error, a list is right; for an old revision it is needed.
-	w.listed = false
-	d := w.retry
-	w.retry = min(2*w.retry, retryPauseMax)
-	return d/2 + rand.N(d)
-}
--- a/internal/port/endpoint.go
+++ b/internal/port/endpoint.go
@@ -1,5 +1,7 @@
 package port
 
+import "time"
+
 // EndpointKind tells model runners from plain services.
 type EndpointKind string
 
@@ -33,6 +35,14 @@
 	// fencing number.
 	FencesOrders bool     `json:"fences_orders"`
 	Models       []string `json:"models,omitempty"`
+	// Slots is the number of requests that run at once; zero where the
+	// platform doesn't say.
+	Slots int `json:"slots,omitempty"`
+	// Revision is that of the platform's registry behind State. An entry of a
+	// larger revision goes before one that is known, also where that was
+	// leaving: an endpoint whose entry had lapsed is listed again. It is zero
+	// where the platform's list has no order; then State only grows.
+	Revision uint64 `json:"revision,omitempty"`
 	// Unreachable is set while the keepers' probes fail. Unlike State it is
 	// taken back when they succeed again: a cut link heals.
 	Unreachable bool `json:"unreachable,omitempty"`
@@ -59,4 +69,9 @@
 	// TokenMillis is the recent time of one decoding step.
 	TokenMillis float64  `json:"token_millis"`
 	Models      []string `json:"models,omitempty"`
+	// LeavesIn is the time until the endpoint stops, where it knows; zero
+	// where it doesn't say.
+	LeavesIn time.Duration `json:"leaves_in,omitempty"`
+	// Runs lists what runs there, of all routers, where the endpoint says so.
+	Runs []Run `json:"runs,omitempty"`
 }
--- a/internal/port/platform.go
+++ b/internal/port/platform.go
@@ -37,6 +37,21 @@
 	Hosts(ctx context.Context) ([]HostEntry, error)
 }
 
+// ListedEndpoint is what the platform's registry says of one endpoint.
+type ListedEndpoint struct {
+	Endpoint
+	// Removed: the registry no longer names it. Only ID and Revision are set.
+	Removed bool
+}
+
+// EndpointRegistry is the platform's registry of endpoints, which orders all
+// changes by a revision. Its errors are those of Platform.
+type EndpointRegistry interface {
+	ListEndpoints(ctx context.Context) (entries []ListedEndpoint, revision uint64, err error)
+	// WatchEndpoints waits for changes past revision, up to wait.
+	WatchEndpoints(ctx context.Context, revision uint64, wait time.Duration) (changes []ListedEndpoint, newRevision uint64, err error)
+}
+
 // The kinds of platform objects that the system writes.
 const (
 	ObjectRoutingConfiguration = "routing-configurations"
--- a/internal/port/scheduler.go
+++ b/internal/port/scheduler.go
@@ -7,6 +7,8 @@
 	// RequestID is unique and names the router that decides.
 	RequestID    string
 	Organisation string
+	// Pool is where it must run; empty for any pool that serves the model.
+	Pool         string
 	Model        string
 	PromptTokens int
 	// MaxTokens bounds the output; zero when the caller set none.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -10,6 +10,7 @@
 
 	"github.com/dragonflyrail/dragonflyrail/internal/core/balance"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/breaker"
+	"github.com/dragonflyrail/dragonflyrail/internal/core/membership"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/stream"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
@@ -130,7 +131,7 @@
 	cancels  *cancels
 	loads    *loads
 	metrics  *instruments
-	departed departed
+	departed membership.Departures
 	takers   atomic.Pointer[takers]
 	applying sync.Mutex
 
@@ -151,13 +152,12 @@
 		requests: newRequests(o.RememberRequests),
 		replies:  newReplies(o.RememberReplies),
 		breakers: breaker.NewSet(o.Breaker),
-		budget:   breaker.NewBudget(o.RetryShare, o.RetryBurst),
+		budget:   breaker.NewBudget(o.RetryShare, float64(o.RetryBurst)),
 		balancer: balance.New(balance.Options{Draw: draw, ReportMaxAge: 10 * o.LoadStale}),
 		metrics:  newInstruments(p.Metrics),
 	}
 	r.cancels = newCancels(r)
 	r.loads = newLoads(r)
-	r.departed.m = make(map[string]uint64)
 	r.takers.Store(&takers{})
 	r.life.init()
 	return r
@@ -225,7 +225,7 @@
 	known := make(map[string]bool)
 	for _, e := range r.View.Endpoints() {
 		known[e.ID] = true
-		if e.State != port.EndpointLive || r.departed.has(e) {
+		if e.State != port.EndpointLive || r.departed.Has(e) {
 			continue
 		}
 		if e.Kind == port.KindService {
@@ -239,7 +239,7 @@
 	r.takers.Store(t)
 	r.Scheduler.SetEndpoints(r.Clock(), t.runners)
 	r.balancer.Keep(known)
-	r.departed.keep(known)
+	r.departed.Keep(known)
 }
 
 // reachable leaves out the runners that the keepers' probes don't reach. Where
@@ -259,51 +259,9 @@
 	return out
 }
 
-// departed holds the endpoints that this router saw leaving. It is sticky for
-// the incarnation: the host list lags and would bring the endpoint back.
-type departed struct {
-	mu sync.Mutex
-	m  map[string]uint64
-	n  atomic.Int64
-}
-
-// add reports whether the departure is new.
-func (d *departed) add(e port.Endpoint) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if at, known := d.m[e.ID]; known && at >= e.Incarnation {
-		return false
-	}
-	d.m[e.ID] = e.Incarnation
-	d.n.Store(int64(len(d.m)))
-	return true
-}
-
-// keep forgets the endpoints that are not among those known.
-func (d *departed) keep(known map[string]bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for id := range d.m {
-		if !known[id] {
-			delete(d.m, id)
-		}
-	}
-	d.n.Store(int64(len(d.m)))
-}
-
-func (d *departed) has(e port.Endpoint) bool {
-	if d.n.Load() == 0 {
-		return false
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	at, known := d.m[e.ID]
-	return known && e.Incarnation <= at
-}
-
 // sawLeaving takes an endpoint's own word that it leaves.
 func (r *Router) sawLeaving(e port.Endpoint) {
-	if !r.departed.add(e) {
+	if !r.departed.Add(e) {
 		return
 	}
 	r.decide(&port.DecisionRecord{
