Runners' caches are as large as the operators say, steps as slow as seen

Cause: runners of the users' platform are not asked for reports, so each counted as 16,384 tokens with steps of 20 ms; they have 34,305 and take 8 ms. Reports were held up to 7.2 s, until their callers left, with caches half empty. Ruled out: polling all runners (each poll is priced, and the two facts don't change). A fixed step time would not show a slow runner.

--- a/internal/core/routing/runner.go
+++ b/internal/core/routing/runner.go
@@ -23,6 +23,9 @@
 	endpoint port.Endpoint
 	shard    *shard
 
+	// seenTokenMillis is the time of a decoding step as this router's own
+	// generations show it, for engines that don't report it.
+	seenTokenMillis float64
 	// said is the runner's own word on its state.
 	said port.EndpointState
 
@@ -60,6 +63,20 @@
 // a single report may catch a moment between two steps.
 const reportSmoothing = 0.7
 
+// stepSmoothing is the weight of one more gap between two reports of progress
+// in the step time: a prompt that is read stretches some gaps to many steps.
+const stepSmoothing = 0.1
+
+// stepped takes the time that a generation of this router took for tokens.
+func (r *runner) stepped(took time.Duration, tokens int) {
+	step := float64(took.Microseconds()) / 1000 / float64(tokens)
+	if r.seenTokenMillis == 0 {
+		r.seenTokenMillis = step
+		return
+	}
+	r.seenTokenMillis += stepSmoothing * (step - r.seenTokenMillis)
+}
+
 // note records a change by this router.
 func (r *runner) note(now time.Time, context, prefill float64, count int) {
 	r.ownContext += context
@@ -115,10 +132,14 @@
 }
 
 func (r *runner) capacity() float64 {
-	if !r.reported || r.report.BlocksTotal == 0 {
+	switch {
+	case r.reported && r.report.BlocksTotal > 0:
+		return float64(r.report.BlocksTotal * r.blockTokens())
+	case r.endpoint.CacheTokens > 0:
+		return float64(r.endpoint.CacheTokens)
+	default:
 		return unknownCapacity
 	}
-	return float64(r.report.BlocksTotal * r.blockTokens())
 }
 
 func (r *runner) blockTokens() int {
@@ -129,10 +150,14 @@
 }
 
 func (r *runner) tokenMillis() float64 {
-	if r.report.TokenMillis <= 0 {
+	switch {
+	case r.report.TokenMillis > 0:
+		return r.report.TokenMillis
+	case r.seenTokenMillis > 0:
+		return r.seenTokenMillis
+	default:
 		return unknownTokenMillis
 	}
-	return r.report.TokenMillis
 }
 
 // count is the generations there, waiting ones included.
--- a/internal/core/routing/shard.go
+++ b/internal/core/routing/shard.go
@@ -49,6 +49,8 @@
 	peak      float64
 	seen      int
 	refreshAt int
+	// progressed is when the last tokens were reported.
+	progressed time.Time
 }
 
 // shard is the state of one pool.
@@ -240,7 +242,10 @@
 	s.ownContext += grown
 	if e.seen == 0 {
 		e.runner.note(now, 0, -float64(e.request.PromptTokens), 0)
+	} else {
+		e.runner.stepped(now.Sub(e.progressed), tokens-e.seen)
 	}
+	e.progressed = now
 	e.seen = tokens
 	if tokens < e.refreshAt {
 		return
--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -70,7 +70,7 @@
 		}
 		t.byID[e.ID] = e
 		if e.Kind == port.KindRunner {
-			runners = append(runners, e)
+			runners = append(runners, g.withCache(e))
 			continue
 		}
 		if e.State == port.EndpointLive {
@@ -83,6 +83,18 @@
 	g.departed.Keep(known)
 }
 
+// withCache adds what the operators say of a runner's cache.
+func (g *Gateway) withCache(e port.Endpoint) port.Endpoint {
+	index := g.index.Load()
+	if index == nil {
+		return e
+	}
+	if p, ok := index.Pool(e.Pool); ok && p.Engine != nil {
+		e.CacheTokens = p.Engine.CacheTokens
+	}
+	return e
+}
+
 // sawLeaving takes an endpoint's own word that it leaves.
 func (g *Gateway) sawLeaving(e port.Endpoint, reason string) {
 	if !g.departed.Add(e) {
--- a/internal/port/endpoint.go
+++ b/internal/port/endpoint.go
@@ -38,6 +38,9 @@
 	// Slots is the number of requests that run at once; zero where the
 	// platform doesn't say.
 	Slots int `json:"slots,omitempty"`
+	// CacheTokens is the room of a runner's cache where the operators say it;
+	// its own report goes before.
+	CacheTokens int `json:"cache_tokens,omitempty"`
 	// Revision is that of the platform's registry behind State. An entry of a
 	// larger revision goes before one that is known, also where that was
 	// leaving: an endpoint whose entry had lapsed is listed again. It is zero
