Running generations move off the runners that leave

Change: continuity.Move decides the copies of one run: all daemons begin at the notice, a run goes on until a copy finds the link quiet (60 ms), then it is stopped for the last part and taken up at the new runner. The scheduler chooses where (Relocate) and counts the run at both until it is over. A run whose runner ends early goes on from its last copy. The end of a stream says in the log what the caller had: events, waits, longest pause, runners. Ruled out: copies of all runs from the start (twice the memory); a queue for the link at one daemon: the time of a copy shows the link's queue by itself.

--- a/cmd/dragonfly-entry/settings.go
+++ b/cmd/dragonfly-entry/settings.go
@@ -37,6 +37,9 @@
 	IdleTimeout time.Duration `json:"idle_timeout" validate:"min=10ms,max=10m"`
 	// Grace is the time from the order to stop to the kill.
 	Grace float64 `json:"grace_seconds" validate:"min=1,max=86400"`
+	// ReclaimNotice is the time that an endpoint serves on at least after it
+	// was heard to leave, in milliseconds.
+	ReclaimNotice int64 `json:"reclaim_notice_ms" validate:"min=0,max=600000"`
 	// RetryRatio and RetrySlack bound what all daemons together send to a
 	// second endpoint: a share of the requests, and a number in a window.
 	RetryRatio float64 `json:"retry_ratio" validate:"min=0,max=1"`
@@ -54,7 +57,7 @@
 		HeartbeatEvery: 250 * time.Millisecond, SilenceAfter: time.Second,
 		EntryValidity: 2 * time.Second, ConnectTimeout: 500 * time.Millisecond,
 		ReportTimeout: 500 * time.Millisecond, IdleTimeout: 2 * time.Second,
-		Grace: 8, RetryRatio: 0.2, RetrySlack: 20, MaxOpen: 4000, RememberDecisions: 4096,
+		Grace: 8, ReclaimNotice: 1500, RetryRatio: 0.2, RetrySlack: 20, MaxOpen: 4000, RememberDecisions: 4096,
 	}
 }
 
@@ -93,7 +96,7 @@
 		},
 		RetryShare: s.RetryRatio * retryPart, RetryBurst: int(s.RetrySlack * retryPart),
 		MaxOpen: s.MaxOpen, RefusalsTried: refusalsTried, ReportMaxAge: reportMaxAge,
-		EntryValidity: s.EntryValidity,
+		EntryValidity: s.EntryValidity, ReclaimNotice: time.Duration(s.ReclaimNotice) * time.Millisecond,
 		Drain: gateway.DrainOptions{
 			TakeGenerations: part(takeGenerationsPart), TakeCalls: part(takeCallsPart), End: part(endPart),
 		},
--- a/internal/adapter/jsonlog/jsonlog.go
+++ b/internal/adapter/jsonlog/jsonlog.go
@@ -40,5 +40,6 @@
 		Uint64("fence", d.Fence).
 		Str("actor", d.Actor).
 		Any("candidates", d.Candidates).
+		Any("delivered", d.Delivered).
 		Msg("")
 }
--- a/internal/core/routing/reasons.go
+++ b/internal/core/routing/reasons.go
@@ -5,6 +5,8 @@
 	ReasonPlaced   = "best_score"
 	ReasonReleased = "released_from_hold"
 	ReasonRepeated = "already_placed"
+	// ReasonRelocated: the best runner for a run that must leave its own.
+	ReasonRelocated = "relocated"
 
 	ReasonHeldOverflow  = "would_overflow"
 	ReasonHeldBatch     = "batch_full"
@@ -20,6 +22,8 @@
 	ReasonRefusedOpen   = "organisation_concurrency"
 	ReasonRefusedRetry  = "retry_budget_spent"
 	ReasonRefusedLarger = "larger_than_any_cache"
+	ReasonRefusedGone   = "no_longer_running"
+	ReasonRefusedRoom   = "no_runner_has_room"
 )
 
 // Why a candidate was excluded.
--- a/internal/core/routing/shard.go
+++ b/internal/core/routing/shard.go
@@ -42,7 +42,9 @@
 	// promised marks a caller who came back as it was told.
 	promised bool
 
-	runner    *runner
+	runner *runner
+	// next is the runner that the run is being moved to, or nil.
+	next      *runner
 	survival  length.Survival
 	print     footprint
 	cost      float64
@@ -195,12 +197,10 @@
 		e.org.long++
 	}
 	e.org.rates[e.item.Lane].add(now, 1)
-	context := float64(e.request.PromptTokens)
-	r.own.add(&e.print)
-	r.note(now, context, context, 1)
+	r.take(now, e)
 	r.breaker.dispatched()
 	s.own.add(&e.print)
-	s.ownContext += context
+	s.ownContext += e.context()
 	s.ownCount++
 	s.dispatched.add(now, e.print.peak())
 	s.prefixes.sent(now, e.request.PrefixHashes, r)
@@ -208,16 +208,10 @@
 
 // unplace takes a running entry off its runner.
 func (s *shard) unplace(now time.Time, e *entry) {
-	r := e.runner
-	r.own.subtract(&e.print)
-	prefill := 0.0
-	if e.seen == 0 {
-		prefill = -float64(e.request.PromptTokens)
-	}
-	context := float64(e.request.PromptTokens + e.seen)
-	r.note(now, -context, prefill, -1)
+	e.runner.give(now, e)
+	s.dropNext(now, e)
 	s.own.subtract(&e.print)
-	s.ownContext -= context
+	s.ownContext -= e.context()
 	s.ownCount--
 	e.org.running--
 	e.org.peak -= e.peak
@@ -238,10 +232,14 @@
 		return
 	}
 	grown := float64(tokens - e.seen)
-	e.runner.ownContext += grown
 	s.ownContext += grown
+	for _, r := range e.runners() {
+		r.ownContext += grown
+	}
 	if e.seen == 0 {
-		e.runner.note(now, 0, -float64(e.request.PromptTokens), 0)
+		for _, r := range e.runners() {
+			r.note(now, 0, -e.unread(), 0)
+		}
 	} else {
 		e.runner.stepped(now.Sub(e.progressed), tokens-e.seen)
 	}
@@ -251,13 +249,24 @@
 		return
 	}
 	e.refreshAt = tokens + max(minRefresh, tokens/refreshPart)
-	e.runner.own.subtract(&e.print)
-	s.own.subtract(&e.print)
+	before := e.print
 	e.print.set(&e.survival, e.request.PromptTokens, tokens, e.request.MaxTokens)
-	e.runner.own.add(&e.print)
+	for _, r := range e.runners() {
+		r.own.subtract(&before)
+		r.own.add(&e.print)
+	}
+	s.own.subtract(&before)
 	s.own.add(&e.print)
 }
 
+// runners are where the run takes room.
+func (e *entry) runners() []*runner {
+	if e.next != nil {
+		return []*runner{e.runner, e.next}
+	}
+	return []*runner{e.runner}
+}
+
 // How often a footprint is computed anew, in tokens and as a part.
 const (
 	minRefresh  = 16
--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"time"
+
 	"github.com/dragonflyrail/dragonflyrail/internal/core/route"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
@@ -11,6 +13,8 @@
 	byPool map[string][]port.Endpoint
 	// byID finds any endpoint that is known, those leaving included.
 	byID map[string]port.Endpoint
+	// leavingSince is when this daemon first held each for leaving.
+	leavingSince map[string]time.Time
 }
 
 // apply takes over what the view holds. Two changes at a time are taken in
@@ -60,7 +64,12 @@
 }
 
 func (g *Gateway) applyEndpoints() {
-	t := &takers{byPool: make(map[string][]port.Endpoint), byID: make(map[string]port.Endpoint)}
+	before := g.takers.Load()
+	t := &takers{
+		byPool: make(map[string][]port.Endpoint), byID: make(map[string]port.Endpoint),
+		leavingSince: make(map[string]time.Time),
+	}
+	now := g.Clock()
 	known := make(map[string]bool)
 	var runners []port.Endpoint
 	for _, e := range g.View.Endpoints() {
@@ -69,6 +78,9 @@
 			e.State = port.EndpointLeaving
 		}
 		t.byID[e.ID] = e
+		if e.State != port.EndpointLive {
+			t.leavingSince[e.ID] = before.since(e.ID, now)
+		}
 		if e.Kind == port.KindRunner {
 			runners = append(runners, g.withCache(e))
 			continue
@@ -78,9 +90,18 @@
 		}
 	}
 	g.takers.Store(t)
-	g.Scheduler.SetEndpoints(g.Clock(), runners)
+	g.Scheduler.SetEndpoints(now, runners)
 	g.balancer.Keep(known)
 	g.departed.Keep(known)
+	g.moveAway()
+}
+
+// since is when the endpoint was first held for leaving.
+func (t *takers) since(id string, now time.Time) time.Time {
+	if at, known := t.leavingSince[id]; known {
+		return at
+	}
+	return now
 }
 
 // withCache adds what the operators say of a runner's cache.
--- a/internal/gateway/decide.go
+++ b/internal/gateway/decide.go
@@ -12,6 +12,9 @@
 const (
 	verdictFinish = "finish"
 	verdictRetry  = "retry"
+	verdictMove   = "move"
+	verdictCopy   = "copy"
+	verdictResume = "resume"
 )
 
 const subjectRequest = "request"
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -25,8 +25,14 @@
 	attempts int
 	ran      int
 	// arrived: an endpoint has had the request, taken or not.
-	arrived  bool
-	begun    bool
+	arrived bool
+	begun   bool
+	// held is the wait for the last place.
+	held time.Duration
+	// delivered is what the caller had of a stream, nil for other answers.
+	delivered *port.Delivery
+	// status is that of the answer which the caller gets.
+	status   int
 	decision string
 	endpoint string
 	cause    Cause
@@ -175,14 +181,30 @@
 
 // record writes the line of one decision on this request.
 func (x *exchange) record(verdict, reason, result string, candidates []port.CandidateScore) string {
-	model := ""
-	if x.req.Generation != nil {
-		model = x.req.Generation.Model
-	}
-	x.decision = x.g.decide(&port.DecisionRecord{
-		Subject: subjectRequest, SubjectID: x.req.ID, Organisation: x.req.Pass.Organisation, Model: model,
+	d := &port.DecisionRecord{
+		Subject: subjectRequest, SubjectID: x.req.ID, Organisation: x.req.Pass.Organisation, Model: x.model(),
 		Verdict: verdict, Reason: reason, Endpoint: x.endpoint, Attempt: x.attempts, Outcome: result,
 		Candidates: candidates, ConfigurationVersion: x.req.Pass.Version,
-	})
+	}
+	if verdict == verdictFinish {
+		d.Delivered = x.delivered
+	}
+	x.decision = x.g.decide(d)
 	return x.decision
 }
+
+// note is record for those who move the run beside its relay.
+func (x *exchange) note(verdict, reason, endpoint string, candidates []port.CandidateScore) {
+	x.g.decide(&port.DecisionRecord{
+		Subject: subjectRequest, SubjectID: x.req.ID, Organisation: x.req.Pass.Organisation, Model: x.model(),
+		Verdict: verdict, Reason: reason, Endpoint: endpoint, Candidates: candidates,
+		ConfigurationVersion: x.req.Pass.Version,
+	})
+}
+
+func (x *exchange) model() string {
+	if x.req.Generation == nil {
+		return ""
+	}
+	return x.req.Generation.Model
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,7 +23,7 @@
 // Ports are what a gateway reaches the world through.
 type Ports struct {
 	Endpoints port.Exchanger
-	Scheduler port.Scheduler
+	Scheduler port.Relocator
 	View      port.StateView
 	Announcer Announcer
 	Sink      port.DecisionSink
@@ -50,6 +50,9 @@
 	RefusalsTried int
 	// ReportMaxAge is the age past which a load report says nothing.
 	ReportMaxAge time.Duration
+	// ReclaimNotice is the time that an endpoint serves on at least after it
+	// was heard to leave.
+	ReclaimNotice time.Duration
 	// EntryValidity is how long callers may keep an answer of Entry.
 	EntryValidity time.Duration
 	// Drain bounds a graceful shutdown.
@@ -65,6 +68,7 @@
 	balancer *balance.Balancer
 	metrics  *instruments
 	departed membership.Departures
+	runs     runs
 	index    atomic.Pointer[route.Index]
 	takers   atomic.Pointer[takers]
 	applying sync.Mutex
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -25,6 +25,8 @@
 	firstEvent gometrics.Histogram
 	eventGap   gometrics.Histogram
 	calls      gometrics.Histogram
+	copies     gometrics.Histogram
+	moves      gometrics.Counter
 }
 
 func newInstruments(r gometrics.Registry) *instruments {
@@ -43,6 +45,8 @@
 		firstEvent: histogram("stream_first_event_us"),
 		eventGap:   histogram("stream_event_gap_us"),
 		calls:      histogram("endpoint_answer_us"),
+		copies:     histogram("run_copy_us"),
+		moves:      counter("runs_moved_total"),
 	}
 }
 
--- /dev/null
+++ b/internal/gateway/moves.go
@@ -0,0 +1,130 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/dragonflyrail/dragonflyrail/internal/core/continuity"
+	"github.com/dragonflyrail/dragonflyrail/internal/port"
+)
+
+// copyTimeout bounds one copy: several wait on one link behind each other.
+const copyTimeout = 3 * time.Second
+
+// moveAway begins to move the runs of endpoints that leave.
+func (g *Gateway) moveAway() {
+	t := g.takers.Load()
+	for _, r := range g.runs.all() {
+		g.moveIfLeaving(t, r)
+	}
+}
+
+func (g *Gateway) moveIfLeaving(t *takers, r *run) {
+	at := r.at()
+	known, ok := t.byID[at.ID]
+	if ok && known.Incarnation == at.Incarnation && known.State == port.EndpointLive {
+		return
+	}
+	if r.x.engine == nil || !r.x.engine.CopiesOnRequest {
+		return
+	}
+	if _, begins := r.beginMove(); begins {
+		go g.move(r, at, t.leavingSince[at.ID])
+	}
+}
+
+// move copies a run to another runner, and stops it once the copy is fresh.
+func (g *Gateway) move(r *run, from port.Endpoint, since time.Time) {
+	defer r.endMove()
+	m := &mover{g: g, run: r, from: from, move: continuity.NewMove(since.Add(g.o.ReclaimNotice))}
+	ctx, cancel := context.WithDeadline(context.Background(), r.x.deadline)
+	defer cancel()
+	m.drive(ctx)
+}
+
+// mover is one move under way.
+type mover struct {
+	g    *Gateway
+	run  *run
+	from port.Endpoint
+	move *continuity.Move
+	to   port.Endpoint
+	// refused names the runners that could not take the copy.
+	refused []string
+}
+
+func (m *mover) drive(ctx context.Context) {
+	step := continuity.StepElsewhere
+	for {
+		switch step {
+		case continuity.StepElsewhere:
+			if !m.choose() {
+				return
+			}
+			step = m.copy(ctx, false)
+		case continuity.StepCopy:
+			step = m.copy(ctx, false)
+		case continuity.StepStop:
+			m.run.setStopping()
+			m.copy(ctx, true)
+			return
+		default:
+			return
+		}
+	}
+}
+
+// choose asks the scheduler for the runner that takes over.
+func (m *mover) choose() bool {
+	x := m.run.x
+	d := m.g.Scheduler.Relocate(m.g.Clock(), x.req.ID, port.Relocation{
+		Excluded: m.refused, FailureDomain: m.from.FailureDomain,
+	})
+	x.note(verdictMove, d.Reason, d.Endpoint.ID, d.Candidates)
+	m.to = d.Endpoint
+	return d.Verdict == port.VerdictPlace
+}
+
+// copy makes one pass and returns what follows from it.
+func (m *mover) copy(ctx context.Context, stop bool) continuity.Step {
+	began := m.g.Clock()
+	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+	defer cancel()
+	c, err := m.g.Endpoints.Copy(ctx, m.from, m.run.x.req.ID, m.to, stop)
+	now := m.g.Clock()
+	observe(m.g.metrics.copies, now.Sub(began))
+	if c.Handle != "" {
+		m.run.setCopy(&copyAt{from: m.from, to: m.to, handle: c.Handle})
+	}
+	result := resultOf(err)
+	m.run.x.note(verdictCopy, copyReason(stop, result, err), m.to.ID, nil)
+	if result == continuity.Full {
+		m.refused = append(m.refused, m.to.ID)
+	}
+	return m.move.Next(result, began, now)
+}
+
+func resultOf(err error) continuity.Result {
+	switch {
+	case err == nil:
+		return continuity.Copied
+	case errors.Is(err, port.ErrNoRoom):
+		return continuity.Full
+	case errors.Is(err, port.ErrNoGeneration):
+		return continuity.Ended
+	default:
+		return continuity.Failed
+	}
+}
+
+func copyReason(stop bool, r continuity.Result, err error) string {
+	text := "copied what is new"
+	if stop {
+		text = "stopped and copied the last part"
+	}
+	if r != continuity.Copied {
+		text = "not copied: " + err.Error()
+	}
+	return text
+}
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -51,7 +51,8 @@
 		x.record(d.Verdict.String(), d.Reason, "", d.Candidates)
 		switch d.Verdict {
 		case port.VerdictPlace:
-			observe(x.g.metrics.hold, now.Sub(x.req.Arrived))
+			x.held = now.Sub(x.req.Arrived)
+			observe(x.g.metrics.hold, x.held)
 			return x.chosen(&placement{endpoint: d.Endpoint, generation: true, rank: x.req.Pass.Rank}), nil
 		case port.VerdictHold:
 			if refusal := x.hold(ctx, now, ask, &d); refusal != nil {
--- a/internal/port/explain.go
+++ b/internal/port/explain.go
@@ -23,7 +23,23 @@
 	// ConfigurationVersion is the version the decision rested on.
 	ConfigurationVersion uint64 `json:"configuration_version,omitempty"`
 	Fence                uint64 `json:"fence,omitempty"`
-	Actor                string `json:"actor,omitempty"`
+	// Delivered is set at the end of a stream.
+	Delivered *Delivery `json:"delivered,omitempty"`
+	Actor     string    `json:"actor,omitempty"`
+}
+
+// Delivery is what a caller had of a stream.
+type Delivery struct {
+	Events int `json:"events"`
+	// HeldMillis is the wait for a place, FirstMillis the time to the first
+	// event, both from the request's arrival.
+	HeldMillis  int64 `json:"held_ms"`
+	FirstMillis int64 `json:"first_event_ms"`
+	// GapMillis is the longest pause between two events, before GapEvent.
+	GapMillis int64 `json:"longest_gap_ms"`
+	GapEvent  int   `json:"longest_gap_event"`
+	// Runners is the number of runners that the stream came from.
+	Runners int `json:"runners"`
 }
 
 // DecisionSink logs decisions and keeps the recent ones for explanations.
--- a/internal/port/scheduler.go
+++ b/internal/port/scheduler.go
@@ -74,6 +74,25 @@
 	Priority int
 }
 
+// Relocator is a Scheduler that also moves runs between runners.
+type Relocator interface {
+	Scheduler
+	// Relocate chooses the runner that takes over a placed request, whose own
+	// is leaving. From then on it is counted at both.
+	Relocate(now time.Time, requestID string, terms Relocation) Decision
+	// Relocated ends a relocation: with moved the request runs at the new
+	// runner, else it stays at its old one.
+	Relocated(now time.Time, requestID string, moved bool)
+}
+
+// Relocation is what a move of a run depends on.
+type Relocation struct {
+	// Excluded names the runners that failed to take it.
+	Excluded []string
+	// FailureDomain is where it runs now; empty where that doesn't matter.
+	FailureDomain string
+}
+
 // FinishKind is how a placed attempt ended.
 type FinishKind int
 
