Settings are reloaded; an organisation waits for others only in a full pool

Change: the settings file is read again at SIGHUP and when its content changes; seeds, store, log level, budget and grace change while the daemon serves, the rest is named as needing a restart, a wrong file changes nothing. BusyUse is an option of the scheduler (0.5 as before); the entry daemon sets 1.0.

--- a/cmd/dragonfly-entry/assemble.go
+++ b/cmd/dragonfly-entry/assemble.go
@@ -39,6 +39,7 @@
 type assembly struct {
 	settings *entrySettings
 	logger   *log.Logger
+	store    *platform.Store
 	keeper   *keeper.Keeper
 	gateway  *gateway.Gateway
 	callers  *http.Server
@@ -57,14 +58,17 @@
 	registry := gometrics.NewRegistry()
 	store := decisions.New(logger, s.RememberDecisions)
 	a := &assembly{settings: s, logger: logger, peers: grpc.NewServer(grpcpeer.ServerOptions()...)}
-	a.keeper = newKeeper(s, logger, registry, store)
+	a.store = platform.NewStore(platform.StoreOptions{
+		Address: s.Store, Timeout: s.StoreTimeout, Logger: logger, Registry: registry,
+	})
+	a.keeper = newKeeper(s, a.store, logger, registry, store)
 	a.keeper.Service(nil).Register(a.peers)
 	a.gateway = gateway.New(s.options(), gateway.Ports{
 		Endpoints: platform.NewRunners(platform.RunnersOptions{
 			DialTimeout: s.ConnectTimeout, LoadTimeout: s.ReportTimeout,
 			IdleConnections: idleConnections, IdleTimeout: s.IdleTimeout,
 		}),
-		Scheduler: routing.NewScheduler(routing.Options{RouterID: s.ID, Routers: fleet.New(s.ID, a.keeper)}),
+		Scheduler: routing.NewScheduler(routing.Options{RouterID: s.ID, BusyUse: busyUse, Routers: fleet.New(s.ID, a.keeper)}),
 		View:      a.keeper, Announcer: a.keeper, Sink: store, Policy: record.Policy, Metrics: registry,
 	})
 	a.callers = httpserver.New(&platform.Callers{App: a.gateway, Logger: logger})
@@ -78,10 +82,7 @@
 	return a
 }
 
-func newKeeper(s *entrySettings, logger *log.Logger, registry gometrics.Registry, sink port.DecisionSink) *keeper.Keeper {
-	store := platform.NewStore(platform.StoreOptions{
-		Address: s.Store, Timeout: s.StoreTimeout, Logger: logger, Registry: registry,
-	})
+func newKeeper(s *entrySettings, store *platform.Store, logger *log.Logger, registry gometrics.Registry, sink port.DecisionSink) *keeper.Keeper {
 	return keeper.New(keeper.Options{
 		Self: port.Member{
 			ID: s.ID, Host: s.Host, FailureDomain: s.FailureDomain,
--- a/cmd/dragonfly-entry/main.go
+++ b/cmd/dragonfly-entry/main.go
@@ -23,11 +23,11 @@
 
 func main() {
 	s := defaults()
-	code, done := daemon.Start(name, summary, arguments(os.Args[1:]), &s, os.Stdout, os.Stderr)
+	path, code, done := daemon.Start(name, summary, arguments(os.Args[1:]), &s, os.Stdout, os.Stderr)
 	if done {
 		os.Exit(code)
 	}
-	os.Exit(run(&s))
+	os.Exit(run(path, &s))
 }
 
 // arguments adds the settings file that the platform names.
@@ -39,11 +39,16 @@
 	return []string{"--settings", path}
 }
 
-func run(s *entrySettings) int {
+func run(path string, s *entrySettings) int {
 	logger := jsonlog.New(os.Stdout, name, s.ID, s.LogLevel)
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
-	if err := assemble(s, logger).serve(stop); err != nil {
+	a := assemble(s, logger)
+	// Without a handler the signal would end the process.
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	go a.followSettings(stop, path, hangup)
+	if err := a.serve(stop); err != nil {
 		logger.Error().Err(err).Str("event", "failed").Msg("")
 		return daemon.ExitFailure
 	}
--- a/cmd/dragonfly-entry/settings.go
+++ b/cmd/dragonfly-entry/settings.go
@@ -79,6 +79,11 @@
 	takeGenerationsPart = 0.3
 	takeCallsPart       = 0.7
 	endPart             = 0.93
+	// busyUse lets an organisation over its share wait only once the pool is
+	// expected to be full: its generations end within ten seconds, and holding
+	// them at half a pool made one request in five late while caches stood
+	// half empty (fleet of 7 daemons and 12 runners, 62 in 100 in use).
+	busyUse = 1.0
 	// refusalsTried bounds the endpoints asked in turn while each is full.
 	refusalsTried = 3
 	// reportMaxAge: what rode on an answer is old after that.
--- a/internal/adapter/daemon/daemon.go
+++ b/internal/adapter/daemon/daemon.go
@@ -58,36 +58,37 @@
 }
 
 // Start reads the command line and the settings file into out, which holds
-// the defaults. When done is true the process ends with the exit code.
-func Start(name, summary string, args []string, out any, stdout, stderr io.Writer) (code int, done bool) {
+// the defaults, and returns the file's path. When done is true the process
+// ends with the exit code.
+func Start(name, summary string, args []string, out any, stdout, stderr io.Writer) (path string, code int, done bool) {
 	var o options
 	parser := flags.NewNamedParser(name, flags.HelpFlag|flags.PassDoubleDash)
 	parser.LongDescription = summary
 	if _, err := parser.AddGroup("Options", "", &o); err != nil {
 		fmt.Fprintln(stderr, err)
-		return ExitFailure, true
+		return "", ExitFailure, true
 	}
 	rest, err := parser.ParseArgs(args)
 	if code, done := parsed(err, rest, name, stdout, stderr); done {
-		return code, true
+		return "", code, true
 	}
 	if o.Version {
 		fmt.Fprintln(stdout, name, buildinfo.String())
-		return ExitOK, true
+		return "", ExitOK, true
 	}
 	if o.Settings == "" {
 		fmt.Fprintf(stderr, "%s: --settings FILE is required; see --help\n", name)
-		return ExitUsage, true
+		return "", ExitUsage, true
 	}
 	if err := settings.Load(o.Settings, out); err != nil {
 		fmt.Fprintf(stderr, "%s: %v\n", name, err)
-		return ExitSettings, true
+		return "", ExitSettings, true
 	}
 	if o.Check {
 		fmt.Fprintf(stdout, "%s: settings are valid\n", o.Settings)
-		return ExitOK, true
+		return "", ExitOK, true
 	}
-	return ExitOK, false
+	return o.Settings, ExitOK, false
 }
 
 func parsed(err error, rest []string, name string, stdout, stderr io.Writer) (int, bool) {
--- a/internal/core/breaker/budget.go
+++ b/internal/core/breaker/budget.go
@@ -19,12 +19,12 @@
 	return &Budget{share: share, limit: limit, tokens: limit}
 }
 
-// SetLimit changes what the budget may hold, as when the number of those who
-// share it changes.
-func (b *Budget) SetLimit(limit float64) {
+// Set changes the share and what the budget may hold, as when the number of
+// those who share it changes.
+func (b *Budget) Set(share, limit float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.limit = limit
+	b.share, b.limit = share, limit
 	b.tokens = min(b.tokens, limit)
 }
 
--- a/internal/core/routing/flood_test.go
+++ b/internal/core/routing/flood_test.go
@@ -55,6 +55,18 @@
 	wantVerdict(t, s.Submit(start, organisationRequest("again", "flood")), port.VerdictPlace, ReasonPlaced)
 }
 
+// Where generations end within seconds an operator lets the pool be full before
+// an organisation waits for others: the same surge is placed while there is
+// room, and its callers don't wait beside caches that stand half empty.
+func TestSurgeIsPlacedBelowTheBusyUse(t *testing.T) {
+	s := floodedPool(t, 8, 1)
+	s.options.BusyUse = 1
+	if use := s.shards["pool"].use; use < DefaultBusyUse || use >= 1 {
+		t.Fatalf("the pool is used to %v, want a busy one with room", use)
+	}
+	wantVerdict(t, s.Submit(start, organisationRequest("again", "flood")), port.VerdictPlace, ReasonPlaced)
+}
+
 // A surging organisation isn't starved: what it had fades, and its turn comes.
 func TestSurgeIsServedInTime(t *testing.T) {
 	s := floodedPool(t, 8, 1)
--- a/internal/core/routing/options.go
+++ b/internal/core/routing/options.go
@@ -25,6 +25,11 @@
 	// ReportLag is how old a load report is assumed to be when it comes;
 	// zero takes DefaultReportLag. Engine clocks aren't compared with ours.
 	ReportLag time.Duration
+	// BusyUse is the part of a pool's cache expected to be used above which
+	// an organisation over its share waits; zero takes DefaultBusyUse. Below
+	// it there is room for all. A pool whose generations end within seconds
+	// has room again soon and may be fuller than one whose go on for minutes.
+	BusyUse float64
 	// AgeStep is the wait that lifts a held request by one priority.
 	AgeStep time.Duration
 }
@@ -33,6 +38,7 @@
 const (
 	DefaultReportLag = 300 * time.Millisecond
 	DefaultAgeStep   = 5 * time.Second
+	DefaultBusyUse   = 0.5
 )
 
 // DefaultWeights balance both kinds of workload; docs/operations/
--- a/internal/core/routing/organisation.go
+++ b/internal/core/routing/organisation.go
@@ -34,10 +34,6 @@
 // seconds must pass, a flood must not (docs/design/routing.md).
 const (
 	floodWindow = 60 * time.Second
-	// busyUse is the part of the pool's cache expected to be used above
-	// which an organisation over its share waits. Below it there is room for
-	// all.
-	busyUse = 0.5
 	// runningShare is how much of its share of the cache an organisation's
 	// long requests may be expected to use at once.
 	runningShare = 1.5
@@ -119,7 +115,7 @@
 // the fair order of those that wait comes too late.
 func (s *shard) overShare(e *entry) bool {
 	s.judgeFlood(e.org)
-	if e.item.Lane != admission.LaneLong || s.use < busyUse {
+	if e.item.Lane != admission.LaneLong || s.use < s.scheduler.options.BusyUse {
 		return false
 	}
 	if s.surgedOver(e.org) {
--- a/internal/core/routing/scheduler.go
+++ b/internal/core/routing/scheduler.go
@@ -57,6 +57,9 @@
 	if o.ReportLag <= 0 {
 		o.ReportLag = DefaultReportLag
 	}
+	if o.BusyUse <= 0 {
+		o.BusyUse = DefaultBusyUse
+	}
 	if o.AgeStep <= 0 {
 		o.AgeStep = DefaultAgeStep
 	}
--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -11,26 +11,26 @@
 // asked of others per request: a daemon earns with its own first tries, and
 // the burst is divided by the number of daemons.
 type budgets struct {
-	share   float64
-	burst   int
+	options func() *Options
 	daemons func() int
 	mu      sync.Mutex
 	m       map[string]*breaker.Budget
 }
 
-func newBudgets(share float64, burst int, daemons func() int) *budgets {
-	return &budgets{share: share, burst: burst, daemons: daemons, m: make(map[string]*breaker.Budget)}
+func newBudgets(options func() *Options, daemons func() int) *budgets {
+	return &budgets{options: options, daemons: daemons, m: make(map[string]*breaker.Budget)}
 }
 
 func (b *budgets) pool(name string) *breaker.Budget {
-	limit := float64(b.burst) / float64(b.daemons())
+	o := b.options()
+	limit := float64(o.RetryBurst) / float64(b.daemons())
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	budget := b.m[name]
 	if budget == nil {
-		budget = breaker.NewBudget(b.share, limit)
+		budget = breaker.NewBudget(o.RetryShare, limit)
 		b.m[name] = budget
 	}
-	budget.SetLimit(limit)
+	budget.Set(o.RetryShare, limit)
 	return budget
 }
--- a/internal/gateway/decide.go
+++ b/internal/gateway/decide.go
@@ -27,7 +27,7 @@
 
 // decide stamps and records a decision and returns its id.
 func (g *Gateway) decide(d *port.DecisionRecord) string {
-	d.ID = g.o.ID + ".d." + strconv.FormatUint(decisionSequence.Add(1), 36)
+	d.ID = g.options().ID + ".d." + strconv.FormatUint(decisionSequence.Add(1), 36)
 	d.Time = g.Clock()
 	g.Sink.Record(d)
 	return d.ID
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -18,7 +18,7 @@
 func (g *Gateway) Entry(failureDomain string) (addresses []string, valid time.Duration) {
 	var near, far []string
 	for _, m := range g.View.Members() {
-		if m.ID == g.o.ID || m.CallerAddress == "" || m.State != port.MemberLive {
+		if m.ID == g.options().ID || m.CallerAddress == "" || m.State != port.MemberLive {
 			continue
 		}
 		if m.FailureDomain == failureDomain {
@@ -28,12 +28,12 @@
 		far = append(far, m.CallerAddress)
 	}
 	if g.Ready() {
-		near = append(near, g.o.CallerAddress)
+		near = append(near, g.options().CallerAddress)
 	}
 	shuffle(near)
 	shuffle(far)
 	addresses = slices.Concat(near, far)
-	return addresses[:min(len(addresses), MaxEntryAddresses)], g.o.EntryValidity
+	return addresses[:min(len(addresses), MaxEntryAddresses)], g.options().EntryValidity
 }
 
 // Ready reports whether this daemon wants new callers.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -132,7 +132,7 @@
 	case x.interrupted(ctx, refusal):
 	case !x.ledger.MayRetry():
 	case x.ran >= max(1, x.req.Pass.Route.MaxAttempts):
-	case x.attempts-x.ran >= x.g.o.RefusalsTried:
+	case x.attempts-x.ran >= x.g.options().RefusalsTried:
 	case fate != stream.FateNotSent && !x.g.budgets.pool(x.pool).Retry():
 		refusal.Detail += "; the retry budget is spent"
 	default:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,7 +62,7 @@
 // Gateway is the application. Create it with New, then call Run.
 type Gateway struct {
 	Ports
-	o        Options
+	o        atomic.Pointer[Options]
 	breakers *breaker.Set
 	budgets  *budgets
 	balancer *balance.Balancer
@@ -86,17 +86,23 @@
 	}
 	g := &Gateway{
 		Ports:    p,
-		o:        o,
 		breakers: breaker.NewSet(o.Breaker),
 		balancer: balance.New(balance.Options{Draw: draw, ReportMaxAge: o.ReportMaxAge}),
 		metrics:  newInstruments(p.Metrics),
 	}
-	g.budgets = newBudgets(o.RetryShare, o.RetryBurst, g.daemons)
+	g.o.Store(&o)
+	g.budgets = newBudgets(g.options, g.daemons)
 	g.takers.Store(&takers{})
 	g.life.init()
 	return g
 }
 
+// SetOptions takes over changed options. Those of the breakers and of reports
+// hold from the start on.
+func (g *Gateway) SetOptions(o Options) { g.o.Store(&o) }
+
+func (g *Gateway) options() *Options { return g.o.Load() }
+
 // tickInterval is the time between the scheduler's ticks: held requests are
 // released by ends of others, so a tick only finds those that grew too old.
 const tickInterval = 50 * time.Millisecond
--- a/internal/gateway/lifecycle.go
+++ b/internal/gateway/lifecycle.go
@@ -125,9 +125,9 @@
 		return
 	}
 	g.Announcer.SetLeaving()
-	sleep(ctx, g.o.Drain.TakeCalls)
+	sleep(ctx, g.options().Drain.TakeCalls)
 	g.life.stopTaking()
-	end := time.NewTimer(g.o.Drain.End - g.o.Drain.TakeCalls)
+	end := time.NewTimer(g.options().Drain.End - g.options().Drain.TakeCalls)
 	defer end.Stop()
 	select {
 	case <-g.life.idle:
@@ -149,11 +149,11 @@
 // begin counts a request in or refuses it. A request that was let in must be
 // ended by life.leave.
 func (g *Gateway) begin(req *Request) *Refusal {
-	takeFor := g.o.Drain.TakeCalls
+	takeFor := g.options().Drain.TakeCalls
 	if req.Generation != nil {
-		takeFor = g.o.Drain.TakeGenerations
+		takeFor = g.options().Drain.TakeGenerations
 	}
-	cause := g.life.enter(g.Clock(), g.o.MaxOpen, takeFor)
+	cause := g.life.enter(g.Clock(), g.options().MaxOpen, takeFor)
 	if cause == "" {
 		return nil
 	}
--- a/internal/gateway/moves.go
+++ b/internal/gateway/moves.go
@@ -37,7 +37,7 @@
 // move copies a run to another runner, and stops it once the copy is fresh.
 func (g *Gateway) move(r *run, from port.Endpoint, since time.Time) {
 	defer r.endMove()
-	m := &mover{g: g, run: r, from: from, move: continuity.NewMove(since.Add(g.o.ReclaimNotice))}
+	m := &mover{g: g, run: r, from: from, move: continuity.NewMove(since.Add(g.options().ReclaimNotice))}
 	ctx, cancel := context.WithDeadline(context.Background(), r.x.deadline)
 	defer cancel()
 	m.drive(ctx)
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -144,6 +145,7 @@
 type Keeper struct {
 	options  Options
 	node     *node.Node
+	seeds    atomic.Pointer[[]string]
 	identity *grpcpeer.Identity
 	hearing  *membership.Hearing
 	listed   listedKinds
@@ -170,6 +172,7 @@
 		hearing:  membership.NewHearing(),
 	}
 	k.duty = duty{fallbackAfter: o.FallbackAfter, started: time.Now()}
+	k.SetSeeds(o.Keepers)
 	k.introduce()
 	k.registerGauges()
 	return k
@@ -209,6 +212,12 @@
 // Ready reports whether the keeper holds a complete set of records.
 func (k *Keeper) Ready() bool { return k.node.Complete() }
 
+// SetSeeds replaces the peer addresses that are tried where no keeper is known.
+func (k *Keeper) SetSeeds(addresses []string) {
+	seeds := slices.Clone(addresses)
+	k.seeds.Store(&seeds)
+}
+
 // SetLeaving tells the others that this keeper leaves.
 func (k *Keeper) SetLeaving() {
 	k.identity.SetLeaving()
--- a/internal/keeper/links.go
+++ b/internal/keeper/links.go
@@ -67,7 +67,7 @@
 		}
 		known[m.PeerAddress] = true
 	}
-	for _, address := range k.options.Keepers {
+	for _, address := range *k.seeds.Load() {
 		if !known[address] {
 			candidates = append(candidates, address)
 		}
