Daemons tell each other what they have running where

Cause: each of seven daemons knew its own seventh of the runs; a late report is priced and half a second old. Change: a daemon's load (runs, tokens, unread prompt tokens by runner) is spread over the keepers' links as it changes, ten times a second for few daemons, slower with their number and not at all past 100; the newest of each counts. The scheduler takes what peers say before what a report leaves over, and keeps no home runners while it hears them. Ruled out: polls of every runner by every daemon (168 a second here); anti- entropy for loads: the next message replaces a lost one.

--- a/cmd/dragonfly-entry/assemble.go
+++ b/cmd/dragonfly-entry/assemble.go
@@ -63,13 +63,15 @@
 	})
 	a.keeper = newKeeper(s, a.store, logger, registry, store)
 	a.keeper.Service(nil).Register(a.peers)
+	scheduler := routing.NewScheduler(routing.Options{RouterID: s.ID, BusyUse: busyUse, Routers: fleet.New(s.ID, a.keeper)})
+	a.keeper.OnPeerLoad(func(l *port.DaemonLoad) { scheduler.SetPeerLoad(time.Now(), l) })
 	a.gateway = gateway.New(s.options(), gateway.Ports{
 		Endpoints: platform.NewRunners(platform.RunnersOptions{
 			DialTimeout: s.ConnectTimeout, LoadTimeout: s.ReportTimeout,
 			IdleConnections: idleConnections, IdleTimeout: s.IdleTimeout,
 		}),
-		Scheduler: routing.NewScheduler(routing.Options{RouterID: s.ID, BusyUse: busyUse, Routers: fleet.New(s.ID, a.keeper)}),
-		View:      a.keeper, Announcer: a.keeper, Sink: store, Policy: record.Policy, Metrics: registry,
+		Scheduler: scheduler, Loads: a.keeper,
+		View: a.keeper, Announcer: a.keeper, Sink: store, Policy: record.Policy, Metrics: registry,
 	})
 	a.callers = httpserver.New(&platform.Callers{App: a.gateway, Logger: logger})
 	a.servers = []listening{
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,12 +20,24 @@
 	SetLeaving()
 }
 
+// LoadSpreader tells the other daemons what this one has running.
+type LoadSpreader interface {
+	SpreadLoad(runners []port.RunnerLoad)
+}
+
+// Scheduler places generations.
+type Scheduler interface {
+	port.Relocator
+	port.PeerScheduler
+}
+
 // Ports are what a gateway reaches the world through.
 type Ports struct {
 	Endpoints port.Exchanger
-	Scheduler port.Relocator
+	Scheduler Scheduler
 	View      port.StateView
 	Announcer Announcer
+	Loads     LoadSpreader
 	Sink      port.DecisionSink
 	// Policy turns the records in force into the scheduler's policy.
 	Policy func([]port.Record) port.Policy
@@ -111,6 +123,7 @@
 func (g *Gateway) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 	wg.Go(func() { g.tick(ctx) })
+	wg.Go(func() { g.spreadLoads(ctx) })
 	g.follow(ctx)
 	wg.Wait()
 }
