While the store is away, runners are asked whether they leave

Change: while the platform has answered nobody for 1.3 s, each keeper asks its share of runners for their report; only the word that one leaves counts, a runner that doesn't answer may be behind a cut. Tests: the registry's source against an oracle (listings, removals, restarts under an id, dropped history, outages), lapsed entries, gaps in the history, probes while away. Ruled out: asking all the time (priced, and the registry is faster while it answers); taking failed probes for departures (a cut daemon would spread them).

--- a/cmd/dragonfly-entry/assemble.go
+++ b/cmd/dragonfly-entry/assemble.go
@@ -62,7 +62,11 @@
 	a.store = platform.NewStore(platform.StoreOptions{
 		Address: s.Store, Timeout: s.StoreTimeout, Logger: logger, Registry: registry,
 	})
-	a.keeper = newKeeper(s, a.store, logger, registry, store)
+	runners := platform.NewRunners(platform.RunnersOptions{
+		DialTimeout: s.ConnectTimeout, LoadTimeout: s.ReportTimeout,
+		IdleConnections: idleConnections, IdleTimeout: s.IdleTimeout,
+	})
+	a.keeper = newKeeper(s, &sources{a.store, runners}, logger, registry, store)
 	a.keeper.Service(nil).Register(a.peers)
 	// The books of a pool are kept at one daemon, for which it is alone.
 	scheduler := routing.NewScheduler(routing.Options{RouterID: s.ID, BusyUse: busyUse})
@@ -74,10 +78,7 @@
 		Dial: func(address string) scheduling.Peer { return grpcpeer.DialScheduling(address) },
 	}, book)
 	a.gateway = gateway.New(s.options(), gateway.Ports{
-		Endpoints: platform.NewRunners(platform.RunnersOptions{
-			DialTimeout: s.ConnectTimeout, LoadTimeout: s.ReportTimeout,
-			IdleConnections: idleConnections, IdleTimeout: s.IdleTimeout,
-		}),
+		Endpoints: runners,
 		Scheduler: scheduler, Placer: a.placer,
 		View: a.keeper, Announcer: a.keeper, Sink: store, Policy: record.Policy, Metrics: registry,
 	})
@@ -92,16 +93,23 @@
 	return a
 }
 
-func newKeeper(s *entrySettings, store *platform.Store, logger *log.Logger, registry gometrics.Registry, sink port.DecisionSink) *keeper.Keeper {
+// sources are where a keeper learns from.
+type sources struct {
+	store   *platform.Store
+	runners *platform.Runners
+}
+
+func newKeeper(s *entrySettings, from *sources, logger *log.Logger, registry gometrics.Registry, sink port.DecisionSink) *keeper.Keeper {
 	return keeper.New(keeper.Options{
 		Self: port.Member{
 			ID: s.ID, Host: s.Host, FailureDomain: s.FailureDomain,
 			CallerAddress: s.Listen.Callers, AdminAddress: s.Listen.Admin, PeerAddress: s.Listen.Peers,
 		},
-		Keepers: s.Keepers, Platform: store, Endpoints: store, Kinds: []string{route.RecordKind},
+		Keepers: s.Keepers, Platform: from.store, Endpoints: from.store, Prober: from.runners, Kinds: []string{route.RecordKind},
 		Decisions: sink, Logger: logger, Registry: registry,
 		Watchers: s.Watchers, WatchWait: s.WatchWait, WatchPause: s.WatchPause, FallbackAfter: s.FallbackAfter,
 		RelistEvery: s.RelistEvery, HeartbeatEvery: s.HeartbeatEvery, SilenceAfter: s.SilenceAfter,
+		ProbeWhenAway: true, ProbeEvery: s.ProbeEvery, ProbesPerSecond: probesPerSecond,
 		DutyCheck: dutyCheck, RetryPause: retryPause, RetryPauseMax: retryPauseMax,
 	})
 }
@@ -112,6 +120,8 @@
 	dutyCheck     = 100 * time.Millisecond
 	retryPause    = 100 * time.Millisecond
 	retryPauseMax = time.Second
+	// probesPerSecond bounds the probes of runners while the store is away.
+	probesPerSecond = 40
 )
 
 func (a *assembly) admin(store *decisions.Store, registry gometrics.Registry) *http.Server {
--- a/cmd/dragonfly-entry/settings.go
+++ b/cmd/dragonfly-entry/settings.go
@@ -30,6 +30,9 @@
 	RelistEvery    time.Duration `json:"relist_every" validate:"min=1s,max=24h"`
 	HeartbeatEvery time.Duration `json:"heartbeat_every" validate:"min=50ms,max=10s"`
 	SilenceAfter   time.Duration `json:"silence_after" validate:"min=200ms,max=1m,gtfield=HeartbeatEvery"`
+	// ProbeEvery is the time between questions to a runner whether it leaves,
+	// while the store is away.
+	ProbeEvery     time.Duration `json:"probe_every" validate:"min=10ms,max=1m"`
 	EntryValidity  time.Duration `json:"entry_validity" validate:"min=10ms,max=1h"`
 	ConnectTimeout time.Duration `json:"connect_timeout" validate:"min=10ms,max=1m"`
 	ReportTimeout  time.Duration `json:"report_timeout" validate:"min=10ms,max=1m"`
@@ -55,7 +58,7 @@
 		Watchers: 5, WatchWait: time.Second, WatchPause: 20 * time.Millisecond,
 		FallbackAfter: 1500 * time.Millisecond, RelistEvery: keeper.DefaultRelistEvery,
 		HeartbeatEvery: 250 * time.Millisecond, SilenceAfter: time.Second,
-		EntryValidity: 2 * time.Second, ConnectTimeout: 500 * time.Millisecond,
+		ProbeEvery: 150 * time.Millisecond, EntryValidity: 2 * time.Second, ConnectTimeout: 500 * time.Millisecond,
 		ReportTimeout: 500 * time.Millisecond, IdleTimeout: 2 * time.Second,
 		Grace: 8, ReclaimNotice: 1500, RetryRatio: 0.2, RetrySlack: 20, MaxOpen: 4000, RememberDecisions: 4096,
 	}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -89,8 +89,15 @@
 	ProbeEvery     time.Duration
 	HeartbeatEvery time.Duration
 	SilenceAfter   time.Duration
-	SettleWithin   time.Duration
-	SettlePause    time.Duration
+	// ProbesPerSecond bounds this keeper's probes.
+	ProbesPerSecond float64
+	// ProbeWhenAway: endpoints are probed only while the platform gives no
+	// answer. Its registry then tells of everything else, and drops those that
+	// are silent, so that a probe's word counts only where it says that the
+	// endpoint leaves.
+	ProbeWhenAway bool
+	SettleWithin  time.Duration
+	SettlePause   time.Duration
 	// WatchPause lets a burst of changes come as one reply.
 	WatchPause time.Duration
 	// DutyCheck is how often a keeper asks itself whether it should watch.
@@ -110,6 +117,9 @@
 	if o.Watchers <= 0 {
 		o.Watchers = DefaultWatchers
 	}
+	if o.ProbesPerSecond <= 0 {
+		o.ProbesPerSecond = DefaultProbesPerSecond
+	}
 	if o.Kinds == nil {
 		o.Kinds = record.Kinds()
 	}
--- a/internal/keeper/probes.go
+++ b/internal/keeper/probes.go
@@ -16,9 +16,9 @@
 	probeTimeout = time.Second
 	// probesAtOnce bounds the probes under way.
 	probesAtOnce = 8
-	// probesPerSecond bounds the rate: at the largest planned size a share of
-	// 32 endpoints is probed every 6 to 7 seconds, for about 1.5 KB a second.
-	probesPerSecond = 5
+	// DefaultProbesPerSecond bounds the rate: at the largest planned size a share
+	// of 32 endpoints is probed every 6 to 7 seconds, for about 1.5 KB a second.
+	DefaultProbesPerSecond = 5
 	// missesToFail is how many probes in a row must fail.
 	missesToFail = 3
 	// linkSuspicion: with this many endpoints or more, of which over half
@@ -51,15 +51,27 @@
 // probeForever probes this keeper's share of the endpoints.
 func (k *Keeper) probeForever(ctx context.Context) error {
 	for {
-		share := k.probeShare()
-		k.probeRound(ctx, share)
-		every := max(k.options.ProbeEvery, time.Duration(len(share))*time.Second/probesPerSecond)
+		every := k.options.ProbeEvery
+		if !k.options.ProbeWhenAway || k.away(time.Now()) {
+			share := k.probeShare()
+			k.probeRound(ctx, share)
+			every = max(every, time.Duration(float64(len(share))/k.options.ProbesPerSecond*float64(time.Second)))
+		}
 		if err := pause(ctx, every); err != nil {
 			return err
 		}
 	}
 }
 
+// awaySlack is added to the longest time between two answers of the platform
+// while all is well, before it counts as away.
+const awaySlack = 300 * time.Millisecond
+
+// away reports whether the platform has given no answer to anyone of late.
+func (k *Keeper) away(now time.Time) bool {
+	return k.PlatformAge(now) > k.options.WatchWait+awaySlack
+}
+
 func (k *Keeper) probeShare() []membership.Endpoint {
 	keepers := k.liveKeepers()
 	var out []membership.Endpoint
@@ -83,7 +95,9 @@
 	}
 	// The probes report through missed; there is no error to see.
 	_ = group.Wait()
-	k.takeMisses(share, missed)
+	if !k.options.ProbeWhenAway {
+		k.takeMisses(share, missed)
+	}
 }
 
 // probeEndpoint reports whether the endpoint answered.
