A keeper that the store refuses asks its runners at once

Cause: keepers asked only once nobody had heard from the store for 1.3 s; one that watches knows of a refusal at once, and a notice is 1.5 s long.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -165,6 +165,9 @@
 	// ownVersion is since when the highest version held here is.
 	ownVersion versionClock
 
+	// failing counts the watches whose last call failed.
+	failing atomic.Int32
+
 	// platformSeen is when the platform last answered, in Unix nanoseconds
 	// of this host's clock; zero for never.
 	platformSeen atomic.Int64
--- a/internal/keeper/probes.go
+++ b/internal/keeper/probes.go
@@ -67,9 +67,11 @@
 // while all is well, before it counts as away.
 const awaySlack = 300 * time.Millisecond
 
-// away reports whether the platform has given no answer to anyone of late.
+// away reports whether the platform fails this keeper, or has given no answer
+// to anyone of late. A keeper that watches knows of a platform that refuses at
+// once; the others would first have to miss its answers.
 func (k *Keeper) away(now time.Time) bool {
-	return k.PlatformAge(now) > k.options.WatchWait+awaySlack
+	return k.failing.Load() > 0 || k.PlatformAge(now) > k.options.WatchWait+awaySlack
 }
 
 func (k *Keeper) probeShare() []membership.Endpoint {
--- a/internal/keeper/registry_test.go
+++ b/internal/keeper/registry_test.go
@@ -204,6 +204,11 @@
 	if !k.away(now.Add(k.options.WatchWait + 2*awaySlack)) {
 		t.Fatal("not away although the platform is long silent")
 	}
+	w := newWatch(k, "endpoints", &endpointSource{keeper: newRegistryKeeper(&registry{away: true})})
+	w.step(t.Context())
+	if !k.away(now) {
+		t.Fatal("not away although the platform has just refused this keeper")
+	}
 	for range missesToFail + 1 {
 		k.probeRound(t.Context(), k.probeShare())
 	}
--- a/internal/keeper/watch.go
+++ b/internal/keeper/watch.go
@@ -79,6 +79,7 @@
 	if !k.onDuty(now) {
 		// Changes are missed from here on; the next turn begins with a list.
 		w.listed = false
+		w.setFailing(false)
 		return k.options.DutyCheck
 	}
 	changed, err := w.call(ctx, now)
@@ -131,7 +132,7 @@
 		return w.keeper.options.WatchPause
 	}
 	w.keeper.options.Logger.Warn().Str("event", "platform_watch_failed").Str("kind", w.name).Err(err).Msg("")
-	w.failing = true
+	w.setFailing(true)
 	d := w.retry
 	w.retry = min(2*w.retry, w.keeper.options.RetryPauseMax)
 	return d/2 + rand.N(d)
@@ -141,10 +142,22 @@
 	if !w.failing {
 		return
 	}
-	w.failing = false
+	w.setFailing(false)
 	w.keeper.options.Logger.Info().Str("event", "platform_regained").Str("kind", w.name).Uint64("revision", w.revision).Msg("")
 }
 
+func (w *watch) setFailing(failing bool) {
+	if failing == w.failing {
+		return
+	}
+	w.failing = failing
+	change := int32(1)
+	if !failing {
+		change = -1
+	}
+	w.keeper.failing.Add(change)
+}
+
 // recordSource reads one kind of record.
 type recordSource struct {
 	keeper *Keeper
