Logs that are bounded and hold nobody up, with the age of what decided

Cause: lines were written by whoever logged, so a standard output that nobody reads stopped the daemon, and a flood of requests became a flood of lines; most fields of a line were empty; nothing said how old the registry's word was, whose books placed a generation, or that a relayed endpoint had changed. Ruled out: the library's asynchronous writer (panics when a line comes while it closes).

--- a/cmd/dragonfly-entry/assemble.go
+++ b/cmd/dragonfly-entry/assemble.go
@@ -55,8 +55,7 @@
 	server  *http.Server
 }
 
-func assemble(s *entrySettings, logger *log.Logger) *assembly {
-	registry := gometrics.NewRegistry()
+func assemble(s *entrySettings, logger *log.Logger, registry gometrics.Registry) *assembly {
 	store := decisions.New(logger, s.RememberDecisions)
 	a := &assembly{settings: s, logger: logger, peers: grpc.NewServer(grpcpeer.ServerOptions()...)}
 	a.store = platform.NewStore(platform.StoreOptions{
@@ -80,7 +79,8 @@
 	a.gateway = gateway.New(s.options(), gateway.Ports{
 		Endpoints: runners,
 		Scheduler: scheduler, Placer: a.placer,
-		View: a.keeper, Announcer: a.keeper, Sink: store, Policy: record.Policy, Metrics: registry,
+		Freshness: func() time.Duration { return a.keeper.PlatformAge(time.Now()) },
+		View:      a.keeper, Announcer: a.keeper, Sink: store, Policy: record.Policy, Metrics: registry,
 	})
 	a.callers = httpserver.New(&platform.Callers{App: a.gateway, Logger: logger})
 	a.servers = []listening{
--- a/cmd/dragonfly-entry/main.go
+++ b/cmd/dragonfly-entry/main.go
@@ -9,6 +9,9 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
+
+	gometrics "github.com/rcrowley/go-metrics"
 
 	"github.com/dragonflyrail/dragonflyrail/internal/adapter/daemon"
 	"github.com/dragonflyrail/dragonflyrail/internal/adapter/jsonlog"
@@ -21,6 +24,9 @@
 	settingsVariable = "DRAGONFLYRAIL_BOOT"
 )
 
+// logWithin bounds the time in which the last lines are written.
+const logWithin = 100 * time.Millisecond
+
 func main() {
 	s := defaults()
 	path, code, done := daemon.Start(name, summary, arguments(os.Args[1:]), &s, os.Stdout, os.Stderr)
@@ -40,10 +46,12 @@
 }
 
 func run(path string, s *entrySettings) int {
-	logger := jsonlog.New(os.Stdout, name, s.ID, s.LogLevel)
+	registry := gometrics.NewRegistry()
+	logger := jsonlog.NewBounded(os.Stdout, name, s.ID, s.LogLevel, s.LogBytesPerSecond, registry)
+	defer logger.Close(logWithin)
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
-	a := assemble(s, logger)
+	a := assemble(s, logger.Logger, registry)
 	// Without a handler the signal would end the process.
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
--- a/cmd/dragonfly-entry/reload_test.go
+++ b/cmd/dragonfly-entry/reload_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"testing"
 
+	gometrics "github.com/rcrowley/go-metrics"
+
 	"github.com/dragonflyrail/dragonflyrail/internal/adapter/jsonlog"
 	"github.com/dragonflyrail/dragonflyrail/internal/adapter/settings"
 )
@@ -40,7 +42,7 @@
 // does, what can't is named as such, and a wrong file changes nothing.
 func TestReload(t *testing.T) {
 	var out bytes.Buffer
-	a := assemble(decoded(t, document(t, func(map[string]any) {})), jsonlog.New(&out, name, "e", "info"))
+	a := assemble(decoded(t, document(t, func(map[string]any) {})), jsonlog.New(&out, name, "e", "info"), gometrics.NewRegistry())
 	cases := []struct {
 		name  string
 		raw   []byte
--- a/cmd/dragonfly-entry/settings.go
+++ b/cmd/dragonfly-entry/settings.go
@@ -50,6 +50,8 @@
 	// MaxOpen bounds the requests open at once.
 	MaxOpen           int `json:"max_open_requests" validate:"min=1,max=1000000"`
 	RememberDecisions int `json:"remember_decisions" validate:"min=32,max=1000000"`
+	// LogBytesPerSecond bounds the log; warnings and errors go past it.
+	LogBytesPerSecond int `json:"log_bytes_per_second" validate:"min=1000,max=1000000000"`
 }
 
 func defaults() entrySettings {
@@ -61,6 +63,7 @@
 		ProbeEvery: 150 * time.Millisecond, EntryValidity: 2 * time.Second, ConnectTimeout: 500 * time.Millisecond,
 		ReportTimeout: 500 * time.Millisecond, IdleTimeout: 2 * time.Second,
 		Grace: 8, ReclaimNotice: 1500, RetryRatio: 0.2, RetrySlack: 20, MaxOpen: 4000, RememberDecisions: 4096,
+		LogBytesPerSecond: 200_000,
 	}
 }
 
--- a/internal/adapter/jsonlog/jsonlog.go
+++ b/internal/adapter/jsonlog/jsonlog.go
@@ -12,34 +12,59 @@
 // New returns a logger that writes JSON lines to w, each with the daemon's
 // name and id. Level is one of debug, info, warn and error.
 func New(w io.Writer, daemon, id, level string) *log.Logger {
+	return newLogger(&log.IOWriter{Writer: w}, daemon, id, level)
+}
+
+func newLogger(w log.Writer, daemon, id, level string) *log.Logger {
 	return &log.Logger{
 		Level:      log.ParseLevel(level),
 		TimeField:  "time",
 		TimeFormat: "2006-01-02T15:04:05.000Z07:00",
 		Context:    log.NewContext(nil).Str("daemon", daemon).Str("daemon_id", id).Value(),
-		Writer:     &log.IOWriter{Writer: w},
+		Writer:     w,
 	}
 }
 
-// LogDecision writes the one line that each decision gets. Prompts and keys
-// are not among a decision's fields, so none can reach the log.
+// LogDecision writes the one line that each decision gets; what it doesn't say
+// is left out. Prompts and keys are not among a decision's fields, so none can
+// reach the log.
 func LogDecision(l *log.Logger, d *port.DecisionRecord) {
-	l.Info().
-		Str("event", "decision").
-		Str("decision_id", d.ID).
-		Str("subject", d.Subject).
-		Str("subject_id", d.SubjectID).
-		Str("organisation", d.Organisation).
-		Str("model", d.Model).
-		Str("verdict", d.Verdict).
-		Str("reason", d.Reason).
-		Str("endpoint", d.Endpoint).
-		Int("attempt", d.Attempt).
-		Str("outcome", d.Outcome).
-		Uint64("configuration_version", d.ConfigurationVersion).
-		Uint64("fence", d.Fence).
-		Str("actor", d.Actor).
-		Any("candidates", d.Candidates).
-		Any("delivered", d.Delivered).
-		Msg("")
+	e := l.Info().Str("event", "decision").
+		Str("decision_id", d.ID).Str("subject", d.Subject).Str("subject_id", d.SubjectID).
+		Str("verdict", d.Verdict).Str("reason", d.Reason)
+	for _, f := range []struct{ name, value string }{
+		{"organisation", d.Organisation},
+		{"model", d.Model},
+		{"endpoint", d.Endpoint},
+		{"outcome", d.Outcome},
+		{"books", d.Books},
+		{"actor", d.Actor},
+	} {
+		if f.value != "" {
+			e = e.Str(f.name, f.value)
+		}
+	}
+	for _, f := range []struct {
+		name  string
+		value uint64
+	}{
+		{"attempt", uint64(d.Attempt)},
+		{"configuration_version", d.ConfigurationVersion},
+		{"revision", d.Revision},
+		{"fence", d.Fence},
+	} {
+		if f.value != 0 {
+			e = e.Uint64(f.name, f.value)
+		}
+	}
+	if d.PlatformAgeMillis != nil {
+		e = e.Int64("platform_age_ms", *d.PlatformAgeMillis)
+	}
+	if len(d.Candidates) > 0 {
+		e = e.Any("candidates", d.Candidates)
+	}
+	if d.Delivered != nil {
+		e = e.Any("delivered", d.Delivered)
+	}
+	e.Msg("")
 }
--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -26,6 +26,7 @@
 	g.applyRoutes(records)
 	g.applyEndpoints()
 	g.Scheduler.SetPolicy(g.policy(records))
+	g.noteReady()
 }
 
 // applyRoutes puts the newest table in force. The view never goes back, so
@@ -78,6 +79,7 @@
 			e.State = port.EndpointLeaving
 		}
 		t.byID[e.ID] = e
+		g.noteEndpoint(before, &e)
 		if e.State != port.EndpointLive {
 			t.leavingSince[e.ID] = before.since(e.ID, now)
 		}
@@ -96,6 +98,35 @@
 	g.moveAway()
 }
 
+// noteEndpoint records a change of what this daemon holds of an endpoint.
+func (g *Gateway) noteEndpoint(before *takers, e *port.Endpoint) {
+	known, held := before.byID[e.ID]
+	if held && known.State == e.State && known.Incarnation == e.Incarnation {
+		return
+	}
+	reason := "heard of"
+	if held {
+		reason = "was " + string(known.State)
+	}
+	g.decide(&port.DecisionRecord{
+		Subject: "endpoint", SubjectID: e.ID, Verdict: string(e.State), Reason: reason,
+		Endpoint: e.Address, Revision: e.Revision,
+	})
+}
+
+// noteReady records that this daemon begins or ceases to want callers.
+func (g *Gateway) noteReady() {
+	ready := g.Ready()
+	if g.wasReady.Swap(ready) == ready {
+		return
+	}
+	verdict, reason := "ready", "the routes are known"
+	if !ready {
+		verdict, reason = "not_ready", "this daemon stops"
+	}
+	g.decideOn("daemon", g.options().ID, verdict, reason, uint64(g.metrics.version.Value()))
+}
+
 // since is when the endpoint was first held for leaving.
 func (t *takers) since(id string, now time.Time) time.Time {
 	if at, known := t.leavingSince[id]; known {
--- a/internal/gateway/decide.go
+++ b/internal/gateway/decide.go
@@ -29,6 +29,9 @@
 func (g *Gateway) decide(d *port.DecisionRecord) string {
 	d.ID = g.options().ID + ".d." + strconv.FormatUint(decisionSequence.Add(1), 36)
 	d.Time = g.Clock()
+	if g.Freshness != nil && d.Verdict != verdictFinish {
+		d.PlatformAgeMillis = port.AgeMillis(g.Freshness())
+	}
 	g.Sink.Record(d)
 	return d.ID
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -41,6 +41,9 @@
 	View      port.StateView
 	Announcer Announcer
 	Sink      port.DecisionSink
+	// Freshness is how long ago the platform last answered any daemon, as far
+	// as this one knows; negative for never. It may be nil.
+	Freshness func() time.Duration
 	// Policy turns the records in force into the scheduler's policy.
 	Policy func([]port.Record) port.Policy
 	// Clock gives the time; nil is time.Now.
@@ -86,6 +89,7 @@
 	index    atomic.Pointer[route.Index]
 	takers   atomic.Pointer[takers]
 	applying sync.Mutex
+	wasReady atomic.Bool
 
 	life lifecycle
 }
--- a/internal/gateway/lifecycle.go
+++ b/internal/gateway/lifecycle.go
@@ -124,6 +124,7 @@
 		<-g.life.idle
 		return
 	}
+	g.noteReady()
 	g.Announcer.SetLeaving()
 	sleep(ctx, g.options().Drain.TakeCalls)
 	g.life.stopTaking()
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -44,9 +44,10 @@
 func (x *exchange) schedule(ctx context.Context) (*placement, *Refusal) {
 	ask := x.ask()
 	d := x.g.Placer.Place(ctx, ask, func(d *port.Decision) {
+		x.books = d.Books
 		x.record(d.Verdict.String(), d.Reason, "", d.Candidates)
 	})
-	x.endpoint = d.Endpoint.ID
+	x.endpoint, x.books = d.Endpoint.ID, d.Books
 	x.record(d.Verdict.String(), d.Reason, "", d.Candidates)
 	if d.Verdict == port.VerdictPlace {
 		x.held = x.g.Clock().Sub(x.req.Arrived)
--- a/internal/keeper/hosts.go
+++ b/internal/keeper/hosts.go
@@ -65,7 +65,9 @@
 	if known && before.State == after.State && before.Unreachable == after.Unreachable && before.Incarnation == after.Incarnation {
 		return
 	}
-	k.decide("endpoint", e.ID, verdictOn(&after), reason, 0)
+	k.decideOn(&port.DecisionRecord{
+		Subject: "endpoint", SubjectID: e.ID, Verdict: verdictOn(&after), Reason: reason, Revision: after.Revision,
+	})
 }
 
 func verdictOn(e *membership.Endpoint) string {
@@ -76,12 +78,17 @@
 }
 
 func (k *Keeper) decide(subject, id, verdict, reason string, version uint64) {
+	k.decideOn(&port.DecisionRecord{
+		Subject: subject, SubjectID: id, Verdict: verdict, Reason: reason, ConfigurationVersion: version,
+	})
+}
+
+// decideOn records what this keeper believes from now on.
+func (k *Keeper) decideOn(d *port.DecisionRecord) {
 	if k.options.Decisions == nil {
 		return
 	}
-	k.options.Decisions.Record(&port.DecisionRecord{
-		Time: time.Now(), Subject: subject, SubjectID: id,
-		Verdict: verdict, Reason: reason, ConfigurationVersion: version,
-		Actor: k.options.Self.ID,
-	})
+	d.Time, d.Actor = time.Now(), k.options.Self.ID
+	d.PlatformAgeMillis = port.AgeMillis(k.PlatformAge(d.Time))
+	k.options.Decisions.Record(d)
 }
--- a/internal/port/explain.go
+++ b/internal/port/explain.go
@@ -22,12 +22,29 @@
 	Candidates []CandidateScore `json:"candidates,omitempty"`
 	// ConfigurationVersion is the version the decision rested on.
 	ConfigurationVersion uint64 `json:"configuration_version,omitempty"`
-	Fence                uint64 `json:"fence,omitempty"`
+	// Revision is that of the platform's registry which it rested on.
+	Revision uint64 `json:"revision,omitempty"`
+	// PlatformAgeMillis is how long ago the platform had last answered any
+	// daemon, -1 for never; nil where that played no part.
+	PlatformAgeMillis *int64 `json:"platform_age_ms,omitempty"`
+	// Books names the daemon by whose books a generation was placed.
+	Books string `json:"books,omitempty"`
+	Fence uint64 `json:"fence,omitempty"`
 	// Delivered is set at the end of a stream.
 	Delivered *Delivery `json:"delivered,omitempty"`
 	Actor     string    `json:"actor,omitempty"`
 }
 
+// AgeMillis is an age as decisions hold it: -1 for a negative one, which stands
+// for never.
+func AgeMillis(age time.Duration) *int64 {
+	ms := int64(-1)
+	if age >= 0 {
+		ms = age.Milliseconds()
+	}
+	return &ms
+}
+
 // Delivery is what a caller had of a stream.
 type Delivery struct {
 	Events int `json:"events"`
--- a/internal/port/scheduler.go
+++ b/internal/port/scheduler.go
@@ -72,6 +72,8 @@
 	ConfigurationVersion uint64
 	// Priority goes to the engine with the request; larger is more urgent.
 	Priority int
+	// Books names the daemon whose books decided; empty for the asking one.
+	Books string
 }
 
 // Relocator is a Scheduler that also moves runs between runners.
--- a/internal/scheduling/client.go
+++ b/internal/scheduling/client.go
@@ -61,6 +61,8 @@
 	runs  map[string]*openRun
 	peers map[string]*peerState
 	avoid map[string]time.Time
+	// kept names the keeper of each pool as of the last look.
+	kept map[string]string
 }
 
 // openRun is a run of this daemon. Its keeper is the daemon that has it in
@@ -90,6 +92,7 @@
 	return &Client{
 		o: o, book: book,
 		runs: make(map[string]*openRun), peers: make(map[string]*peerState), avoid: make(map[string]time.Time),
+		kept: make(map[string]string),
 	}
 }
 
@@ -101,7 +104,11 @@
 		if keeper.id == c.o.Self {
 			break
 		}
-		d, err := c.peer(keeper).Place(ctx, r, held)
+		d, err := c.peer(keeper).Place(ctx, r, func(d *port.Decision) {
+			d.Books = keeper.id
+			held(d)
+		})
+		d.Books = keeper.id
 		if err == nil {
 			c.placed(keeper.id, r, &d)
 			return d
@@ -112,6 +119,7 @@
 		c.lost(keeper, err)
 	}
 	d := c.book.Place(ctx, r, held)
+	d.Books = c.o.Self
 	c.placed(c.o.Self, r, &d)
 	return d
 }
@@ -174,12 +182,12 @@
 		}
 		d, err := c.peer(keeper).Relocate(ctx, &run, terms)
 		if err == nil {
-			c.kept(requestID, keeper.id)
+			c.setKeeper(requestID, keeper.id)
 			return d
 		}
 		c.lost(keeper, err)
 	}
-	c.kept(requestID, c.o.Self)
+	c.setKeeper(requestID, c.o.Self)
 	return c.book.Relocate(&run, terms)
 }
 
@@ -193,8 +201,8 @@
 	return r.running, true
 }
 
-// kept notes who has the run in the books.
-func (c *Client) kept(requestID, keeper string) {
+// setKeeper notes who has the run in the books.
+func (c *Client) setKeeper(requestID, keeper string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if r := c.runs[requestID]; r != nil {
--- a/internal/scheduling/keeper.go
+++ b/internal/scheduling/keeper.go
@@ -39,6 +39,10 @@
 		ids = append(ids, c.o.Self)
 	}
 	id := rendezvous.New(ids, xxhash.Sum64String).Lookup(pool)
+	if before := c.kept[pool]; before != id {
+		c.kept[pool] = id
+		c.o.Logger.Info().Str("event", "books_moved").Str("pool", pool).Str("from", before).Str("to", id).Msg("")
+	}
 	return daemon{id: id, address: addresses[id]}
 }
 
