--- a/internal/gateway/calls_test.go
+++ b/internal/gateway/calls_test.go
@@ -241,7 +241,9 @@
 func TestRetriesKeepToTheSharedBudget(t *testing.T) {
 	b := newBench(t)
 	b.view.members = []port.Member{
-		{ID: "g", State: port.MemberLive}, {ID: "h", State: port.MemberLive}, {ID: "i", State: port.MemberLive},
+		{ID: "g", State: port.MemberLive},
+		{ID: "h", State: port.MemberLive},
+		{ID: "i", State: port.MemberLive},
 		{ID: "j", State: port.MemberDead},
 	}
 	b.everywhere("s", reply(500, "no"))
