Daemons that restart together hear of each other at once

A daemon that knew nobody tried one seed at a time, and a connection to a host still without power waited for the kernel's second packet, a second later. Change: without neighbours all seeds are tried; a try to connect is given up after 300 ms; the first failure of a watch is a warning, repeats are debug lines. Ruled out: the reading of routes (ready 15 to 20 ms after the start).

--- a/cmd/dragonfly-entry/assemble.go
+++ b/cmd/dragonfly-entry/assemble.go
@@ -110,7 +110,7 @@
 		Watchers: s.Watchers, WatchWait: s.WatchWait, WatchPause: s.WatchPause, FallbackAfter: s.FallbackAfter,
 		RelistEvery: s.RelistEvery, HeartbeatEvery: s.HeartbeatEvery, SilenceAfter: s.SilenceAfter,
 		ProbeWhenAway: true, ProbeEvery: s.ProbeEvery, ProbesPerSecond: probesPerSecond,
-		DutyCheck: dutyCheck, RetryPause: retryPause, RetryPauseMax: retryPauseMax,
+		DutyCheck: dutyCheck, LinkRetry: linkRetry, RetryPause: retryPause, RetryPauseMax: retryPauseMax,
 	})
 }
 
@@ -120,6 +120,9 @@
 	dutyCheck     = 100 * time.Millisecond
 	retryPause    = 100 * time.Millisecond
 	retryPauseMax = time.Second
+	// linkRetry is the least pause before a lost link to a peer is tried again:
+	// daemons that restart together hear of each other through it.
+	linkRetry = 100 * time.Millisecond
 	// probesPerSecond bounds the probes of runners while the store is away.
 	probesPerSecond = 40
 )
--- a/internal/adapter/grpcpeer/subscriber.go
+++ b/internal/adapter/grpcpeer/subscriber.go
@@ -21,6 +21,10 @@
 	DefaultSilenceAfter   = 3 * time.Second
 	// coalesce holds a delta back so that a burst goes out as one message.
 	coalesce = 20 * time.Millisecond
+	// connectTimeout bounds one try to connect. The kernel repeats the first
+	// packet after a second; a peer that had no power when it was sent would be
+	// reached that much later than by a new try.
+	connectTimeout = 300 * time.Millisecond
 	// MaxMessageBytes bounds a message; a complete state of the largest size
 	// planned for is about 1 MB.
 	MaxMessageBytes = 32 << 20
@@ -62,7 +66,7 @@
 		grpc.WithNoProxy(),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: time.Second},
-			MinConnectTimeout: time.Second,
+			MinConnectTimeout: connectTimeout,
 		}),
 	}
 	conn, err := grpc.NewClient("passthrough:///"+address, append(all, options...)...)
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -55,6 +55,8 @@
 	// DefaultLapseGrace is how long the platform takes to list again, after it
 	// was away, the endpoints that still live.
 	DefaultLapseGrace = 2500 * time.Millisecond
+	// DefaultLinkRetry is the least pause before a lost link is tried again.
+	DefaultLinkRetry = 250 * time.Millisecond
 	// hostPollers of the watchers read the list of hosts.
 	hostPollers = 2
 )
@@ -106,6 +108,8 @@
 	// longest.
 	RetryPause    time.Duration
 	RetryPauseMax time.Duration
+	// LinkRetry is the least pause before a lost link is tried again.
+	LinkRetry time.Duration
 	// LapseGrace is how long endpoints that a list leaves out are believed
 	// where the platform was away before.
 	LapseGrace  time.Duration
@@ -144,6 +148,7 @@
 		{&o.RetryPause, DefaultRetryPause},
 		{&o.RetryPauseMax, DefaultRetryPauseMax},
 		{&o.LapseGrace, DefaultLapseGrace},
+		{&o.LinkRetry, DefaultLinkRetry},
 	} {
 		if *d.field <= 0 {
 			*d.field = d.standard
--- a/internal/keeper/links.go
+++ b/internal/keeper/links.go
@@ -15,7 +15,6 @@
 // Times of links to other keepers.
 const (
 	linkCheck = 250 * time.Millisecond
-	linkRetry = 250 * time.Millisecond
 	// bridgeFor is how long one attempt at a keeper taken for dead lasts.
 	bridgeFor = 4 * time.Second
 )
@@ -33,6 +32,9 @@
 			bridge, bridgeUntil = k.bridge(), now.Add(bridgeFor)
 		}
 		wanted := k.neighbours()
+		if len(wanted) == 0 {
+			wanted = k.others()
+		}
 		if bridge != "" && !slices.Contains(wanted, bridge) {
 			wanted = append(wanted, bridge)
 		}
@@ -51,6 +53,16 @@
 	return out
 }
 
+// others are the keepers of the settings but for this one. One that knows nobody
+// tries them all at once: after all daemons have started together, each that is
+// tried by itself may be the last to come up, and daemons that don't hear each
+// other place by books of their own.
+func (k *Keeper) others() []string {
+	return slices.DeleteFunc(slices.Clone(*k.seeds.Load()), func(address string) bool {
+		return address == k.options.Self.PeerAddress
+	})
+}
+
 // bridge picks a keeper that should be there but isn't known to live: from
 // the settings at a start, or one taken for dead. After a partition heals,
 // either side holds the other for dead and the ring of each is whole in
@@ -82,7 +94,7 @@
 func (k *Keeper) linkTo(ctx context.Context, address string) {
 	for ctx.Err() == nil {
 		k.linkOnce(ctx, address)
-		if pause(ctx, linkRetry+rand.N(linkRetry)) != nil {
+		if pause(ctx, k.options.LinkRetry+rand.N(k.options.LinkRetry)) != nil {
 			return
 		}
 	}
--- a/internal/keeper/watch.go
+++ b/internal/keeper/watch.go
@@ -131,7 +131,12 @@
 		w.keeper.ownAnswer(time.Now())
 		return w.keeper.options.WatchPause
 	}
-	w.keeper.options.Logger.Warn().Str("event", "platform_watch_failed").Str("kind", w.name).Err(err).Msg("")
+	level := w.keeper.options.Logger.Warn
+	if w.failing {
+		// The loss has its line; each further try would only repeat it.
+		level = w.keeper.options.Logger.Debug
+	}
+	level().Str("event", "platform_watch_failed").Str("kind", w.name).Err(err).Msg("")
 	w.setFailing(true)
 	d := w.retry
 	w.retry = min(2*w.retry, w.keeper.options.RetryPauseMax)
