--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,6 @@
 # Commands for people; `make test` is also what CI runs.
 GO ?= go
 BIN := bin
-BINARIES := dragonfly-router dragonfly-keeper dragonflyctl dragonfly-load dragonfly-standin
 # The packages whose Go sources are ours and not generated.
 SOURCES = $(shell git ls-files '*.go' | grep -v '\.pb\.go$$')
 
--- a/cmd/dragonfly-entry/assemble.go
+++ b/cmd/dragonfly-entry/assemble.go
@@ -103,7 +103,7 @@
 	return keeper.New(keeper.Options{
 		Self: port.Member{
 			ID: s.ID, Host: s.Host, FailureDomain: s.FailureDomain,
-			CallerAddress: s.Listen.Callers, AdminAddress: s.Listen.Admin, PeerAddress: s.Listen.Peers,
+			CallerAddress: s.callers(), AdminAddress: s.Listen.Admin, PeerAddress: s.peers(),
 		},
 		Keepers: s.Keepers, Platform: from.store, Endpoints: from.store, Prober: from.runners, Kinds: []string{route.RecordKind},
 		Decisions: sink, Logger: logger, Registry: registry,
--- a/cmd/dragonfly-entry/settings.go
+++ b/cmd/dragonfly-entry/settings.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/dragonflyrail/dragonflyrail/internal/adapter/daemon"
@@ -13,6 +14,10 @@
 // entrySettings are the settings of one entry daemon.
 type entrySettings struct {
 	daemon.Common
+	// AdvertiseCallers and AdvertisePeers are the addresses that others are told
+	// where they differ from those listened on, as behind address translation.
+	AdvertiseCallers string `json:"advertise_callers" validate:"omitempty,hostname_port"`
+	AdvertisePeers   string `json:"advertise_peers" validate:"omitempty,hostname_port"`
 	// Directory and Readiness are the addresses at which callers ask where to
 	// connect, and the platform asks whether this daemon serves. Metrics are
 	// served without a token.
@@ -96,11 +101,17 @@
 	reportMaxAge = 2 * time.Second
 )
 
+// callers is the address at which callers reach this daemon.
+func (s *entrySettings) callers() string { return cmp.Or(s.AdvertiseCallers, s.Listen.Callers) }
+
+// peers is the address at which other daemons reach this one.
+func (s *entrySettings) peers() string { return cmp.Or(s.AdvertisePeers, s.Listen.Peers) }
+
 func (s *entrySettings) options() gateway.Options {
 	grace := time.Duration(s.Grace * float64(time.Second))
 	part := func(p float64) time.Duration { return time.Duration(p * float64(grace)) }
 	return gateway.Options{
-		ID: s.ID, CallerAddress: s.Listen.Callers,
+		ID: s.ID, CallerAddress: s.callers(),
 		Breaker: breaker.Options{
 			Failures: breakerFailures, OpenFor: breakerOpenFor, MaxOpenFor: breakerMaxOpenFor,
 			MaxEndpoints: breakerMaxEndpoints,
--- /dev/null
+++ b/cmd/dragonfly-standin/fleet.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/dragonflyrail/dragonflyrail/platform/standin"
+)
+
+type fleetStoreCommand struct {
+	common
+	Lapse time.Duration `long:"lapse" default:"3s" description:"age at which a runner's entry is removed"`
+}
+
+// Execute runs the stand-in until it is stopped.
+func (c *fleetStoreCommand) Execute([]string) error {
+	s := standin.NewStore()
+	return c.serveWith("fleet-store", standin.Switched(s), hooks{
+		background: func(ctx context.Context, _ *log.Logger) { s.Lapse(ctx, standin.KindRunners, c.Lapse) },
+	})
+}
+
+type fleetRunnerCommand struct {
+	common
+	Service    string        `long:"service" default:"plain" description:"name of the service, plain or engines"`
+	Store      string        `long:"store" required:"true" description:"address of the store"`
+	Advertise  string        `long:"advertise" description:"address to register; without one, the address it listens on"`
+	EventEvery time.Duration `long:"event-every" default:"0s" description:"time of one event of a stream; 0 makes a plain service"`
+	Beat       time.Duration `long:"beat" default:"1s" description:"time between two writes of the entry"`
+	Notice     time.Duration `long:"notice" default:"1500ms" description:"how long it serves on once the store knows that it leaves"`
+	Unsaid     bool          `long:"unsaid" description:"leave by removing the entry, without saying so"`
+}
+
+// Execute runs the stand-in until it is stopped, which it announces.
+func (c *fleetRunnerCommand) Execute([]string) error {
+	r := &standin.Runner{ID: c.ID, EventEvery: c.EventEvery, CacheTokens: standin.CacheTokens}
+	var kept *standin.Registration
+	return c.serveWith("fleet-runner", r, hooks{
+		background: func(ctx context.Context, l *log.Logger) {
+			r.SetLogger(l)
+			address := c.Advertise
+			if address == "" {
+				address = c.Listen
+			}
+			kept = &standin.Registration{
+				Store: standin.StoreClient{Address: c.Store}, ID: c.ID, Every: c.Beat, Logger: l,
+				Entry: standin.Entry(c.Service, address, c.FailureDomain, time.Now().UnixMilli(), nil),
+			}
+			kept.Keep(ctx)
+		},
+		leave: func(l *log.Logger) { c.leave(r, kept, l) },
+	})
+}
+
+// leave tells the store, and serves on for the notice.
+func (c *fleetRunnerCommand) leave(r *standin.Runner, kept *standin.Registration, l *log.Logger) {
+	r.SetLeaving(true)
+	tell := kept.Leave
+	if c.Unsaid {
+		tell = kept.Remove
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), c.Notice)
+	defer cancel()
+	err := tell(ctx)
+	l.Info().Str("event", "leaving").Err(err).Int64("unix_ms", time.Now().UnixMilli()).Msg("")
+	time.Sleep(c.Notice)
+	// The entry is gone, or lapses.
+	_ = kept.Remove(context.Background())
+}
--- a/cmd/dragonfly-standin/main.go
+++ b/cmd/dragonfly-standin/main.go
@@ -1,5 +1,5 @@
 // Command dragonfly-standin runs one of the small stand-ins that take the
-// place of the platform, engines, services and the weight store in tests.
+// place of the platforms, engines, services and the weight store in tests.
 package main
 
 import (
@@ -21,6 +21,9 @@
 	Engine   engineCommand   `command:"engine" description:"model engine with continuous batching and a bounded cache"`
 	Service  serviceCommand  `command:"service" description:"plain service that counts runs per idempotency key"`
 	Weights  weightsCommand  `command:"weights" description:"rate-limited weight store"`
+
+	FleetStore  fleetStoreCommand  `command:"fleet-store" description:"store of the users' platform, for dragonfly-entry"`
+	FleetRunner fleetRunnerCommand `command:"fleet-runner" description:"runner of the users' platform, for dragonfly-entry"`
 }
 
 func main() {
--- a/cmd/dragonfly-standin/serve.go
+++ b/cmd/dragonfly-standin/serve.go
@@ -7,9 +7,12 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"sync"
 	"syscall"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"github.com/dragonflyrail/dragonflyrail/internal/adapter/httpserver"
 	"github.com/dragonflyrail/dragonflyrail/internal/adapter/jsonlog"
 )
@@ -25,20 +28,39 @@
 	FailureDomain string `long:"failure-domain" default:"local" description:"the failure domain it stands in"`
 }
 
+// hooks are what a stand-in does besides answering.
+type hooks struct {
+	// background runs from the start until the process is told to stop.
+	background func(context.Context, *log.Logger)
+	// leave runs before the listener closes.
+	leave func(*log.Logger)
+}
+
 // serve answers until the process is told to stop.
-func (c *common) serve(kind string, h http.Handler) error {
+func (c *common) serve(kind string, h http.Handler) error { return c.serveWith(kind, h, hooks{}) }
+
+func (c *common) serveWith(kind string, h http.Handler, also hooks) error {
 	listener, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return err
 	}
+	c.Listen = listener.Addr().String()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	server := httpserver.New(h)
 	logger := jsonlog.New(os.Stdout, name+"-"+kind, c.ID, "info")
-	logger.Info().Str("event", "ready").Str("address", listener.Addr().String()).
+	logger.Info().Str("event", "ready").Str("address", c.Listen).
 		Str("failure_domain", c.FailureDomain).Msg("")
+	var running sync.WaitGroup
+	if also.background != nil {
+		running.Go(func() { also.background(ctx, logger) })
+	}
 	go func() {
 		<-ctx.Done()
+		running.Wait()
+		if also.leave != nil {
+			also.leave(logger)
+		}
 		bounded, cancel := context.WithTimeout(context.Background(), stopTimeout)
 		defer cancel()
 		if server.Shutdown(bounded) != nil {
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -156,6 +156,18 @@
 	run(t, "", global(k, "why", "request", "r9.0191a7ee")...).want(t, ExitNotFound, "logs")
 }
 
+// The id that a caller chose names no daemon: each may have served it, and
+// all are asked.
+func TestWhyRequestWithTheCallersIDAsksAll(t *testing.T) {
+	k, e1, e2 := newFakeKeeper(t), newFakeKeeper(t), newFakeKeeper(t)
+	k.members = []port.Member{
+		{ID: "e1", Role: port.RoleKeeper, AdminAddress: e1.address()},
+		{ID: "e2", Role: port.RoleKeeper, AdminAddress: e2.address()},
+	}
+	e2.explain["requests/order-417"] = []port.DecisionRecord{{ID: "d-1", Verdict: "place", Endpoint: "runner-3", Attempt: 1}}
+	run(t, "", global(k, "why", "request", "order-417")...).want(t, ExitOK, "runner-3", "e2")
+}
+
 func TestWhyEndpointAndConfiguration(t *testing.T) {
 	k, r := newFakeKeeper(t), newFakeKeeper(t)
 	k.members = []port.Member{
--- a/internal/ctl/why.go
+++ b/internal/ctl/why.go
@@ -121,28 +121,20 @@
 // daemon is one daemon to ask.
 type daemon struct{ id, address string }
 
-// whoKnows lists the daemons that may have decided. A request's id names its
-// router, so nobody else is asked.
+// whoKnows lists the daemons that may have decided. The id of a generation
+// names its router, so nobody else is asked. Any other id was chosen by the
+// caller, and any daemon may have served it.
 func (c *client) whoKnows(ctx context.Context, subject whySubject, id string) ([]daemon, error) {
 	all, err := c.daemons(ctx)
-	if err != nil {
-		return nil, err
-	}
-	if subject != "request" {
-		return all, nil
+	if err != nil || subject != "request" {
+		return all, err
 	}
 	router, _, _ := cutLast(id, ".")
 	named := slices.DeleteFunc(slices.Clone(all), func(d daemon) bool { return d.id != router })
 	if len(named) > 0 {
 		return named, nil
 	}
-	// Addresses given by hand carry no id.
-	unnamed := slices.DeleteFunc(all, func(d daemon) bool { return d.id != "" })
-	if len(unnamed) == 0 {
-		return nil, withAdvice(merry.Appendf(ErrNotFound, "router %q of the request is not a member any more", router),
-			"search the collected logs for \"subject_id\":\""+id+"\"")
-	}
-	return unnamed, nil
+	return all, nil
 }
 
 func cutLast(s, sep string) (before, after string, found bool) {
--- a/internal/testkit/procs/api.go
+++ b/internal/testkit/procs/api.go
@@ -78,12 +78,22 @@
 
 // SetFaults switches a stand-in's faults.
 func SetFaults(ctx context.Context, d *Daemon, faults any) error {
-	return put(ctx, d.URL()+switches.FaultsPath, faults)
+	return SetFaultsAt(ctx, d.URL(), faults)
+}
+
+// SetFaultsAt switches the faults of the stand-in at a URL.
+func SetFaultsAt(ctx context.Context, url string, faults any) error {
+	return put(ctx, url+switches.FaultsPath, faults)
 }
 
 // ReadStats reads a stand-in's counters.
 func ReadStats(ctx context.Context, d *Daemon, out any) error {
-	reply, err := Call(ctx, http.MethodGet, d.URL()+switches.StatsPath, nil, nil)
+	return ReadStatsAt(ctx, d.URL(), out)
+}
+
+// ReadStatsAt reads the counters of the stand-in at a URL.
+func ReadStatsAt(ctx context.Context, url string, out any) error {
+	reply, err := Call(ctx, http.MethodGet, url+switches.StatsPath, nil, nil)
 	if err != nil {
 		return err
 	}
--- a/internal/testkit/procs/process.go
+++ b/internal/testkit/procs/process.go
@@ -26,6 +26,8 @@
 	Dir string
 	// Detached keeps the process running when its starter ends.
 	Detached bool
+	// Output takes the standard output in place of the log file.
+	Output *os.File
 }
 
 // Process is one started process.
@@ -59,6 +61,9 @@
 	p.cmd = exec.Command(spec.Binary, spec.Args...)
 	p.cmd.Stdout = log
 	p.cmd.Stderr = log
+	if spec.Output != nil {
+		p.cmd.Stdout = spec.Output
+	}
 	if spec.Detached {
 		p.cmd.SysProcAttr = &syscall.SysProcAttr{Setsid: true}
 	} else {
--- a/internal/tools/demo/show.go
+++ b/internal/tools/demo/show.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"path/filepath"
 	"sync"
 	"time"
 
@@ -62,6 +63,9 @@
 	if err := s.run(ctx); err != nil {
 		return err
 	}
+	if err := s.fleet(ctx, c.BinDir, filepath.Join(dir, "fleet")); err != nil {
+		return err
+	}
 	if err := s.table.Render(); err != nil {
 		return err
 	}
