A fault soak of real processes; what runs once is no trial; Retry-After

Refusals of a daemon that stops bore no Retry-After, and failures that may have run bore one.

Where all breakers of a pool are open, only calls that may be repeated are tried; the others are refused at once. Refusal.settle says when to come back, for every refusal.

Ruled out: a try per endpoint whatever the call (the state before); closing breakers early for such pools (a dead one gets a call each time).

A finding on the way: TestEntryServesWithItsOutputBlocked failed once at attempt 1167. Traced: 3,000 calls of 50 ms each, the work that stand-in services had just been given, outlast the test's 60 s; the test now asks for none.

--- a/Makefile
+++ b/Makefile
@@ -77,3 +77,14 @@
 .PHONY: cost-plot
 cost-plot:
 	$(GO) test -run '^$$' -bench 'Rank|Decision' ./internal/core/routing | $(GO) run ./internal/tools/benchplot > docs/decision-cost.svg
+
+# Real processes under drawn faults: make soak SEED=7, or SEEDS=50 from there.
+SEED ?= 1
+SEEDS ?= 1
+.PHONY: soak soak-regress
+soak: build
+	$(GO) run ./internal/tools/soak --seed $(SEED) --seeds $(SEEDS) --bin $(BIN)
+
+# Each seed that ever failed, again.
+soak-regress:
+	$(GO) test -count=1 -v -run Regress ./platform/soak
--- a/cmd/dragonfly-standin/fleet.go
+++ b/cmd/dragonfly-standin/fleet.go
@@ -28,6 +28,7 @@
 	Store      string        `long:"store" required:"true" description:"address of the store"`
 	Advertise  string        `long:"advertise" description:"address to register; without one, the address it listens on"`
 	EventEvery time.Duration `long:"event-every" default:"0s" description:"time of one event of a stream; 0 makes a plain service"`
+	Work       time.Duration `long:"work" default:"0s" description:"how long a plain service takes"`
 	Beat       time.Duration `long:"beat" default:"1s" description:"time between two writes of the entry"`
 	Notice     time.Duration `long:"notice" default:"1500ms" description:"how long it serves on once the store knows that it leaves"`
 	Unsaid     bool          `long:"unsaid" description:"leave by removing the entry, without saying so"`
@@ -35,7 +36,7 @@
 
 // Execute runs the stand-in until it is stopped, which it announces.
 func (c *fleetRunnerCommand) Execute([]string) error {
-	r := &standin.Runner{ID: c.ID, EventEvery: c.EventEvery, CacheTokens: standin.CacheTokens}
+	r := &standin.Runner{ID: c.ID, EventEvery: c.EventEvery, Work: c.Work, CacheTokens: standin.CacheTokens}
 	var kept *standin.Registration
 	return c.serveWith("fleet-runner", r, hooks{
 		background: func(ctx context.Context, l *log.Logger) {
--- a/internal/gateway/calls_test.go
+++ b/internal/gateway/calls_test.go
@@ -6,9 +6,11 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
+	"github.com/dragonflyrail/dragonflyrail/internal/core/breaker"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/outcome"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 	_ "github.com/dragonflyrail/dragonflyrail/internal/testkit/fixedseed"
@@ -140,6 +142,38 @@
 	}
 }
 
+// Every endpoint of a pool loses whatever it is sent, one call after another.
+// A call that may run once at most is soon not given away any more: its caller
+// hears that it has not run, and when to come back. Calls that may be repeated
+// go on as the trials that find the endpoints again.
+func TestLosingEndpointsGetNoMoreOfWhatRunsOnce(t *testing.T) {
+	b := newBench(t)
+	b.breakers = breaker.NewSet(breaker.Options{Failures: 3, OpenFor: time.Minute, MaxOpenFor: time.Minute, MaxEndpoints: 100})
+	b.everywhere("s", failure(port.ErrEndpointLost))
+	lost := 0
+	for {
+		refusal := b.ask(t, "/once/", &caller{})
+		if refusal == nil {
+			t.Fatal("answered by an endpoint that loses everything")
+		}
+		if refusal.Outcome == outcome.NotRun {
+			if refusal.Cause != CauseNoEndpoint || refusal.RetryAfter <= 0 {
+				t.Fatalf("%+v, want a refusal that says when to come back", refusal)
+			}
+			break
+		}
+		if lost++; lost > 100 {
+			t.Fatal("100 calls lost one after another")
+		}
+	}
+	b.everywhere("s", reply(200, "fine"))
+	for _, path := range []string{"/safe/", "/once/"} {
+		if refusal := b.ask(t, path, &caller{}); refusal != nil {
+			t.Fatalf("%s after the endpoints came back: %+v", path, refusal)
+		}
+	}
+}
+
 // What the caller sent and what the endpoint answered pass unchanged.
 func TestNothingIsChangedOnTheWay(t *testing.T) {
 	b := newBench(t)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -155,7 +155,7 @@
 	case nil:
 		return false
 	case context.DeadlineExceeded:
-		refusal.Cause, refusal.RetryAfter = CauseTimeout, 0
+		refusal.Cause = CauseTimeout
 		refusal.Detail = "no whole answer in the time that the caller or the route gives"
 	default:
 		refusal.Cause, refusal.Detail = CauseCallerGone, "the caller has gone"
@@ -167,6 +167,7 @@
 	if refusal.Outcome == "" {
 		refusal.Outcome = x.ledger.Outcome()
 	}
+	refusal.settle(x.ledger.Idempotent)
 	refusal.Begun = refusal.Begun || x.begun
 	refusal.Version = x.req.Pass.Version
 	x.g.metrics.refused(refusal.Cause)
--- a/internal/gateway/lifecycle.go
+++ b/internal/gateway/lifecycle.go
@@ -161,7 +161,6 @@
 	refusal := &Refusal{Cause: cause, Outcome: outcome.NotRun, Detail: "this daemon stops; another one serves"}
 	if cause == CauseTooManyOpen {
 		refusal.Detail = "this daemon has as many requests open as it may"
-		refusal.RetryAfter = retrySoon
 	}
 	return refusal
 }
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -106,9 +106,10 @@
 			candidates = append(candidates, e)
 		}
 	}
-	if len(candidates) == 0 && x.attempts == 0 {
+	if len(candidates) == 0 && x.attempts == 0 && x.ledger.Idempotent {
 		// None looks well, but breakers may be late: a try is better than a
-		// refusal.
+		// refusal. What may run once at most would be lost to its caller in such
+		// a try; refused, it can come back.
 		candidates = spared
 	}
 	endpoint, scores, ok := g.balancer.Choose(now, candidates)
@@ -124,7 +125,7 @@
 	if x.attempts > 0 {
 		return &Refusal{Cause: CauseEndpointFailed, Detail: x.reason + "; no other endpoint is left", RetryAfter: retrySoon}
 	}
-	return &Refusal{Cause: CauseNoEndpoint, Detail: "no live endpoint in pool " + x.pool, RetryAfter: retrySoon}
+	return &Refusal{Cause: CauseNoEndpoint, Detail: "no endpoint that answers in pool " + x.pool, RetryAfter: retrySoon}
 }
 
 // begin tells the breakers and the balancer that an attempt begins.
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -42,6 +42,28 @@
 // Error is the detail with its cause.
 func (r *Refusal) Error() string { return string(r.Cause) + ": " + r.Detail }
 
-// retrySoon is the promise of refusals that the scheduler doesn't make: by
-// then the caller asks another daemon, or this one knows more.
-const retrySoon = 500 * time.Millisecond
+const (
+	// retrySoon is the promise of refusals that the scheduler doesn't make: by
+	// then the caller asks another daemon, or this one knows more.
+	retrySoon = 500 * time.Millisecond
+	// retryElsewhere is where another daemon serves at once: only as long as a
+	// caller needs to be told of one.
+	retryElsewhere = 50 * time.Millisecond
+)
+
+// settle sets when the caller may come back. What has not run always says so;
+// what may have run, and must not run twice, never asks for a retry.
+func (r *Refusal) settle(idempotent bool) {
+	switch {
+	case r.Cause == CauseCallerGone, r.Cause == CauseTimeout:
+		// Nobody is left who waits.
+		r.RetryAfter = 0
+	case r.Outcome != outcome.NotRun && !idempotent:
+		r.RetryAfter = 0
+	case r.RetryAfter > 0:
+	case r.Cause == CauseStopping:
+		r.RetryAfter = retryElsewhere
+	default:
+		r.RetryAfter = retrySoon
+	}
+}
--- a/internal/testkit/procs/ports.go
+++ b/internal/testkit/procs/ports.go
@@ -15,41 +15,53 @@
 	blockPorts = 200
 )
 
-// Ports allots loopback ports from a block that one process holds: the
-// listener on the block's first port keeps other processes away from it.
+// Ports allots loopback ports from blocks that one process holds: the listener
+// on a block's first port keeps other processes away from it.
 type Ports struct {
-	mu    sync.Mutex
-	guard net.Listener
-	next  int
-	end   int
+	mu     sync.Mutex
+	guards []net.Listener
+	next   int
+	end    int
 }
 
 // NewPorts takes a free block.
 func NewPorts() (*Ports, error) {
+	p := &Ports{}
+	return p, p.take()
+}
+
+// take takes one more free block. Needs p.mu.
+func (p *Ports) take() error {
 	blocks := (lastPort - firstPort) / blockPorts
 	for i := range blocks {
 		block := (os.Getpid() + i) % blocks
 		base := firstPort + block*blockPorts
 		guard, err := net.Listen("tcp", loopback(base))
 		if err == nil {
-			return &Ports{guard: guard, next: base + 1, end: base + blockPorts}, nil
+			p.guards = append(p.guards, guard)
+			p.next, p.end = base+1, base+blockPorts
+			return nil
 		}
 	}
-	return nil, fmt.Errorf("no free block of ports between %d and %d", firstPort, lastPort)
+	return fmt.Errorf("no free block of ports between %d and %d", firstPort, lastPort)
 }
 
 // Next returns an address with a port that nothing listens on.
 func (p *Ports) Next() (string, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for p.next < p.end {
+	for {
+		if p.next == p.end {
+			if err := p.take(); err != nil {
+				return "", err
+			}
+		}
 		address := loopback(p.next)
 		p.next++
 		if !listens(address) {
 			return address, nil
 		}
 	}
-	return "", fmt.Errorf("the block of ports is used up")
 }
 
 // listens asks by connecting. Listening on the port to see whether it is free
@@ -65,7 +77,13 @@
 	return true
 }
 
-// Close gives the block back.
-func (p *Ports) Close() error { return p.guard.Close() }
+// Close gives the blocks back.
+func (p *Ports) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, guard := range p.guards {
+		guard.Close()
+	}
+}
 
 func loopback(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
--- /dev/null
+++ b/internal/tools/soak/main.go
@@ -0,0 +1,101 @@
+// Command soak runs a fleet of real processes under drawn faults, seed after
+// seed, and prints what promises were broken. Each seed draws the same faults
+// again.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/dragonflyrail/dragonflyrail/platform/soak"
+	"github.com/dragonflyrail/dragonflyrail/platform/testfleet"
+)
+
+type options struct {
+	Seed    uint64        `long:"seed" required:"true" description:"first seed"`
+	Seeds   uint64        `long:"seeds" default:"1" description:"how many seeds to play, one after another"`
+	Length  time.Duration `long:"for" default:"15s" description:"length of one plan"`
+	Daemons int           `long:"daemons" default:"4" description:"entry daemons"`
+	Engines int           `long:"engines" default:"6" description:"runners that stream"`
+	Plain   int           `long:"plain" default:"3" description:"runners of a plain service"`
+	BinDir  string        `long:"bin" default:"bin" description:"directory of the binaries"`
+	Logs    string        `long:"logs" default:"soak-logs" description:"where the logs of a seed that failed are kept"`
+	Keep    bool          `long:"keep-logs" description:"keep the logs of seeds that held as well"`
+	Verbose bool          `long:"verbose" description:"print each action"`
+}
+
+// errBroken: some seed broke a promise.
+var errBroken = errors.New("promises were broken")
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		os.Exit(2)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := o.run(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "soak:", err)
+		os.Exit(1)
+	}
+}
+
+func (o *options) run(ctx context.Context) error {
+	var failed []uint64
+	for seed := o.Seed; seed < o.Seed+o.Seeds && ctx.Err() == nil; seed++ {
+		ok, err := o.play(ctx, seed)
+		if err != nil {
+			return fmt.Errorf("seed %d: %w", seed, err)
+		}
+		if !ok {
+			failed = append(failed, seed)
+		}
+	}
+	if len(failed) > 0 {
+		return fmt.Errorf("%w at seeds %v", errBroken, failed)
+	}
+	return nil
+}
+
+// play runs one seed and keeps its logs where a promise was broken.
+func (o *options) play(ctx context.Context, seed uint64) (bool, error) {
+	dir := filepath.Join(o.Logs, fmt.Sprint(seed))
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return false, err
+	}
+	l := testfleet.SmallLayout(o.BinDir, ".", dir)
+	l.Daemons, l.Engines, l.Plain = o.Daemons, o.Engines, o.Plain
+	report, err := soak.Run(ctx, soak.Options{Seed: seed, Length: o.Length, Layout: l, Log: func(format string, args ...any) {
+		if o.Verbose {
+			fmt.Printf(format+"\n", args...)
+		}
+	}})
+	if err != nil {
+		return false, err
+	}
+	fmt.Printf("seed %d: %v\n", seed, report)
+	for _, v := range report.Violations {
+		fmt.Println("  ", v)
+	}
+	if len(report.Violations) == 0 {
+		return true, o.clean(dir)
+	}
+	fmt.Println("   logs:", dir)
+	return false, nil
+}
+
+// clean removes the logs of a seed that held.
+func (o *options) clean(dir string) error {
+	if o.Keep {
+		return nil
+	}
+	return os.RemoveAll(dir)
+}
--- a/test/entry_test.go
+++ b/test/entry_test.go
@@ -244,7 +244,7 @@
 // are served as if it were read.
 func TestEntryServesWithItsOutputBlocked(t *testing.T) {
 	t.Parallel()
-	f := startFleet(t, nil)
+	f := startFleet(t, func(l *testfleet.Layout) { l.Work = 0 })
 	reader, writer, err := os.Pipe()
 	if err != nil {
 		t.Fatal(err)
