measure entry: what entry daemons spend over the number of runners and changes

Ruled out: requests alone. Change: measure entry starts the testfleet's daemons with runners in its own process and can replace runners at a rate; the admin address hands out a processor profile and a heap profile behind the token.

--- a/internal/adapter/httpadmin/httpadmin.go
+++ b/internal/adapter/httpadmin/httpadmin.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"net/http/pprof"
 	"strings"
 
 	gometrics "github.com/rcrowley/go-metrics"
@@ -50,6 +51,8 @@
 	admin.Handle("GET /metrics", metrics.Handler(o.Registry))
 	admin.HandleFunc("GET /admin/v1/explain/{subject}/{id...}", o.explain)
 	admin.HandleFunc("POST /admin/v1/drain", o.drain)
+	admin.HandleFunc("GET /admin/v1/profile", pprof.Profile)
+	admin.Handle("GET /admin/v1/heap", pprof.Handler("heap"))
 	if o.Register != nil {
 		o.Register(admin)
 	}
--- a/internal/adapter/httpadmin/httpadmin_test.go
+++ b/internal/adapter/httpadmin/httpadmin_test.go
@@ -32,6 +32,8 @@
 		{"metrics want a token", "GET", "/metrics", "", 401},
 		{"a wrong token", "POST", "/admin/v1/drain", "x", 401},
 		{"metrics", "GET", "/metrics", token, 200},
+		{"profiles want a token", "GET", "/admin/v1/heap", "", 401},
+		{"a profile", "GET", "/admin/v1/heap", token, 200},
 		{"drain", "POST", "/admin/v1/drain", token, 202},
 		{"explain", "GET", "/admin/v1/explain/configurations/a/b", token, 200},
 		{"explain nothing known", "GET", "/admin/v1/explain/prompts/a", token, 404},
--- a/internal/tools/measure/main.go
+++ b/internal/tools/measure/main.go
@@ -20,6 +20,7 @@
 	Path    pathCommand    `command:"path" description:"added time to the first token and between tokens"`
 	Streams streamsCommand `command:"streams" description:"memory for each open stream"`
 	Work    workCommand    `command:"work" description:"processor time for each request and token"`
+	Entry   entryCommand   `command:"entry" description:"processor time, memory and bytes of entry daemons over the number of runners"`
 	Idle    idleCommand    `command:"idle" description:"processor time and memory of daemons without callers"`
 }
 
--- a/internal/tools/measure/process.go
+++ b/internal/tools/measure/process.go
@@ -55,3 +55,18 @@
 	}
 	return time.Duration(ticks) * clockTick, nil
 }
+
+// writtenBytes reads how much a process has written, to files and sockets.
+func writtenBytes(pid int) (int64, error) {
+	f, err := os.Open(fmt.Sprintf("/proc/%d/io", pid))
+	if err != nil {
+		return 0, err
+	}
+	defer f.Close()
+	for lines := bufio.NewScanner(f); lines.Scan(); {
+		if text, found := strings.CutPrefix(lines.Text(), "wchar: "); found {
+			return strconv.ParseInt(text, 10, 64)
+		}
+	}
+	return 0, fmt.Errorf("no wchar for process %d", pid)
+}
