Bounded messages between daemons; what follows from the members is worked out once

Each loop's look at who watches, who keeps books and who probes what sorted or hashed all members again: membership.LiveKeepers alone was 15 % of an idle daemon's samples with 60 daemons, and the share of probes hashed daemons times endpoints. Change: a step of an exchange holds 512 entries and the rest follows; keeper standing is worked out when the table of members changed; owners and the candidates for books are hashed once for each list of members. Ruled out: the frequency of the loops (a few a second each). Tests: TestMessagesAreBoundedAndNothingIsLeftOut (5,000 endpoints in one message before).

--- a/internal/core/membership/ring.go
+++ b/internal/core/membership/ring.go
@@ -100,15 +100,18 @@
 	return out
 }
 
-// Owner returns the keeper that looks after a subject, by rendezvous hash:
-// when one keeper goes, only its subjects move.
-func Owner(subject string, keepers []Member) string {
-	if len(keepers) == 0 {
-		return ""
-	}
+// Owners tells which keeper looks after a subject, by rendezvous hash: when one
+// keeper goes, only its subjects move.
+type Owners struct{ ring *rendezvous.Rendezvous }
+
+// NewOwners hashes the keepers once for many subjects.
+func NewOwners(keepers []Member) Owners {
 	ids := make([]string, len(keepers))
 	for i := range keepers {
 		ids[i] = keepers[i].ID
 	}
-	return rendezvous.New(ids, spread.HashKey).Lookup(subject)
+	return Owners{ring: rendezvous.New(ids, spread.HashKey)}
 }
+
+// Of returns the keeper that looks after the subject, "" where there is none.
+func (o Owners) Of(subject string) string { return o.ring.Lookup(subject) }
--- a/internal/core/spread/exchange.go
+++ b/internal/core/spread/exchange.go
@@ -100,30 +100,52 @@
 	x.mu.Unlock()
 }
 
-// Next returns what to send now.
-func (x *Exchange[T]) Next() Step[T] {
+// stepEntries bounds the entries of one step, but for the last bucket of it.
+// Hundreds of daemons that start together ask one that they all know for all
+// it has: whole tables in flight on each link are hundreds of megabytes there,
+// and the host kills it. A step of endpoints is about 100 KB at most.
+const stepEntries = 512
+
+// More reports whether there is more to send than the last step held.
+func (x *Exchange[T]) More() bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	var s Step[T]
-	seen := map[string]struct{}{}
-	for _, bucket := range x.repair {
+	return len(x.repair) > 0 || len(x.dirty) > 0
+}
+
+func (x *Exchange[T]) addRepairs(s *Step[T]) {
+	for len(x.repair) > 0 && len(s.Entries) < stepEntries {
+		bucket := x.repair[0]
+		x.repair = x.repair[1:]
 		for _, v := range x.table.InBucket(int(bucket)) {
 			s.Entries = append(s.Entries, v)
-			seen[x.table.order.Key(v)] = struct{}{}
+			delete(x.dirty, x.table.order.Key(v))
 		}
+		s.Repaired = append(s.Repaired, bucket)
 	}
-	s.Repaired, x.repair = x.repair, nil
-	due := x.digestDue || !x.sent || len(s.Repaired) > 0 || x.askBuckets
-	x.digestDue = false
+}
+
+func (x *Exchange[T]) addChanges(s *Step[T]) {
 	for _, key := range slices.Sorted(maps.Keys(x.dirty)) {
-		if _, already := seen[key]; already {
-			continue
+		if len(s.Entries) >= stepEntries {
+			return
 		}
+		delete(x.dirty, key)
 		if v, ok := x.table.Get(key); ok {
 			s.Entries = append(s.Entries, v)
 		}
 	}
-	clear(x.dirty)
+}
+
+// Next returns what to send now, see also More.
+func (x *Exchange[T]) Next() Step[T] {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	var s Step[T]
+	x.addRepairs(&s)
+	x.addChanges(&s)
+	due := x.digestDue || !x.sent || len(s.Repaired) > 0 || x.askBuckets
+	x.digestDue = false
 	if x.askBuckets {
 		digests := x.table.Digests()
 		s.BucketDigests = digests[:]
--- /dev/null
+++ b/internal/core/spread/node/bounds_test.go
@@ -0,0 +1,46 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/dragonflyrail/dragonflyrail/internal/core/membership"
+	"github.com/dragonflyrail/dragonflyrail/internal/port"
+)
+
+// Hundreds of daemons start together and ask the same one for thousands of
+// endpoints. If each answer is one message, that daemon holds all of them at
+// once and is killed for its memory, and its callers' requests with it.
+func TestMessagesAreBoundedAndNothingIsLeftOut(t *testing.T) {
+	const endpoints, records, most = 5000, 2000, 1000
+	a, b := New(), New()
+	for i := range endpoints {
+		a.PutEndpoint(membership.Listed(port.Endpoint{ID: fmt.Sprint("runner-", i), Address: "a:1", Incarnation: 1}))
+	}
+	for i := range records {
+		a.PutRecord(port.Record{Kind: "k", Name: fmt.Sprint(i), Version: uint64(i + 1), Body: []byte("{}")})
+	}
+	a.SetComplete()
+	asking, answering := b.Open(true), a.Open(false)
+	ask := asking.Next()
+	answering.Receive(&ask)
+	for messages := 0; ; messages++ {
+		m := answering.Next()
+		if n := len(m.Endpoints.Entries); n > most {
+			t.Fatalf("%d endpoints in one message", n)
+		}
+		if m.Complete && b.Records.Len()+len(m.Records.Entries) < records {
+			t.Fatalf("complete with %d records of %d", b.Records.Len()+len(m.Records.Entries), records)
+		}
+		asking.Receive(&m)
+		select {
+		case <-answering.Woken():
+			continue
+		default:
+		}
+		break
+	}
+	if b.Endpoints.Len() != endpoints || b.Records.Len() != records || !b.Complete() {
+		t.Fatalf("%d endpoints, %d records, complete: %v", b.Endpoints.Len(), b.Records.Len(), b.Complete())
+	}
+}
--- a/internal/core/spread/node/link.go
+++ b/internal/core/spread/node/link.go
@@ -81,6 +81,13 @@
 	}
 }
 
+// wakeForMore has the rest sent that a bounded message left.
+func (l *Link) wakeForMore() {
+	if l.records.More() || l.endpoints.More() || l.members.More() {
+		l.wake()
+	}
+}
+
 // Tick compares digests; call it once per heartbeat.
 func (l *Link) Tick() {
 	if !l.node.Complete() && l.ticks.Add(1)%askAgainTicks == 0 {
@@ -96,6 +103,7 @@
 	// Whether the node is complete is read before its records: read after,
 	// a list that ends in between would vouch for records not sent.
 	complete := l.node.Complete() && (l.initiator || l.answered.Load())
+	defer l.wakeForMore()
 	m := Message{
 		Records:   l.records.Next(),
 		Endpoints: l.endpoints.Next(),
@@ -105,7 +113,7 @@
 		m.HighestVersion = highest
 		l.saidHighest.Store(highest)
 	}
-	if complete && !l.saidComplete.Swap(true) {
+	if complete && !l.records.More() && !l.saidComplete.Swap(true) {
 		m.Complete = true
 	}
 	return m
--- a/internal/keeper/duty.go
+++ b/internal/keeper/duty.go
@@ -1,11 +1,8 @@
 package keeper
 
 import (
-	"slices"
 	"sync"
 	"time"
-
-	"github.com/dragonflyrail/dragonflyrail/internal/core/membership"
 )
 
 // fallbackFactor times FallbackAfter is how long a keeper watches once it has
@@ -44,14 +41,12 @@
 // in line takes its place. An age that grows although nobody is blind may mean
 // that this side is cut off from the watchers: it is met by watching too.
 func (k *Keeper) onDuty(now time.Time) bool {
-	chosen := slices.Contains(membership.Watchers(k.liveKeepers(), k.options.Watchers), k.options.Self.ID)
-	return k.duty.turn(now, chosen, k.PlatformAge(now))
+	return k.duty.turn(now, k.standing().watcher, k.PlatformAge(now))
 }
 
 // onHostDuty is onDuty for the list of hosts, which fewer keepers read.
 func (k *Keeper) onHostDuty(now time.Time) bool {
-	count := min(hostPollers, k.options.Watchers)
-	if slices.Contains(membership.Watchers(k.liveKeepers(), count), k.options.Self.ID) {
+	if k.standing().hostPoller {
 		return true
 	}
 	return k.duty.inFallback(now)
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -158,15 +158,17 @@
 
 // Keeper is one keeper. It is safe for concurrent use.
 type Keeper struct {
-	options  Options
-	node     *node.Node
-	seeds    atomic.Pointer[[]string]
-	identity *grpcpeer.Identity
-	hearing  *membership.Hearing
-	listed   listedKinds
-	judging  judging
-	probes   probeMemory
-	duty     duty
+	options Options
+	node    *node.Node
+	seeds   atomic.Pointer[[]string]
+	// lastStanding is read through standing.
+	lastStanding atomic.Pointer[standing]
+	identity     *grpcpeer.Identity
+	hearing      *membership.Hearing
+	listed       listedKinds
+	judging      judging
+	probes       probeMemory
+	duty         duty
 	// ownVersion is since when the highest version held here is.
 	ownVersion versionClock
 
@@ -267,14 +269,9 @@
 	}
 }
 
-// Members returns all daemons known, dead ones included.
-func (k *Keeper) Members() []port.Member {
-	var out []port.Member
-	for m := range k.node.Members.All() {
-		out = append(out, m.Port())
-	}
-	return out
-}
+// Members returns all daemons known, dead ones included. The slice is shared
+// and must not be changed.
+func (k *Keeper) Members() []port.Member { return k.standing().members }
 
 // Changed is closed at the next change of records, endpoints or members.
 func (k *Keeper) Changed() <-chan struct{} { return k.node.Changed() }
@@ -318,7 +315,7 @@
 	}
 }
 
-func (k *Keeper) liveKeepers() []membership.Member { return membership.LiveKeepers(k.node.Members) }
+func (k *Keeper) liveKeepers() []membership.Member { return k.standing().live }
 
 func (k *Keeper) registerGauges() {
 	gauge := func(name string, f func() int64) {
--- a/internal/keeper/links.go
+++ b/internal/keeper/links.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/dragonflyrail/dragonflyrail/internal/adapter/grpcpeer"
-	"github.com/dragonflyrail/dragonflyrail/internal/core/membership"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
 
@@ -31,7 +30,7 @@
 		if now.After(bridgeUntil) {
 			bridge, bridgeUntil = k.bridge(), now.Add(bridgeFor)
 		}
-		wanted := k.neighbours()
+		wanted := slices.Clone(k.standing().neighbours)
 		if len(wanted) == 0 {
 			wanted = k.others()
 		}
@@ -45,14 +44,6 @@
 	}
 }
 
-func (k *Keeper) neighbours() []string {
-	var out []string
-	for _, m := range membership.Neighbours(k.options.Self.ID, k.liveKeepers()) {
-		out = append(out, m.PeerAddress)
-	}
-	return out
-}
-
 // others are the keepers of the settings but for this one. One that knows nobody
 // tries them all at once: after all daemons have started together, each that is
 // tried by itself may be the last to come up, and daemons that don't hear each
--- a/internal/keeper/members.go
+++ b/internal/keeper/members.go
@@ -198,7 +198,7 @@
 // orphans returns the members that no live keeper hears and whose judgement
 // falls to this one: those whose keeper died in the moment before them.
 func (k *Keeper) orphans(now time.Time) []suspect {
-	keepers := k.liveKeepers()
+	owners, keepers := k.standing().owners, k.liveKeepers()
 	live := make(map[string]bool, len(keepers))
 	for i := range keepers {
 		live[keepers[i].ID] = true
@@ -206,7 +206,7 @@
 	var out []suspect
 	for m := range k.node.Members.All() {
 		heard := live[m.HeardBy] && m.HeardBy != m.ID
-		if heard || m.State == port.MemberDead || m.ID == k.options.Self.ID || membership.Owner(m.ID, keepers) != k.options.Self.ID {
+		if heard || m.State == port.MemberDead || m.ID == k.options.Self.ID || owners.Of(m.ID) != k.options.Self.ID {
 			k.judging.adopted(m.ID)
 			continue
 		}
--- a/internal/keeper/probes.go
+++ b/internal/keeper/probes.go
@@ -75,10 +75,10 @@
 }
 
 func (k *Keeper) probeShare() []membership.Endpoint {
-	keepers := k.liveKeepers()
+	owners := k.standing().owners
 	var out []membership.Endpoint
 	for e := range k.node.Endpoints.All() {
-		if e.State != port.EndpointGone && membership.Owner(e.ID, keepers) == k.options.Self.ID {
+		if e.State != port.EndpointGone && owners.Of(e.ID) == k.options.Self.ID {
 			out = append(out, e)
 		}
 	}
--- a/internal/scheduling/client.go
+++ b/internal/scheduling/client.go
@@ -35,6 +35,7 @@
 
 // Members lists the daemons.
 type Members interface {
+	// Members returns a list that is never changed; a change makes another.
 	Members() []port.Member
 	// Changed is closed at the next change.
 	Changed() <-chan struct{}
@@ -63,6 +64,8 @@
 	avoid map[string]time.Time
 	// kept names the keeper of each pool as of the last look.
 	kept map[string]string
+	// last is read through candidatesLocked.
+	last *candidates
 }
 
 // openRun is a run of this daemon. Its keeper is the daemon that has it in
--- a/internal/scheduling/keeper.go
+++ b/internal/scheduling/keeper.go
@@ -22,28 +22,72 @@
 }
 
 func (c *Client) keeperLocked(pool string) daemon {
-	now := c.o.Clock()
+	s := c.candidatesLocked(c.o.Clock())
+	id := s.ring.Lookup(pool)
+	if before := c.kept[pool]; before != id {
+		c.kept[pool] = id
+		c.o.Logger.Info().Str("event", "books_moved").Str("pool", pool).Str("from", before).Str("to", id).Msg("")
+	}
+	return daemon{id: id, address: s.addresses[id]}
+}
+
+// candidates are the daemons that may keep books.
+type candidates struct {
+	// of is the list of members that they follow from, until is when one that
+	// is avoided now may be asked again.
+	of        []port.Member
+	until     time.Time
+	ring      *rendezvous.Rendezvous
+	addresses map[string]string
+}
+
+// candidatesLocked works the candidates out again only when another list of
+// members, or the end of a time to avoid one, may change them: each placement
+// and each pool asks, and hashing hundreds of names each time costs more than
+// all else in a placement.
+func (c *Client) candidatesLocked(now time.Time) *candidates {
+	members := c.o.Members.Members()
+	if s := c.last; s != nil && sameList(s.of, members) && now.Before(s.until) {
+		return s
+	}
+	s := &candidates{of: members, until: now.Add(candidatesFor), addresses: make(map[string]string)}
 	var ids []string
-	addresses := map[string]string{}
 	leaving := false
-	for _, m := range c.o.Members.Members() {
+	for i := range members {
+		m := &members[i]
 		switch {
 		case m.ID == c.o.Self:
 			leaving = m.State == port.MemberLeaving
-		case m.CallerAddress != "" && m.State == port.MemberLive && !now.Before(c.avoid[m.ID]):
+		case m.CallerAddress == "" || m.State != port.MemberLive:
+		case now.Before(c.avoid[m.ID]):
+			s.until = earlier(s.until, c.avoid[m.ID])
+		default:
 			ids = append(ids, m.ID)
-			addresses[m.ID] = m.PeerAddress
+			s.addresses[m.ID] = m.PeerAddress
 		}
 	}
 	if !leaving || len(ids) == 0 {
 		ids = append(ids, c.o.Self)
 	}
-	id := rendezvous.New(ids, xxhash.Sum64String).Lookup(pool)
-	if before := c.kept[pool]; before != id {
-		c.kept[pool] = id
-		c.o.Logger.Info().Str("event", "books_moved").Str("pool", pool).Str("from", before).Str("to", id).Msg("")
+	s.ring = rendezvous.New(ids, xxhash.Sum64String)
+	c.last = s
+	return s
+}
+
+// candidatesFor bounds how long candidates hold without another look.
+const candidatesFor = time.Minute
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
 	}
-	return daemon{id: id, address: addresses[id]}
+	return a
+}
+
+// sameList reports whether two lists are one in memory. A list of members is
+// never changed, see Members.
+func sameList(a, b []port.Member) bool {
+	return len(a) == len(b) && len(a) > 0 && &a[0] == &b[0]
 }
 
 // peer returns the connection to a keeper.
@@ -73,6 +117,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.avoid[d.id] = c.o.Clock().Add(avoidFor)
+	c.last = nil
 	if p := c.peers[d.id]; p != nil && p.address == d.address {
 		p.peer.Close()
 		delete(c.peers, d.id)
--- a/internal/tools/measure/entry.go
+++ b/internal/tools/measure/entry.go
@@ -28,7 +28,7 @@
 	Events  int           `long:"events" default:"25" description:"events of a stream"`
 	Changes float64       `long:"changes" default:"0" description:"runners replaced a second, in the whole fleet"`
 	Watch   time.Duration `long:"for" default:"10s" description:"how long each size is watched"`
-	Profile string        `long:"profile" description:"file for a processor profile of the last daemon"`
+	Profile string        `long:"profile" description:"file for a processor profile of the first daemon, which is a seed of the others"`
 }
 
 // entryEvery is the time of one event of a stream.
@@ -82,7 +82,7 @@
 	}
 	background.Go(func() { e.replace(calling, c.Changes) })
 	if c.Profile != "" {
-		background.Go(func() { c.profile(calling, e.f.Daemons[len(e.f.Daemons)-1]) })
+		background.Go(func() { c.profile(calling, e.f.Daemons[0]) })
 	}
 	time.Sleep(settle)
 	e.asked.Store(0)
