--- a/internal/scheduling/client.go
+++ b/internal/scheduling/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -117,7 +118,7 @@
 			return d
 		}
 		if ctx.Err() != nil {
-			return port.Decision{Verdict: port.VerdictRefuse, Reason: ctx.Err().Error()}
+			return port.Decision{Verdict: port.VerdictRefuse, Reason: givenUp(ctx.Err())}
 		}
 		c.lost(keeper, err)
 	}
@@ -127,6 +128,14 @@
 	return d
 }
 
+// givenUp says why a request no longer waits for a place.
+func givenUp(err error) string {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return "out of time while waiting for a place"
+	}
+	return "the caller has gone"
+}
+
 func (c *Client) placed(keeper string, r *port.GenerationRequest, d *port.Decision) {
 	if d.Verdict != port.VerdictPlace {
 		return
