Large fleets: endpoints are sent by neighbours, not by the daemons all start with

All daemons connect to the few seeds that they are told of; each seed sent each of them thousands of endpoints, and each link of the ring compared whole buckets again as it opened. Change: in fleets of more than 32 a link that isn't one of the ring carries records and members only; tables of more than 256 entries are compared when a difference stands still, not when a link opens. Ring.Joins tells a keeper which of those that connect to it are its neighbours. Tests: TestHeldEndpointsFollowLater; TestRingJoinsAllKeepers also checks that both ends agree on who connects to whom.

--- a/internal/adapter/grpcpeer/keeper.go
+++ b/internal/adapter/grpcpeer/keeper.go
@@ -28,6 +28,8 @@
 	Heard(m membership.Member, b membership.Beat, first bool)
 	// Closed tells that the stream of a member has ended.
 	Closed(b membership.Beat)
+	// SendsEndpoints tells whether the link to a member carries endpoints.
+	SendsEndpoints(to *membership.Member) bool
 	// Directory lists what this keeper hears directly.
 	Directory() []*peerv1.Member
 	// Probe tries to reach a member's peer address.
@@ -149,6 +151,13 @@
 }
 
 func (s *session) receive(h *peerv1.Heartbeat) {
+	if w := h.GetMember(); w.GetId() != "" {
+		s.member = memberFromWire(w)
+	}
+	if h.GetSequence() != 0 {
+		// Asked with each heartbeat, as the ring changes.
+		s.link.HoldEndpoints(!s.listener.SendsEndpoints(&s.member))
+	}
 	m := heartbeatFromWire(h)
 	s.link.Receive(&m)
 	if s.heardAge != nil && h.GetPlatformAgeMillis() > 0 {
@@ -160,9 +169,6 @@
 		return
 	}
 	if w := h.GetMember(); w != nil {
-		if w.GetId() != "" {
-			s.member = memberFromWire(w)
-		}
 		s.beat.HighestVersion, s.beat.RecordsDigest = w.GetHighestVersion(), w.GetRecordsDigest()
 	}
 	s.member.Sequence = h.GetSequence()
--- a/internal/adapter/grpcpeer/peer_test.go
+++ b/internal/adapter/grpcpeer/peer_test.go
@@ -42,7 +42,9 @@
 	defer f.mu.Unlock()
 	f.closed[b.ID]++
 }
-func (f *fakeListener) Directory() []*peerv1.Member { return nil }
+func (f *fakeListener) Directory() []*peerv1.Member            { return nil }
+func (f *fakeListener) SendsEndpoints(*membership.Member) bool { return true }
+
 func (f *fakeListener) Probe(context.Context, string) membership.ProbeResult {
 	return membership.ProbeAnswered
 }
--- a/internal/core/membership/judge_test.go
+++ b/internal/core/membership/judge_test.go
@@ -82,14 +82,18 @@
 		all := keepersOf(80, 7)
 		left := rapid.SliceOfNDistinct(rapid.SampledFrom(all), 1, 80, func(m Member) string { return m.ID }).Draw(t, "left")
 		links := map[string][]string{}
+		ring := NewRing(left)
 		for _, k := range left {
-			opened := Neighbours(k.ID, left)
+			opened := ring.Neighbours(k.ID)
 			if len(opened) > 2 {
 				t.Fatalf("%s opens %d links", k.ID, len(opened))
 			}
 			for _, n := range opened {
 				links[k.ID] = append(links[k.ID], n.ID)
 				links[n.ID] = append(links[n.ID], k.ID)
+				if !ring.Joins(k.ID, n.ID) {
+					t.Fatalf("%s doesn't know that %s connects to it", n.ID, k.ID)
+				}
 			}
 		}
 		hops := map[string]int{left[0].ID: 0}
--- a/internal/core/membership/ring.go
+++ b/internal/core/membership/ring.go
@@ -25,26 +25,61 @@
 	return out
 }
 
-// Neighbours returns the keepers that self connects to: the next on a ring
-// ordered by hash, and one a square root of the ring further. Each keeper
-// then has about four links however many there are, a change needs at most
-// about two square roots of hops, and one keeper's loss parts nobody.
-func Neighbours(self string, keepers []Member) []Member {
-	ring := slices.Clone(keepers)
-	slices.SortFunc(ring, func(a, b Member) int {
-		return cmp.Or(cmp.Compare(spread.HashKey(a.ID), spread.HashKey(b.ID)), cmp.Compare(a.ID, b.ID))
-	})
-	at := slices.IndexFunc(ring, func(m Member) bool { return m.ID == self })
-	if at < 0 || len(ring) < 2 {
+// Ring is the live keepers in the order of their hashes.
+type Ring struct{ members []Member }
+
+// NewRing orders the keepers.
+func NewRing(keepers []Member) Ring {
+	members := slices.Clone(keepers)
+	slices.SortFunc(members, func(a, b Member) int { return compareOnRing(a.ID, b.ID) })
+	return Ring{members: members}
+}
+
+func compareOnRing(a, b string) int {
+	return cmp.Or(cmp.Compare(spread.HashKey(a), spread.HashKey(b)), cmp.Compare(a, b))
+}
+
+// Neighbours returns the keepers that one of the ring connects to: the next on
+// the ring, and one a square root of the ring further. Each keeper then has
+// about four links however many there are, a change needs at most about two
+// square roots of hops, and one keeper's loss parts nobody.
+func (r Ring) Neighbours(id string) []Member {
+	at, found := r.find(id)
+	if !found || len(r.members) < 2 {
 		return nil
 	}
 	var out []Member
-	for _, step := range ringSteps(len(ring)) {
-		out = append(out, ring[(at+step)%len(ring)])
+	for _, step := range ringSteps(len(r.members)) {
+		out = append(out, r.members[(at+step)%len(r.members)])
 	}
 	return out
 }
 
+// Joins reports whether one keeper connects to the other as its neighbour. One
+// that isn't on the ring yet is taken as if it were.
+func (r Ring) Joins(from, to string) bool {
+	at, found := r.find(from)
+	n := len(r.members)
+	if !found {
+		// The next on the ring stands where it will stand itself.
+		at--
+		n++
+	}
+	for _, step := range ringSteps(n) {
+		if r.members[(at+step+len(r.members))%len(r.members)].ID == to {
+			return true
+		}
+	}
+	return false
+}
+
+func (r Ring) find(id string) (int, bool) {
+	return slices.BinarySearchFunc(r.members, id, func(m Member, id string) int { return compareOnRing(m.ID, id) })
+}
+
+// Len counts the keepers of the ring.
+func (r Ring) Len() int { return len(r.members) }
+
 // ringSteps are the distances to a keeper's neighbours.
 func ringSteps(n int) []int {
 	if n <= fullMesh {
--- a/internal/core/spread/node/bounds_test.go
+++ b/internal/core/spread/node/bounds_test.go
@@ -44,3 +44,37 @@
 		t.Fatalf("%d endpoints, %d records, complete: %v", b.Endpoints.Len(), b.Records.Len(), b.Complete())
 	}
 }
+
+// A daemon that starts among hundreds is connected to one that all start
+// with. It hears there of the others at once, and of the endpoints once that
+// one is its neighbour.
+func TestHeldEndpointsFollowLater(t *testing.T) {
+	a, b := New(), New()
+	a.PutEndpoint(membership.Listed(port.Endpoint{ID: "runner", Address: "a:1", Incarnation: 1}))
+	a.PutMember(membership.Member{ID: "other", Incarnation: 1, State: port.MemberLive})
+	asking, answering := b.Open(true), a.Open(false)
+	answering.HoldEndpoints(true)
+	pass := func() {
+		for range 3 {
+			ask := asking.Next()
+			answering.Receive(&ask)
+			answer := answering.Next()
+			asking.Receive(&answer)
+		}
+	}
+	pass()
+	if b.Members.Len() != 1 || b.Endpoints.Len() != 0 {
+		t.Fatalf("%d members and %d endpoints over a link that holds endpoints", b.Members.Len(), b.Endpoints.Len())
+	}
+	<-answering.Woken()
+	answering.HoldEndpoints(false)
+	select {
+	case <-answering.Woken():
+	default:
+		t.Fatal("nothing is sent once endpoints are held no more")
+	}
+	pass()
+	if b.Endpoints.Len() != 1 {
+		t.Fatal("the endpoint never came")
+	}
+}
--- a/internal/core/spread/node/link.go
+++ b/internal/core/spread/node/link.go
@@ -45,6 +45,8 @@
 	saidHighest  atomic.Uint64
 	// peerComplete: the peer said that it holds a complete set.
 	peerComplete atomic.Bool
+	// holdsEndpoints: what is new of endpoints stays queued.
+	holdsEndpoints atomic.Bool
 	// ticks counts towards the next time an incomplete node asks again.
 	ticks atomic.Uint32
 }
@@ -58,12 +60,23 @@
 		members:   spread.NewExchange(n.Members, initiator),
 		woken:     make(chan struct{}, 1),
 	}
+	if n.Endpoints.Len() > largeTable {
+		l.endpoints.AskLater()
+	}
+	if n.Members.Len() > largeTable {
+		l.members.AskLater()
+	}
 	n.mu.Lock()
 	n.links[l] = struct{}{}
 	n.mu.Unlock()
 	return l
 }
 
+// largeTable is the number of entries from which a new link compares a table
+// only once a difference stands still: in a large fleet something is always on
+// its way, and each compare costs whole buckets of what both ends have.
+const largeTable = 256
+
 // Close removes the link.
 func (l *Link) Close() {
 	l.node.mu.Lock()
@@ -81,9 +94,16 @@
 	}
 }
 
+// HoldEndpoints keeps endpoints back, or sends them again.
+func (l *Link) HoldEndpoints(hold bool) {
+	if l.holdsEndpoints.Swap(hold) && !hold {
+		l.wake()
+	}
+}
+
 // wakeForMore has the rest sent that a bounded message left.
 func (l *Link) wakeForMore() {
-	if l.records.More() || l.endpoints.More() || l.members.More() {
+	if l.records.More() || l.members.More() || !l.holdsEndpoints.Load() && l.endpoints.More() {
 		l.wake()
 	}
 }
@@ -104,10 +124,9 @@
 	// a list that ends in between would vouch for records not sent.
 	complete := l.node.Complete() && (l.initiator || l.answered.Load())
 	defer l.wakeForMore()
-	m := Message{
-		Records:   l.records.Next(),
-		Endpoints: l.endpoints.Next(),
-		Members:   l.members.Next(),
+	m := Message{Records: l.records.Next(), Members: l.members.Next()}
+	if !l.holdsEndpoints.Load() {
+		m.Endpoints = l.endpoints.Next()
 	}
 	if highest := l.node.HighestKnown(); highest > l.saidHighest.Load() {
 		m.HighestVersion = highest
--- a/internal/keeper/links.go
+++ b/internal/keeper/links.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/dragonflyrail/dragonflyrail/internal/adapter/grpcpeer"
+	"github.com/dragonflyrail/dragonflyrail/internal/core/membership"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
 
@@ -81,6 +82,20 @@
 	return candidates[rand.N(len(candidates))]
 }
 
+// smallFleet is the number of keepers up to which each link carries all.
+const smallFleet = 32
+
+// SendsEndpoints tells whether a link that a keeper has opened here carries
+// endpoints. When hundreds of keepers start together, all connect to the few
+// that they are told of, and each would be sent thousands of endpoints there:
+// minutes of a small host's processor, and most of what is sent between failure
+// domains. They only need to hear of each other there: each is then sent the
+// endpoints by its neighbours on the ring.
+func (k *Keeper) SendsEndpoints(to *membership.Member) bool {
+	ring := k.standing().ring
+	return to.Role != port.RoleKeeper || ring.Len() <= smallFleet || ring.Joins(to.ID, k.options.Self.ID)
+}
+
 // linkTo keeps a subscription to one keeper until the context ends.
 func (k *Keeper) linkTo(ctx context.Context, address string) {
 	for ctx.Err() == nil {
--- a/internal/keeper/standing.go
+++ b/internal/keeper/standing.go
@@ -20,6 +20,7 @@
 	watcher    bool
 	hostPoller bool
 	neighbours []string
+	ring       membership.Ring
 	owners     membership.Owners
 }
 
@@ -43,7 +44,8 @@
 	self := k.options.Self.ID
 	s.watcher = slices.Contains(membership.Watchers(s.live, k.options.Watchers), self)
 	s.hostPoller = slices.Contains(membership.Watchers(s.live, min(hostPollers, k.options.Watchers)), self)
-	for _, m := range membership.Neighbours(self, s.live) {
+	s.ring = membership.NewRing(s.live)
+	for _, m := range s.ring.Neighbours(self) {
 		s.neighbours = append(s.neighbours, m.PeerAddress)
 	}
 	return s
--- a/internal/tools/measure/entry.go
+++ b/internal/tools/measure/entry.go
@@ -28,6 +28,7 @@
 	Events  int           `long:"events" default:"25" description:"events of a stream"`
 	Changes float64       `long:"changes" default:"0" description:"runners replaced a second, in the whole fleet"`
 	Watch   time.Duration `long:"for" default:"10s" description:"how long each size is watched"`
+	Restart bool          `long:"restart" description:"start all daemons again at once first, and count from there"`
 	Profile string        `long:"profile" description:"file for a processor profile of the first daemon, which is a seed of the others"`
 }
 
@@ -37,7 +38,7 @@
 // Execute measures what entry daemons spend, over the number of runners.
 func (c *entryCommand) Execute([]string) error {
 	table := tablewriter.NewWriter(os.Stdout)
-	table.Header("runners", "served", "of", "least, % of a core", "most, % of a core", "most MiB", "most written, KB/s")
+	table.Header("runners", "served", "of", "least, % of a core", "most, % of a core", "most MiB at peak", "most written, KB/s")
 	for _, runners := range c.Runners {
 		if err := c.size(table, runners); err != nil {
 			return fmt.Errorf("%d runners: %w", runners, err)
@@ -68,10 +69,31 @@
 			return err
 		}
 	}
+	if c.Restart {
+		return c.startAgain(ctx, e, table, runners)
+	}
 	time.Sleep(settle)
 	return c.watch(ctx, e, table, runners)
 }
 
+// startAgain kills all daemons and shows what their common start costs each.
+func (c *entryCommand) startAgain(ctx context.Context, e *entryFleet, table *tablewriter.Table, runners int) error {
+	for _, d := range e.f.Daemons {
+		d.Kill()
+	}
+	for _, d := range e.f.Daemons {
+		if err := e.f.StartDaemon(d); err != nil {
+			return err
+		}
+	}
+	time.Sleep(c.Watch)
+	after, err := useOf(e.f.Daemons)
+	if err != nil {
+		return err
+	}
+	return c.row(table, e, runners, make([]entryUse, len(after)), after)
+}
+
 func (c *entryCommand) watch(ctx context.Context, e *entryFleet, table *tablewriter.Table, runners int) error {
 	calling, stop := context.WithCancel(ctx)
 	var background sync.WaitGroup
@@ -96,11 +118,15 @@
 	if err != nil {
 		return err
 	}
+	return c.row(table, e, runners, before, after)
+}
+
+func (c *entryCommand) row(table *tablewriter.Table, e *entryFleet, runners int, before, after []entryUse) error {
 	least, most, memory, written := 100.0, 0.0, 0.0, 0.0
 	for i := range after {
 		percent := 100 * (after[i].spent - before[i].spent).Seconds() / c.Watch.Seconds()
 		least, most = min(least, percent), max(most, percent)
-		memory = max(memory, mib(after[i].resident))
+		memory = max(memory, mib(after[i].peak))
 		written = max(written, float64(after[i].written-before[i].written)/1000/c.Watch.Seconds())
 	}
 	return table.Append(strconv.Itoa(runners), fmt.Sprint(e.served.Load()), fmt.Sprint(e.asked.Load()),
@@ -137,8 +163,9 @@
 
 // entryUse is what one daemon has spent so far.
 type entryUse struct {
-	spent    time.Duration
-	resident int64
+	spent time.Duration
+	// peak is its largest resident memory so far.
+	peak int64
 	// written counts all that it wrote: to callers, endpoints, peers, its log.
 	written int64
 }
@@ -151,7 +178,7 @@
 		if u.spent, err = processorTime(d.PID()); err != nil {
 			return nil, err
 		}
-		if u.resident, err = residentBytes(d.PID()); err != nil {
+		if u.peak, err = peakBytes(d.PID()); err != nil {
 			return nil, err
 		}
 		if u.written, err = writtenBytes(d.PID()); err != nil {
--- a/internal/tools/measure/process.go
+++ b/internal/tools/measure/process.go
@@ -13,21 +13,26 @@
 const clockTick = 10 * time.Millisecond
 
 // residentBytes reads a process's resident memory.
-func residentBytes(pid int) (int64, error) {
+func residentBytes(pid int) (int64, error) { return memoryBytes(pid, "VmRSS:") }
+
+// peakBytes reads the largest resident memory that a process ever had.
+func peakBytes(pid int) (int64, error) { return memoryBytes(pid, "VmHWM:") }
+
+func memoryBytes(pid int, field string) (int64, error) {
 	f, err := os.Open(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
 		return 0, err
 	}
 	defer f.Close()
 	for lines := bufio.NewScanner(f); lines.Scan(); {
-		text, found := strings.CutPrefix(lines.Text(), "VmRSS:")
+		text, found := strings.CutPrefix(lines.Text(), field)
 		if !found {
 			continue
 		}
 		kib, err := strconv.ParseInt(strings.TrimSuffix(strings.TrimSpace(text), " kB"), 10, 64)
 		return kib * 1024, err
 	}
-	return 0, fmt.Errorf("no VmRSS for process %d", pid)
+	return 0, fmt.Errorf("no %s for process %d", field, pid)
 }
 
 func mib(bytes int64) float64 { return float64(bytes) / (1 << 20) }
