--- a/internal/core/continuity/move.go
+++ b/internal/core/continuity/move.go
@@ -107,14 +107,9 @@
 	return StepCopy
 }
 
-// unevenness is how many times slower than so far a run may become: those that
-// are read or copied beside it on a leaving runner take its steps.
-const unevenness = 3
-
 // Worthwhile reports whether a run should be moved off a runner that is gone
-// in the time left: one that will have ended by then only loses by a move, and
-// its copy holds up those of the runs that won't. The run has at most so many
-// further tokens, each taking the step time.
+// in the time left: one that will have ended by then only loses by a move.
+// The run has at most so many further tokens, each taking the step time.
 func Worthwhile(tokensLeft int, step, left time.Duration) bool {
-	return unevenness*time.Duration(tokensLeft)*step > left
+	return time.Duration(tokensLeft)*step > left
 }
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -93,11 +93,9 @@
 	now := x.g.Clock()
 	x.g.metrics.events.Inc(1)
 	r.measure(now)
+	r.run.took(id)
 	if r.p.generation {
 		r.p.tokens += max(1, x.engine.EventTokens)
-	}
-	r.run.took(id, r.p.tokens, now)
-	if r.p.generation {
 		x.g.Placer.Progress(x.req.ID, r.p.tokens)
 	}
 }
--- a/internal/gateway/moves.go
+++ b/internal/gateway/moves.go
@@ -28,22 +28,11 @@
 	if r.x.engine == nil || !r.x.engine.CopiesOnRequest {
 		return
 	}
-	if knew && h.Incarnation == at.Incarnation && g.endsInTime(r, h.leavingSince) {
-		return
-	}
 	if _, begins := r.beginMove(); begins {
 		go g.move(r, at, h.leavingSince)
 	}
 }
 
-// endsInTime reports whether the run will have ended before its runner, which
-// leaves since then.
-func (g *Gateway) endsInTime(r *run, since time.Time) bool {
-	tokens, step, bounded := r.remaining()
-	left := since.Add(g.options().ReclaimNotice).Sub(g.Clock())
-	return bounded && !continuity.Worthwhile(tokens, step, left)
-}
-
 // move copies a run to another runner, and stops it once the copy is fresh.
 func (g *Gateway) move(r *run, from port.Endpoint, since time.Time) {
 	defer r.endMove()
--- a/internal/gateway/runs.go
+++ b/internal/gateway/runs.go
@@ -48,11 +48,6 @@
 	mu       sync.Mutex
 	endpoint port.Endpoint
 	lastID   string
-	// tokens are those that the caller has, firstAt and lastAt when the first
-	// and the last of them came.
-	tokens  int
-	firstAt time.Time
-	lastAt  time.Time
 	// source is the answer that is being read.
 	source io.Closer
 	moving bool
@@ -124,38 +119,11 @@
 	r.mu.Unlock()
 }
 
-// took notes an event that the caller has, and the tokens up to it.
-func (r *run) took(id string, tokens int, now time.Time) {
+// took notes an event that the caller has.
+func (r *run) took(id string) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.lastID, r.tokens, r.lastAt = id, tokens, now
-	if r.firstAt.IsZero() {
-		r.firstAt = now
-	}
-}
-
-// unknownStep is the time of a token before a run has shown its own: the step
-// of a full engine with a prompt being read beside it.
-const unknownStep = 20 * time.Millisecond
-
-// leastStep is the time of a token at least: events that were held up and came
-// at once show no time between them.
-const leastStep = 5 * time.Millisecond
-
-// remaining is what the run may still have before it: its tokens at most, and
-// the time of each as it was so far. It is false where nothing bounds the run.
-func (r *run) remaining() (tokens int, step time.Duration, bounded bool) {
-	ask := r.x.req.Generation
-	if ask == nil || ask.MaxTokens == 0 {
-		return 0, 0, false
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	step = unknownStep
-	if event := r.x.engine.EventTokens; r.tokens > event {
-		step = max(leastStep, r.lastAt.Sub(r.firstAt)/time.Duration(r.tokens-event))
-	}
-	return max(0, ask.MaxTokens-r.tokens), step, true
+	r.lastID = id
+	r.mu.Unlock()
 }
 
 // at is where the run is.
