--- a/internal/core/continuity/move.go
+++ b/internal/core/continuity/move.go
@@ -106,10 +106,3 @@
 	}
 	return StepCopy
 }
-
-// Worthwhile reports whether a run should be moved off a runner that is gone
-// in the time left: one that will have ended by then only loses by a move.
-// The run has at most so many further tokens, each taking the step time.
-func Worthwhile(tokensLeft int, step, left time.Duration) bool {
-	return time.Duration(tokensLeft)*step > left
-}
--- a/internal/core/continuity/move_test.go
+++ b/internal/core/continuity/move_test.go
@@ -89,12 +89,3 @@
 		t.Fatal("a move without end")
 	})
 }
-
-func TestWorthwhile(t *testing.T) {
-	if Worthwhile(40, 8*time.Millisecond, time.Second) {
-		t.Error("a run of 320 ms at most was moved off a runner that stays for a second")
-	}
-	if !Worthwhile(900, 8*time.Millisecond, 1500*time.Millisecond) {
-		t.Error("a run of seven seconds was left on a runner that stays for 1.5")
-	}
-}
