The daemon that places a pool's runs is its coordinator

Cause: "books" was a metaphor of our own for what the field calls a scheduler with a coordinator, in code, logs and pages alike. Change: scheduling.PoolScheduler, Client.coordinator, the log field coordinator and the event coordinator_changed; Promises' Book is a reservation and stays.

--- a/cmd/dragonfly-entry/assemble.go
+++ b/cmd/dragonfly-entry/assemble.go
@@ -67,15 +67,15 @@
 	})
 	a.keeper = newKeeper(s, &sources{a.store, runners}, logger, registry, store)
 	a.keeper.Service(nil).Register(a.peers)
-	// The books of a pool are kept at one daemon, for which it is alone.
+	// A pool is scheduled by one daemon, for which it is alone.
 	scheduler := routing.NewScheduler(routing.Options{RouterID: s.ID, BusyUse: busyUse})
-	book := scheduling.NewBook(scheduler, nil)
-	registry.GetOrRegister("scheduling_runs_held", gometrics.NewFunctionalGauge(func() int64 { return int64(book.Held()) }))
-	(&grpcpeer.SchedulingService{Book: book}).Register(a.peers)
+	pools := scheduling.NewPoolScheduler(scheduler, nil)
+	registry.GetOrRegister("scheduling_runs_held", gometrics.NewFunctionalGauge(func() int64 { return int64(pools.Held()) }))
+	(&grpcpeer.SchedulingService{Scheduler: pools}).Register(a.peers)
 	a.placer = scheduling.NewClient(scheduling.Options{
 		Self: s.ID, Members: a.keeper, Logger: logger,
 		Dial: func(address string) scheduling.Peer { return grpcpeer.DialScheduling(address) },
-	}, book)
+	}, pools)
 	a.gateway = gateway.New(s.options(), gateway.Ports{
 		Endpoints: runners,
 		Scheduler: scheduler, Placer: a.placer,
--- a/internal/adapter/grpcpeer/scheduling.go
+++ b/internal/adapter/grpcpeer/scheduling.go
@@ -14,7 +14,7 @@
 	"github.com/dragonflyrail/dragonflyrail/internal/scheduling"
 )
 
-// answerWithin is the time for a first answer of another daemon's books. It is
+// answerWithin is the time for a first answer of another daemon's scheduler. It is
 // far above a round trip and a busy processor's pause, and far below the time
 // to a first token that a caller accepts.
 const answerWithin = 300 * time.Millisecond
@@ -22,10 +22,10 @@
 // holdMargin is added to the time that a request may be held, for the answer.
 const holdMargin = 500 * time.Millisecond
 
-// SchedulingService serves this daemon's books to the others.
+// SchedulingService serves this daemon's scheduler to the others.
 type SchedulingService struct {
 	peerv1.UnimplementedSchedulingServer
-	Book *scheduling.Book
+	Scheduler *scheduling.PoolScheduler
 }
 
 // Register adds the service to a server.
@@ -41,14 +41,14 @@
 	request.Deadline = now.Add(millis(r.GetHoldMillis()))
 	// A stream that can't be sent on ends with its context.
 	held := func(d *port.Decision) { _ = stream.Send(decisionToWire(d)) }
-	d := s.Book.Place(stream.Context(), &request, held)
+	d := s.Scheduler.Place(stream.Context(), &request, held)
 	return stream.Send(decisionToWire(&d))
 }
 
 // Relocate chooses the runner that takes over a run.
 func (s *SchedulingService) Relocate(_ context.Context, r *peerv1.RelocateRequest) (*peerv1.PlaceReply, error) {
 	run := runFromWire(r.GetRun())
-	d := s.Book.Relocate(&run, port.Relocation{
+	d := s.Scheduler.Relocate(&run, port.Relocation{
 		Excluded: r.GetExcluded(), FailureDomain: r.GetFailureDomain(),
 	})
 	return decisionToWire(&d), nil
@@ -56,11 +56,11 @@
 
 // Update takes what became of a daemon's runs.
 func (s *SchedulingService) Update(_ context.Context, r *peerv1.RunsUpdate) (*peerv1.RunsUpdateReply, error) {
-	s.Book.Update(mapSlice(r.GetAdopted(), runFromWire), mapSlice(r.GetEvents(), eventFromWire))
+	s.Scheduler.Update(mapSlice(r.GetAdopted(), runFromWire), mapSlice(r.GetEvents(), eventFromWire))
 	return &peerv1.RunsUpdateReply{}, nil
 }
 
-// SchedulingPeer is the books at another daemon.
+// SchedulingPeer is the scheduler at another daemon.
 type SchedulingPeer struct {
 	conn *grpc.ClientConn
 	err  error
@@ -68,7 +68,7 @@
 
 var _ scheduling.Peer = (*SchedulingPeer)(nil)
 
-// DialScheduling opens the books at a peer address.
+// DialScheduling connects to the scheduler at a peer address.
 func DialScheduling(address string, options ...grpc.DialOption) *SchedulingPeer {
 	conn, err := Dial(address, options...)
 	return &SchedulingPeer{conn: conn, err: err}
--- a/internal/adapter/grpcpeer/scheduling_test.go
+++ b/internal/adapter/grpcpeer/scheduling_test.go
@@ -21,23 +21,23 @@
 	}}
 }
 
-// booksOnTheWire serves the books of one runner.
-func booksOnTheWire(t *testing.T) (*scheduling.Book, *SchedulingPeer) {
+// schedulerOnTheWire serves the scheduler of one runner.
+func schedulerOnTheWire(t *testing.T) (*scheduling.PoolScheduler, *SchedulingPeer) {
 	t.Helper()
 	s := routing.NewScheduler(routing.Options{RouterID: "r"})
 	s.SetEndpoints(time.Now(), oneRunner())
-	book := scheduling.NewBook(s, nil)
+	pools := scheduling.NewPoolScheduler(s, nil)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	server := grpc.NewServer(ServerOptions()...)
-	(&SchedulingService{Book: book}).Register(server)
+	(&SchedulingService{Scheduler: pools}).Register(server)
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(server.Stop)
 	peer := DialScheduling(listener.Addr().String())
 	t.Cleanup(peer.Close)
-	return book, peer
+	return pools, peer
 }
 
 func generation(id string, prompt int) *port.GenerationRequest {
@@ -48,11 +48,11 @@
 	}
 }
 
-// One daemon's request is placed by another's books, a second one is held until
+// One daemon's request is placed by another's scheduler, a second one is held until
 // the first has ended, and both hear the reasons.
 func TestPlacesAndHoldsOverTheWire(t *testing.T) {
-	book, peer := booksOnTheWire(t)
-	// The size of the cache is for the books; whoever asks knows it.
+	pools, peer := schedulerOnTheWire(t)
+	// The size of the cache is for the coordinator; whoever asks knows it.
 	want := oneRunner()[0]
 	want.CacheTokens = 0
 	d, err := peer.Place(t.Context(), generation("first", 9000), nil)
@@ -81,18 +81,18 @@
 	if d := <-placed; d.Verdict != port.VerdictPlace || d.Reason != routing.ReasonReleased {
 		t.Fatalf("after the first has ended: %+v", d)
 	}
-	if n := book.Held(); n != 1 {
-		t.Fatalf("%d runs in the books, want the second", n)
+	if n := pools.Held(); n != 1 {
+		t.Fatalf("%d runs counted, want the second", n)
 	}
 }
 
-// A run is told to books that don't know it, and moves: there is nowhere to go
+// A run is told to a scheduler that doesn't know it, and moves: there is nowhere to go
 // from the only runner, and the reason says so.
 func TestAdoptsAndRelocatesOverTheWire(t *testing.T) {
-	book, peer := booksOnTheWire(t)
+	pools, peer := schedulerOnTheWire(t)
 	run := port.RunningRequest{Request: *generation("run", 100), EndpointID: "e", Tokens: 40}
-	if err := peer.Update(t.Context(), []port.RunningRequest{run}, nil); err != nil || book.Held() != 1 {
-		t.Fatalf("%d runs in the books, %v", book.Held(), err)
+	if err := peer.Update(t.Context(), []port.RunningRequest{run}, nil); err != nil || pools.Held() != 1 {
+		t.Fatalf("%d runs counted, %v", pools.Held(), err)
 	}
 	d, err := peer.Relocate(t.Context(), &run, port.Relocation{FailureDomain: "d"})
 	if err != nil || d.Verdict != port.VerdictRefuse || d.Reason != routing.ReasonRefusedRoom {
@@ -110,10 +110,10 @@
 	}
 }
 
-// The daemon with the books is frozen: its host takes the connection and says
+// The coordinator is frozen: its host takes the connection and says
 // nothing. A request that waited for it would be late; it is given up in time
 // to ask the next in line.
-func TestSilentBooksAreGivenUp(t *testing.T) {
+func TestSilentCoordinatorIsGivenUp(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/adapter/jsonlog/bounded_test.go
+++ b/internal/adapter/jsonlog/bounded_test.go
@@ -109,7 +109,7 @@
 			t.Errorf("%s is missing in %s", want, out.String())
 		}
 	}
-	for _, empty := range []string{"organisation", "candidates", "fence", "delivered", "books"} {
+	for _, empty := range []string{"organisation", "candidates", "fence", "delivered", "coordinator"} {
 		if strings.Contains(out.String(), empty) {
 			t.Errorf("%s says nothing and is in %s", empty, out.String())
 		}
--- a/internal/adapter/jsonlog/jsonlog.go
+++ b/internal/adapter/jsonlog/jsonlog.go
@@ -37,7 +37,7 @@
 		{"model", d.Model},
 		{"endpoint", d.Endpoint},
 		{"outcome", d.Outcome},
-		{"books", d.Books},
+		{"coordinator", d.Coordinator},
 		{"actor", d.Actor},
 	} {
 		if f.value != "" {
--- a/internal/core/routing/adopt.go
+++ b/internal/core/routing/adopt.go
@@ -16,7 +16,7 @@
 	runner.shard.adopt(now, runner, r)
 }
 
-// Placed counts the runs in the books.
+// Placed counts the runs that are placed.
 func (s *Scheduler) Placed() int {
 	n := 0
 	for _, sh := range s.allShards() {
--- a/internal/core/routing/held.go
+++ b/internal/core/routing/held.go
@@ -127,7 +127,7 @@
 	verdict, wait := e.org.limiter.Acquire(now, limits, s.routers, tokens)
 	switch verdict {
 	case admission.OverConcurrency:
-		return s.scheduler.refusal(ReasonRefusedOpen, s.book(now, e)), true
+		return s.scheduler.refusal(ReasonRefusedOpen, s.promise(now, e)), true
 	case admission.OverRate:
 		wait = wait.Truncate(time.Second) + time.Second
 		return s.scheduler.refusal(ReasonRefusedRate, wait), true
@@ -189,7 +189,7 @@
 	w := s.scheduler.weights(e.request.Model)
 	if reason := s.noRoom(now, e, &w); reason != "" {
 		e.org.limiter.Release()
-		d := s.scheduler.refusal(reason, s.book(now, e))
+		d := s.scheduler.refusal(reason, s.promise(now, e))
 		d.Candidates = k.candidates()
 		return d
 	}
@@ -272,8 +272,8 @@
 	return time.Duration(float64(ahead+1) / perSecond * float64(time.Second))
 }
 
-// book promises a time to the caller of a refused request.
-func (s *shard) book(now time.Time, e *entry) time.Duration {
+// promise names a time to the caller of a refused request.
+func (s *shard) promise(now time.Time, e *entry) time.Duration {
 	lane := e.item.Lane
 	ahead := s.queue.HeldFlow(e.org.name, lane)
 	return e.org.promises[lane].Book(now, ahead, e.org.rates[lane].read(now))
@@ -420,7 +420,7 @@
 		case !e.request.Deadline.IsZero() && !now.Before(e.request.Deadline):
 			reason = ReasonRefusedLate
 		}
-		e.decision = s.scheduler.refusal(reason, s.book(now, e))
+		e.decision = s.scheduler.refusal(reason, s.promise(now, e))
 		s.wake(now, e, entryRefused)
 	}
 }
--- a/internal/core/routing/relocate_test.go
+++ b/internal/core/routing/relocate_test.go
@@ -45,8 +45,8 @@
 }
 
 // Runs come, grow, move, fail to move and end in any order: the runners'
-// books hold just what runs or is copied there, and nothing once all is over.
-func TestBooksOfRelocations(t *testing.T) {
+// counts hold just what runs or is copied there, and nothing once all is over.
+func TestCountsOfRelocations(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newTestScheduler(nopTB{}, 0, nil)
 		s.SetEndpoints(start, inDomains(3, "a"))
--- a/internal/core/routing/shard.go
+++ b/internal/core/routing/shard.go
@@ -145,7 +145,7 @@
 	s.prefixes.sent(now, e.request.PrefixHashes, c.runner)
 }
 
-// count takes an entry into the books of a runner and of its organisation.
+// count counts an entry at a runner and of its organisation.
 func (s *shard) count(now time.Time, e *entry, r *runner) {
 	e.runner = r
 	e.org.running++
--- a/internal/gateway/apply_test.go
+++ b/internal/gateway/apply_test.go
@@ -8,7 +8,7 @@
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
 
-// counting counts the endpoints that the books are handed.
+// counting counts the endpoints that the scheduler is handed.
 type counting struct {
 	Scheduler
 	handed int
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -27,8 +27,8 @@
 	// arrived: an endpoint has had the request, taken or not.
 	arrived bool
 	begun   bool
-	// books names the daemon whose books decided last.
-	books string
+	// coordinator names the daemon whose scheduler decided last.
+	coordinator string
 	// held is the wait for the last place.
 	held time.Duration
 	// delivered is what the caller had of a stream, nil for other answers.
@@ -187,7 +187,7 @@
 	d := &port.DecisionRecord{
 		Subject: subjectRequest, SubjectID: x.req.ID, Organisation: x.req.Pass.Organisation, Model: x.model(),
 		Verdict: verdict, Reason: reason, Endpoint: x.endpoint, Attempt: x.attempts, Outcome: result,
-		Candidates: candidates, ConfigurationVersion: x.req.Pass.Version, Books: x.books,
+		Candidates: candidates, ConfigurationVersion: x.req.Pass.Version, Coordinator: x.coordinator,
 	}
 	if verdict == verdictFinish {
 		d.Delivered = x.delivered
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -265,7 +265,7 @@
 			testEndpoint(fmt.Sprint("e", i), "engines", port.KindRunner))
 	}
 	scheduler := routing.NewScheduler(routing.Options{RouterID: "g"})
-	placer := scheduling.NewClient(scheduling.Options{Self: "g", Members: b.view, Logger: quiet()}, scheduling.NewBook(scheduler, nil))
+	placer := scheduling.NewClient(scheduling.Options{Self: "g", Members: b.view, Logger: quiet()}, scheduling.NewPoolScheduler(scheduler, nil))
 	b.Gateway = New(Options{
 		ID: "g", CallerAddress: "127.0.0.1:1", MaxOpen: 100, RefusalsTried: 3, ReportMaxAge: time.Second,
 		RetryShare: 0.2, RetryBurst: 20, EntryValidity: time.Second, ReclaimNotice: 1500 * time.Millisecond,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -40,7 +40,7 @@
 	FollowEndpoints() func() []port.Endpoint
 }
 
-// Scheduler is the part of the books that is this daemon's own.
+// Scheduler is what the gateway tells the scheduler of this daemon.
 type Scheduler interface {
 	// ChangeEndpoints takes what is new of some endpoints; the others stay.
 	ChangeEndpoints(now time.Time, es []port.Endpoint)
@@ -51,7 +51,7 @@
 // Ports are what a gateway reaches the world through.
 type Ports struct {
 	Endpoints port.Exchanger
-	// Scheduler keeps this daemon's own books, Placer finds those that count.
+	// Scheduler is this daemon's own, Placer finds the one that a pool falls to.
 	Scheduler Scheduler
 	Placer    Placer
 	View      View
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -44,10 +44,10 @@
 func (x *exchange) schedule(ctx context.Context) (*placement, *Refusal) {
 	ask := x.ask()
 	d := x.g.Placer.Place(ctx, ask, func(d *port.Decision) {
-		x.books = d.Books
+		x.coordinator = d.Coordinator
 		x.record(d.Verdict.String(), d.Reason, "", d.Candidates)
 	})
-	x.endpoint, x.books = d.Endpoint.ID, d.Books
+	x.endpoint, x.coordinator = d.Endpoint.ID, d.Coordinator
 	x.record(d.Verdict.String(), d.Reason, "", d.Candidates)
 	if d.Verdict == port.VerdictPlace {
 		x.held = x.g.Clock().Sub(x.req.Arrived)
--- a/internal/keeper/links.go
+++ b/internal/keeper/links.go
@@ -48,7 +48,7 @@
 // others are the keepers of the settings but for this one. One that knows nobody
 // tries them all at once: after all daemons have started together, each that is
 // tried by itself may be the last to come up, and daemons that don't hear each
-// other place by books of their own.
+// other place by what each knows alone.
 func (k *Keeper) others() []string {
 	return slices.DeleteFunc(slices.Clone(*k.seeds.Load()), func(address string) bool {
 		return address == k.options.Self.PeerAddress
--- a/internal/keeper/links_test.go
+++ b/internal/keeper/links_test.go
@@ -11,8 +11,8 @@
 
 // After a loss of power the daemons start one after the other. One that tries
 // a single seed may have drawn one without power yet: until the connection is
-// given up it is alone, places by books of its own, and its callers wait for
-// room that others' books know to be there.
+// given up it is alone, places by what it knows alone, and its callers wait for
+// room that others know to be there.
 func TestKeeperThatKnowsNobodyTriesAllSeeds(t *testing.T) {
 	k, _ := newTestKeeper(newFakePlatform())
 	own := k.options.Self.PeerAddress
--- a/internal/port/explain.go
+++ b/internal/port/explain.go
@@ -27,9 +27,9 @@
 	// PlatformAgeMillis is how long ago the platform had last answered any
 	// daemon, -1 for never; nil where that played no part.
 	PlatformAgeMillis *int64 `json:"platform_age_ms,omitempty"`
-	// Books names the daemon by whose books a generation was placed.
-	Books string `json:"books,omitempty"`
-	Fence uint64 `json:"fence,omitempty"`
+	// Coordinator names the daemon by whose scheduler a generation was placed.
+	Coordinator string `json:"coordinator,omitempty"`
+	Fence       uint64 `json:"fence,omitempty"`
 	// Delivered is set at the end of a stream.
 	Delivered *Delivery `json:"delivered,omitempty"`
 	Actor     string    `json:"actor,omitempty"`
--- a/internal/port/scheduler.go
+++ b/internal/port/scheduler.go
@@ -72,8 +72,8 @@
 	ConfigurationVersion uint64
 	// Priority goes to the engine with the request; larger is more urgent.
 	Priority int
-	// Books names the daemon whose books decided; empty for the asking one.
-	Books string
+	// Coordinator names the daemon whose scheduler decided; empty for the asking one.
+	Coordinator string
 }
 
 // Relocator is a Scheduler that also moves runs between runners.
@@ -114,7 +114,7 @@
 	FinishNotStarted
 	FinishFailed
 	FinishCancelled
-	// FinishElsewhere is a run that other books hold from now on, or whose end
+	// FinishElsewhere is a run that another scheduler counts from now on, or whose end
 	// nobody knows: nothing is learned from it.
 	FinishElsewhere
 )
--- a/internal/scheduling/client.go
+++ b/internal/scheduling/client.go
@@ -26,7 +26,7 @@
 	maxAsked = 2
 )
 
-// Peer is the books at another daemon. An error means that it gave no answer.
+// Peer is the pool scheduler at another daemon. An error means that it gave no answer.
 type Peer interface {
 	Place(ctx context.Context, r *port.GenerationRequest, held func(*port.Decision)) (port.Decision, error)
 	Relocate(ctx context.Context, run *port.RunningRequest, terms port.Relocation) (port.Decision, error)
@@ -47,39 +47,39 @@
 	// Self is this daemon's id.
 	Self    string
 	Members Members
-	// Dial opens the books at a daemon's peer address.
+	// Dial connects to the pool scheduler at a daemon's peer address.
 	Dial   func(address string) Peer
 	Logger *log.Logger
 	Clock  func() time.Time
 }
 
-// Client places generations by the books of whichever daemon keeps them. It
-// is safe for concurrent use.
+// Client places generations by the scheduler of whichever daemon coordinates
+// the pool. It is safe for concurrent use.
 type Client struct {
-	o    Options
-	book *Book
+	o     Options
+	local *PoolScheduler
 
 	mu    sync.Mutex
 	runs  map[string]*openRun
 	peers map[string]*peerState
 	avoid map[string]time.Time
-	// kept names the keeper of each pool as of the last look.
+	// kept names the coordinator of each pool as of the last look.
 	kept map[string]string
 	// last is read through candidatesLocked.
 	last *candidates
 }
 
-// openRun is a run of this daemon. Its keeper is the daemon that has it in
-// the books.
+// openRun is a run of this daemon. Its coordinator is the daemon whose scheduler
+// counts it.
 type openRun struct {
-	running port.RunningRequest
-	keeper  string
-	// told are the tokens that the keeper was last told of, and mentioned when.
+	running     port.RunningRequest
+	coordinator string
+	// told are the tokens that the coordinator was last told of, and mentioned when.
 	told      int
 	mentioned time.Time
 }
 
-// peerState is a daemon that keeps books, and what it is yet to be told.
+// peerState is a daemon that coordinates pools, and what it is yet to be told.
 type peerState struct {
 	address string
 	peer    Peer
@@ -88,13 +88,13 @@
 	sending bool
 }
 
-// NewClient returns a client that falls back to the book of this daemon.
-func NewClient(o Options, book *Book) *Client {
+// NewClient returns a client that falls back to the scheduler of this daemon.
+func NewClient(o Options, local *PoolScheduler) *Client {
 	if o.Clock == nil {
 		o.Clock = time.Now
 	}
 	return &Client{
-		o: o, book: book,
+		o: o, local: local,
 		runs: make(map[string]*openRun), peers: make(map[string]*peerState), avoid: make(map[string]time.Time),
 		kept: make(map[string]string),
 	}
@@ -104,26 +104,26 @@
 // held, of which held is told.
 func (c *Client) Place(ctx context.Context, r *port.GenerationRequest, held func(*port.Decision)) port.Decision {
 	for range maxAsked {
-		keeper := c.keeper(r.Pool)
-		if keeper.id == c.o.Self {
+		coordinator := c.coordinator(r.Pool)
+		if coordinator.id == c.o.Self {
 			break
 		}
-		d, err := c.peer(keeper).Place(ctx, r, func(d *port.Decision) {
-			d.Books = keeper.id
+		d, err := c.peer(coordinator).Place(ctx, r, func(d *port.Decision) {
+			d.Coordinator = coordinator.id
 			held(d)
 		})
-		d.Books = keeper.id
+		d.Coordinator = coordinator.id
 		if err == nil {
-			c.placed(keeper.id, r, &d)
+			c.placed(coordinator.id, r, &d)
 			return d
 		}
 		if ctx.Err() != nil {
 			return port.Decision{Verdict: port.VerdictRefuse, Reason: givenUp(ctx.Err())}
 		}
-		c.lost(keeper, err)
+		c.lost(coordinator, err)
 	}
-	d := c.book.Place(ctx, r, held)
-	d.Books = c.o.Self
+	d := c.local.Place(ctx, r, held)
+	d.Coordinator = c.o.Self
 	c.placed(c.o.Self, r, &d)
 	return d
 }
@@ -136,14 +136,14 @@
 	return "the caller has gone"
 }
 
-func (c *Client) placed(keeper string, r *port.GenerationRequest, d *port.Decision) {
+func (c *Client) placed(coordinator string, r *port.GenerationRequest, d *port.Decision) {
 	if d.Verdict != port.VerdictPlace {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.runs[r.RequestID] = &openRun{
-		running: port.RunningRequest{Request: *r, EndpointID: d.Endpoint.ID}, keeper: keeper, mentioned: c.o.Clock(),
+		running: port.RunningRequest{Request: *r, EndpointID: d.Endpoint.ID}, coordinator: coordinator, mentioned: c.o.Clock(),
 	}
 }
 
@@ -188,19 +188,19 @@
 		return port.Decision{Verdict: port.VerdictRefuse, Reason: "no_longer_running"}
 	}
 	for range maxAsked {
-		keeper := c.keeper(run.Request.Pool)
-		if keeper.id == c.o.Self {
+		coordinator := c.coordinator(run.Request.Pool)
+		if coordinator.id == c.o.Self {
 			break
 		}
-		d, err := c.peer(keeper).Relocate(ctx, &run, terms)
+		d, err := c.peer(coordinator).Relocate(ctx, &run, terms)
 		if err == nil {
-			c.setKeeper(requestID, keeper.id)
+			c.setCoordinator(requestID, coordinator.id)
 			return d
 		}
-		c.lost(keeper, err)
+		c.lost(coordinator, err)
 	}
-	c.setKeeper(requestID, c.o.Self)
-	return c.book.Relocate(&run, terms)
+	c.setCoordinator(requestID, c.o.Self)
+	return c.local.Relocate(&run, terms)
 }
 
 func (c *Client) running(requestID string) (port.RunningRequest, bool) {
@@ -213,12 +213,12 @@
 	return r.running, true
 }
 
-// setKeeper notes who has the run in the books.
-func (c *Client) setKeeper(requestID, keeper string) {
+// setCoordinator notes whose scheduler counts the run.
+func (c *Client) setCoordinator(requestID, coordinator string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if r := c.runs[requestID]; r != nil {
-		r.keeper = keeper
+		r.coordinator = coordinator
 	}
 }
 
@@ -236,14 +236,14 @@
 	c.tell(r, RunEvent{RequestID: requestID, Relocated: true, Moved: moved})
 }
 
-// tell queues an event for the run's keeper, or tells this daemon's own book;
-// c.mu is held.
+// tell queues an event for the run's coordinator, or tells this daemon's own
+// scheduler; c.mu is held.
 func (c *Client) tell(r *openRun, e RunEvent) {
-	if r.keeper == c.o.Self {
-		c.book.Update(nil, []RunEvent{e})
+	if r.coordinator == c.o.Self {
+		c.local.Update(nil, []RunEvent{e})
 		return
 	}
-	if p := c.peers[r.keeper]; p != nil {
+	if p := c.peers[r.coordinator]; p != nil {
 		p.events = append(p.events, e)
 	}
 }
--- a/internal/scheduling/keeper.go
+++ b/internal/scheduling/coordinator.go
@@ -10,28 +10,28 @@
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
 
-// daemon is one that may keep books.
+// daemon is one that may coordinate pools.
 type daemon struct{ id, address string }
 
-// keeper is the daemon that keeps the books of a pool, as far as this one
-// knows: the same at all that know the same live daemons.
-func (c *Client) keeper(pool string) daemon {
+// coordinator is the daemon whose scheduler places the runs of a pool, as far
+// as this one knows: the same at all that know the same live daemons.
+func (c *Client) coordinator(pool string) daemon {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.keeperLocked(pool)
+	return c.coordinatorLocked(pool)
 }
 
-func (c *Client) keeperLocked(pool string) daemon {
+func (c *Client) coordinatorLocked(pool string) daemon {
 	s := c.candidatesLocked(c.o.Clock())
 	id := s.ring.Lookup(pool)
 	if before := c.kept[pool]; before != id {
 		c.kept[pool] = id
-		c.o.Logger.Info().Str("event", "books_moved").Str("pool", pool).Str("from", before).Str("to", id).Msg("")
+		c.o.Logger.Info().Str("event", "coordinator_changed").Str("pool", pool).Str("from", before).Str("to", id).Msg("")
 	}
 	return daemon{id: id, address: s.addresses[id]}
 }
 
-// candidates are the daemons that may keep books.
+// candidates are the daemons that may coordinate pools.
 type candidates struct {
 	// of is the list of members that they follow from, until is when one that
 	// is avoided now may be asked again.
@@ -90,7 +90,7 @@
 	return len(a) == len(b) && len(a) > 0 && &a[0] == &b[0]
 }
 
-// peer returns the connection to a keeper.
+// peer returns the connection to a coordinator.
 func (c *Client) peer(d daemon) Peer {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -110,7 +110,7 @@
 	return p
 }
 
-// lost gives up a keeper that didn't answer: the next in line is asked, and
+// lost gives up a coordinator that didn't answer: the next in line is asked, and
 // told what runs.
 func (c *Client) lost(d daemon, err error) {
 	c.o.Logger.Warn().Str("event", "scheduling_peer_lost").Str("peer", d.id).Err(err).Msg("")
@@ -123,39 +123,39 @@
 		delete(c.peers, d.id)
 	}
 	for _, r := range c.runs {
-		if r.keeper == d.id {
-			r.keeper = ""
+		if r.coordinator == d.id {
+			r.coordinator = ""
 		}
 	}
 	c.rehomeLocked()
 }
 
-// rehomeLocked tells the books of each run's pool of the run where another
-// daemon keeps them now.
+// rehomeLocked tells the coordinator of each run's pool of the run where that is
+// another daemon now.
 func (c *Client) rehomeLocked() {
-	keepers := map[string]daemon{}
+	coordinators := map[string]daemon{}
 	for _, r := range c.runs {
 		pool := r.running.Request.Pool
-		keeper, known := keepers[pool]
+		coordinator, known := coordinators[pool]
 		if !known {
-			keeper = c.keeperLocked(pool)
-			keepers[pool] = keeper
+			coordinator = c.coordinatorLocked(pool)
+			coordinators[pool] = coordinator
 		}
-		if r.keeper == keeper.id {
+		if r.coordinator == coordinator.id {
 			continue
 		}
 		c.tell(r, RunEvent{RequestID: r.running.Request.RequestID, Finish: port.FinishElsewhere})
-		r.keeper, r.mentioned = keeper.id, c.o.Clock()
-		if keeper.id == c.o.Self {
-			c.book.Update([]port.RunningRequest{r.running}, nil)
+		r.coordinator, r.mentioned = coordinator.id, c.o.Clock()
+		if coordinator.id == c.o.Self {
+			c.local.Update([]port.RunningRequest{r.running}, nil)
 			continue
 		}
-		p := c.peerLocked(keeper)
+		p := c.peerLocked(coordinator)
 		p.adopted = append(p.adopted, r.running)
 	}
 }
 
-// Run tells the keepers what became of this daemon's runs until the context
+// Run tells the coordinators what became of this daemon's runs until the context
 // ends.
 func (c *Client) Run(ctx context.Context) {
 	flush := time.NewTicker(flushEvery)
@@ -173,7 +173,7 @@
 		case <-progress.C:
 			c.tellProgress()
 			c.rehome()
-			c.book.Expire()
+			c.local.Expire()
 		case <-flush.C:
 			c.flush(ctx)
 		}
@@ -198,7 +198,7 @@
 	}
 }
 
-// flush sends what is queued, one message at a time to each keeper.
+// flush sends what is queued, one message at a time to each coordinator.
 func (c *Client) flush(ctx context.Context) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/scheduling/book.go
+++ b/internal/scheduling/poolscheduler.go
@@ -1,12 +1,12 @@
-// Package scheduling keeps the books of each pool of runners at one daemon.
+// Package scheduling has each pool of runners scheduled by one daemon, its coordinator.
 //
 // A daemon sees its own part of a pool's runs only, and what others would say
 // is late: many that place at the same time would all choose the runner that
 // looks empty to each, and each would hold requests for room that is long
 // gone. So every pool falls to one live daemon, by rendezvous hash, whose
-// scheduler places for all. Its books are advice and not agreed on: where it
+// scheduler places for all. What it knows is advice and not agreed on: where it
 // can't be reached the next in line is asked, and at last a daemon places by
-// its own books. Two daemons that both keep books for a moment only place less
+// its own scheduler. Two daemons that both coordinate a pool for a moment only place less
 // well, and what runs is told to whoever keeps them next.
 package scheduling
 
@@ -19,14 +19,14 @@
 )
 
 // silentAfter is the time without a word of a run after which it leaves the
-// books. Its daemon mentions each run every second; a daemon that is gone has
+// scheduler. Its daemon mentions each run every second; a daemon that is gone has
 // closed the connections on which its runs were read, and a run that is never
 // mentioned was placed by an answer that got lost.
 const silentAfter = 3 * time.Second
 
-// Book is the scheduler of the pools that fall to this daemon. It is safe for
+// PoolScheduler is the scheduler of the pools that fall to this daemon. It is safe for
 // concurrent use.
-type Book struct {
+type PoolScheduler struct {
 	scheduler port.Relocator
 	clock     func() time.Time
 
@@ -35,17 +35,17 @@
 	heard map[string]time.Time
 }
 
-// NewBook returns the book of a scheduler. The clock may be nil.
-func NewBook(s port.Relocator, clock func() time.Time) *Book {
+// NewPoolScheduler returns the pool scheduler over a scheduler. The clock may be nil.
+func NewPoolScheduler(s port.Relocator, clock func() time.Time) *PoolScheduler {
 	if clock == nil {
 		clock = time.Now
 	}
-	return &Book{scheduler: s, clock: clock, heard: make(map[string]time.Time)}
+	return &PoolScheduler{scheduler: s, clock: clock, heard: make(map[string]time.Time)}
 }
 
 // Place asks the scheduler until it places or refuses. The first time that it
 // holds, held is told. A context that ends withdraws the request.
-func (b *Book) Place(ctx context.Context, r *port.GenerationRequest, held func(*port.Decision)) port.Decision {
+func (b *PoolScheduler) Place(ctx context.Context, r *port.GenerationRequest, held func(*port.Decision)) port.Decision {
 	told := false
 	for {
 		d := b.scheduler.Submit(b.clock(), r)
@@ -68,7 +68,7 @@
 }
 
 // wait reports whether the request should be submitted again.
-func (b *Book) wait(ctx context.Context, r *port.GenerationRequest) bool {
+func (b *PoolScheduler) wait(ctx context.Context, r *port.GenerationRequest) bool {
 	timer := time.NewTimer(r.Deadline.Sub(b.clock()) + collectMargin)
 	defer timer.Stop()
 	select {
@@ -85,9 +85,9 @@
 // it notices at its next tick.
 const collectMargin = 200 * time.Millisecond
 
-// Relocate chooses the runner that takes over a run, which the books take in
+// Relocate chooses the runner that takes over a run, which the scheduler takes in
 // where they don't hold it yet.
-func (b *Book) Relocate(run *port.RunningRequest, terms port.Relocation) port.Decision {
+func (b *PoolScheduler) Relocate(run *port.RunningRequest, terms port.Relocation) port.Decision {
 	b.adopt(run)
 	return b.scheduler.Relocate(b.clock(), run.Request.RequestID, terms)
 }
@@ -106,7 +106,7 @@
 }
 
 // Update takes what a daemon says of its runs.
-func (b *Book) Update(adopted []port.RunningRequest, events []RunEvent) {
+func (b *PoolScheduler) Update(adopted []port.RunningRequest, events []RunEvent) {
 	for i := range adopted {
 		b.adopt(&adopted[i])
 	}
@@ -127,22 +127,22 @@
 	}
 }
 
-func (b *Book) adopt(run *port.RunningRequest) {
+func (b *PoolScheduler) adopt(run *port.RunningRequest) {
 	b.scheduler.Adopt(b.clock(), run)
 	b.hear(run.Request.RequestID)
 }
 
 // Expire drops the runs that nobody mentions. Without it the runs of a daemon
-// that was killed would take room in the books for good, and callers would be
+// that was killed would take room in the scheduler for good, and callers would be
 // held for it.
-func (b *Book) Expire() {
+func (b *PoolScheduler) Expire() {
 	now := b.clock()
 	for _, id := range b.expired(now) {
 		b.scheduler.Finished(now, id, 0, port.FinishElsewhere)
 	}
 }
 
-func (b *Book) expired(now time.Time) []string {
+func (b *PoolScheduler) expired(now time.Time) []string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var out []string
@@ -155,15 +155,15 @@
 	return out
 }
 
-// hear notes a run that is in the books from now on.
-func (b *Book) hear(requestID string) {
+// hear notes a run that is counted from now on.
+func (b *PoolScheduler) hear(requestID string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.heard[requestID] = b.clock()
 }
 
-// mention notes that a run in the books goes on.
-func (b *Book) mention(requestID string) {
+// mention notes that a counted run goes on.
+func (b *PoolScheduler) mention(requestID string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if _, known := b.heard[requestID]; known {
@@ -171,14 +171,14 @@
 	}
 }
 
-func (b *Book) forget(requestID string) {
+func (b *PoolScheduler) forget(requestID string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	delete(b.heard, requestID)
 }
 
-// Held counts the runs in the books.
-func (b *Book) Held() int {
+// Held counts the runs.
+func (b *PoolScheduler) Held() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return len(b.heard)
--- a/internal/scheduling/scheduling_test.go
+++ b/internal/scheduling/scheduling_test.go
@@ -37,14 +37,14 @@
 	c.now = c.now.Add(d)
 }
 
-// fleet is daemons with their books, and calls between them that can fail.
+// fleet is daemons with their schedulers, and calls between them that can fail.
 type fleet struct {
-	clock   *clock
-	names   []string
-	down    map[string]bool
-	books   map[string]*Book
-	own     map[string]*routing.Scheduler
-	clients map[string]*Client
+	clock      *clock
+	names      []string
+	down       map[string]bool
+	schedulers map[string]*PoolScheduler
+	own        map[string]*routing.Scheduler
+	clients    map[string]*Client
 	// lose draws what becomes of the next call: 0 works, 1 is lost on its way,
 	// 2 is carried out and its answer lost.
 	lose func() int
@@ -65,17 +65,17 @@
 
 func newFleet(names ...string) *fleet {
 	f := &fleet{
-		clock: &clock{now: start}, names: names, down: map[string]bool{}, books: map[string]*Book{},
+		clock: &clock{now: start}, names: names, down: map[string]bool{}, schedulers: map[string]*PoolScheduler{},
 		own: map[string]*routing.Scheduler{}, clients: map[string]*Client{}, lose: func() int { return 0 },
 	}
 	for _, name := range names {
 		f.own[name] = routing.NewScheduler(routing.Options{RouterID: name})
 		f.own[name].SetEndpoints(start, runners())
-		f.books[name] = NewBook(f.own[name], f.clock.Now)
+		f.schedulers[name] = NewPoolScheduler(f.own[name], f.clock.Now)
 		f.clients[name] = NewClient(Options{
 			Self: name, Members: f, Clock: f.clock.Now, Logger: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
 			Dial: func(address string) Peer { return &link{fleet: f, to: address} },
-		}, f.books[name])
+		}, f.schedulers[name])
 	}
 	return f
 }
@@ -97,7 +97,7 @@
 
 var errLost = errors.New("lost")
 
-// link is the connection from one daemon to the books of another.
+// link is the connection from one daemon to the scheduler of another.
 type link struct {
 	fleet *fleet
 	to    string
@@ -117,18 +117,18 @@
 
 func (l *link) Place(ctx context.Context, r *port.GenerationRequest, held func(*port.Decision)) (port.Decision, error) {
 	var d port.Decision
-	err := l.call(func() { d = l.fleet.books[l.to].Place(ctx, r, held) })
+	err := l.call(func() { d = l.fleet.schedulers[l.to].Place(ctx, r, held) })
 	return d, err
 }
 
 func (l *link) Relocate(_ context.Context, run *port.RunningRequest, terms port.Relocation) (port.Decision, error) {
 	var d port.Decision
-	err := l.call(func() { d = l.fleet.books[l.to].Relocate(run, terms) })
+	err := l.call(func() { d = l.fleet.schedulers[l.to].Relocate(run, terms) })
 	return d, err
 }
 
 func (l *link) Update(_ context.Context, adopted []port.RunningRequest, events []RunEvent) error {
-	return l.call(func() { l.fleet.books[l.to].Update(adopted, events) })
+	return l.call(func() { l.fleet.schedulers[l.to].Update(adopted, events) })
 }
 
 func (l *link) Close() {}
@@ -174,10 +174,10 @@
 
 func nobody(*port.Decision) {}
 
-// Three daemons place nine reports that fill three runners to the brim. By the
-// books of one they find three on each; by books of their own each daemon would
-// take its three for the only ones.
-func TestOneDaemonKeepsTheBooksOfAPool(t *testing.T) {
+// Three daemons place nine reports that fill three runners to the brim. With
+// one coordinator they find three on each; by itself each daemon would take its
+// three for the only ones.
+func TestOneDaemonCoordinatesAPool(t *testing.T) {
 	f := newFleet("a", "b", "c")
 	placed := map[string]int{}
 	for i := range 9 {
@@ -195,42 +195,42 @@
 	}
 }
 
-// The daemon with the books is killed. The next request is placed by the next
+// The coordinator is killed. The next request is placed by the next
 // in line, which hears of the runs under way before it matters: it doesn't take
 // full runners for empty ones.
 func TestNextInLineHearsWhatRuns(t *testing.T) {
 	f := newFleet("a", "b", "c")
-	keeper := f.clients["a"].keeper("pool").id
+	coordinator := f.clients["a"].coordinator("pool").id
 	var others []string
 	for _, name := range f.names {
-		if name != keeper {
+		if name != coordinator {
 			others = append(others, name)
 		}
 	}
 	for i := range 8 {
 		f.clients[others[i%2]].Place(t.Context(), ask(f.clock.Now(), fmt.Sprint("r", i), 2000), nobody)
 	}
-	f.down[keeper] = true
+	f.down[coordinator] = true
 	d := f.clients[others[0]].Place(t.Context(), ask(f.clock.Now(), "next", 10), nobody)
 	if d.Verdict != port.VerdictPlace {
-		t.Fatalf("%v for %s with the keeper down", d.Verdict, d.Reason)
+		t.Fatalf("%v for %s with the coordinator down", d.Verdict, d.Reason)
 	}
 	f.settle()
-	next := f.clients[others[0]].keeper("pool").id
-	if next == keeper {
-		t.Fatal("a daemon that is down still keeps the books")
+	next := f.clients[others[0]].coordinator("pool").id
+	if next == coordinator {
+		t.Fatal("a daemon that is down still coordinates")
 	}
-	if n := f.books[next].Held(); n != 9 {
+	if n := f.schedulers[next].Held(); n != 9 {
 		t.Fatalf("the next in line holds %d runs, want 9", n)
 	}
 }
 
 // A daemon loses its power with reports running. Nobody tells of their end;
-// without the word of a daemon its runs leave the books after a while, and
+// without the word of a daemon its runs leave the scheduler after a while, and
 // callers find the room again.
-func TestSilentDaemonsRunsLeaveTheBooks(t *testing.T) {
+func TestSilentDaemonsRunsLeaveTheScheduler(t *testing.T) {
 	f := newFleet("a", "b")
-	b := f.books["a"]
+	b := f.schedulers["a"]
 	// Those that don't fit are not waited for.
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
@@ -253,7 +253,7 @@
 }
 
 // full reports whether a large request would be held.
-func (b *Book) full(t *testing.T, now time.Time) bool {
+func (b *PoolScheduler) full(t *testing.T, now time.Time) bool {
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
@@ -267,13 +267,13 @@
 }
 
 // An answer that says where a request may run is lost, and the daemon has it
-// placed by other books, where it ends. The daemon goes on to speak of its other
-// runs; the one that it never mentions leaves the books all the same.
-func TestPlacementWhoseAnswerWasLostLeavesTheBooks(t *testing.T) {
+// placed by another scheduler, where it ends. The daemon goes on to speak of its other
+// runs; the one that it never mentions leaves the scheduler all the same.
+func TestPlacementWhoseAnswerWasLostLeavesTheScheduler(t *testing.T) {
 	f := newFleet("a", "b", "c")
-	keeper := f.clients["a"].keeper("pool").id
+	coordinator := f.clients["a"].coordinator("pool").id
 	asks := f.clients["a"]
-	if keeper == "a" {
+	if coordinator == "a" {
 		asks = f.clients["b"]
 	}
 	asks.Place(t.Context(), ask(f.clock.Now(), "kept", 100), nobody)
@@ -287,25 +287,25 @@
 		return fate
 	}
 	asks.Place(t.Context(), ask(f.clock.Now(), "lost", 100), nobody)
-	if n := f.books[keeper].Held(); n != 2 {
-		t.Fatalf("%d runs in the keeper's books, want the kept one and the lost one", n)
+	if n := f.schedulers[coordinator].Held(); n != 2 {
+		t.Fatalf("%d runs at the coordinator, want the kept one and the lost one", n)
 	}
 	asks.Finished("lost", 0, port.FinishDone)
 	for range 5 {
 		f.clock.pass(mentionEvery)
 		f.settle()
-		f.books[keeper].Expire()
+		f.schedulers[coordinator].Expire()
 	}
-	if n := f.books[keeper].Held(); n != 1 {
-		t.Fatalf("%d runs in the keeper's books, want the kept one", n)
+	if n := f.schedulers[coordinator].Held(); n != 1 {
+		t.Fatalf("%d runs at the coordinator, want the kept one", n)
 	}
 }
 
 // Requests come, grow, move and end at three daemons while calls and answers
 // between them are lost and daemons go down and come back. Once all is quiet
-// each run is in the books of its pool's keeper; once all have ended and the
-// silent are forgotten, no book holds anything.
-func TestBooksAgreeOnceAllIsQuiet(t *testing.T) {
+// each run is counted by its pool's coordinator; once all have ended and the
+// silent are forgotten, no scheduler counts anything.
+func TestSchedulersAgreeOnceAllIsQuiet(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFleet("a", "b", "c")
 		faulty := true
@@ -348,14 +348,14 @@
 		clear(f.down)
 		f.clock.pass(avoidFor)
 		f.settle()
-		keeper := f.clients["a"].keeper("pool").id
-		book := f.books[keeper]
+		coordinator := f.clients["a"].coordinator("pool").id
+		pools := f.schedulers[coordinator]
 		for _, r := range open {
-			book.mu.Lock()
-			_, known := book.heard[r.id]
-			book.mu.Unlock()
+			pools.mu.Lock()
+			_, known := pools.heard[r.id]
+			pools.mu.Unlock()
 			if !known {
-				t.Fatalf("run %s of %s is not in the books of %s", r.id, r.at, keeper)
+				t.Fatalf("run %s of %s is not counted by %s", r.id, r.at, coordinator)
 			}
 		}
 		for _, r := range open {
@@ -364,12 +364,12 @@
 		f.settle()
 		f.clock.pass(silentAfter)
 		for _, name := range f.names {
-			f.books[name].Expire()
-			if n := f.books[name].Held(); n != 0 {
+			f.schedulers[name].Expire()
+			if n := f.schedulers[name].Held(); n != 0 {
 				t.Fatalf("%s holds %d runs after all have ended", name, n)
 			}
 			if n := f.own[name].Placed(); n != 0 {
-				t.Fatalf("the runners in the books of %s still count %d runs", name, n)
+				t.Fatalf("the runners at %s still count %d runs", name, n)
 			}
 		}
 	})
