Schedulers forget runners that are gone

Ruled out: forgetting at once; a runner whose entry lapses for a moment would count as empty when it is back (TestLapsedRunnerKeepsItsCount). Change: ChangeEndpoints forgets a gone runner once nothing is counted there. Test: TestGoneRunnersAreForgotten (1,000 remembered before, 0 after). Conclusion: what is left for good of an endpoint is its entry in the table and the gateway's note of it, some 0.5 KB; CAPACITY has it as open.

--- a/internal/core/routing/endpoints.go
+++ b/internal/core/routing/endpoints.go
@@ -31,14 +31,45 @@
 	s.relist(now, touched)
 }
 
-// ChangeEndpoints takes what a list says of some endpoints; the others stay as
-// they are. Its cost is that of the pools that change.
+// ChangeEndpoints takes what is new of some endpoints; the others stay as they
+// are. Its cost is that of the pools that change. Each state must be newer than
+// the one before: then endpoints that are gone can be forgotten, which would
+// otherwise be kept by the thousand where hosts are reclaimed every few seconds.
 func (s *Scheduler) ChangeEndpoints(now time.Time, es []port.Endpoint) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	touched := make(changes)
 	s.takeEndpoints(touched, es)
 	s.relist(now, touched)
+	s.forgetGone(touched)
+}
+
+// forgetGone forgets the runners that are gone once nothing is counted there.
+// One that is entered again with runs under way still counts them: taken for
+// empty it would be chosen until it refuses.
+func (s *Scheduler) forgetGone(touched changes) {
+	for _, runners := range touched {
+		for _, r := range runners {
+			s.gone[r] = struct{}{}
+		}
+	}
+	for r := range s.gone {
+		left, gone := r.shard.leftAt(r)
+		if gone && left {
+			continue
+		}
+		delete(s.gone, r)
+		if gone && s.runner(r.endpoint.ID) == r {
+			s.runners.Delete(r.endpoint.ID)
+		}
+	}
+}
+
+// leftAt reports whether runs are left at the runner, and whether it is gone.
+func (s *shard) leftAt(r *runner) (left, gone bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return r.ownCount > 0, r.endpoint.State == port.EndpointGone
 }
 
 // changes are the runners of each pool that may have come, gone or changed.
--- a/internal/core/routing/endpoints_test.go
+++ b/internal/core/routing/endpoints_test.go
@@ -69,3 +69,42 @@
 		}
 	})
 }
+
+// Hosts are reclaimed every few seconds, and each comes back under another id.
+// A scheduler that remembers them all is killed for its memory after some days.
+func TestGoneRunnersAreForgotten(t *testing.T) {
+	s := NewScheduler(Options{RouterID: "r"})
+	for i := range 1000 {
+		e := endpoint(i)
+		s.ChangeEndpoints(start, []port.Endpoint{e})
+		running := request(fmt.Sprint("run-", i), 10)
+		wantVerdict(t, s.Submit(start, running), port.VerdictPlace, ReasonPlaced)
+		e.State, e.Revision = port.EndpointGone, e.Revision+1
+		s.ChangeEndpoints(start, []port.Endpoint{e})
+		// Its run is still counted out, wherever it ends.
+		s.Finished(start, running.RequestID, 10, port.FinishDone)
+	}
+	s.ChangeEndpoints(start, nil)
+	if n := len(knownRunners(s)); n != 0 {
+		t.Fatalf("%d runners are remembered, all are gone", n)
+	}
+	if n := s.Placed(); n != 0 {
+		t.Fatalf("%d runs are counted, all have ended", n)
+	}
+}
+
+// A runner's entry lapses for a moment while it is full. Entered again it must
+// still count as full, or requests are sent there only to be refused.
+func TestLapsedRunnerKeepsItsCount(t *testing.T) {
+	s := NewScheduler(Options{RouterID: "r"})
+	e := endpoint(0)
+	s.ChangeEndpoints(start, []port.Endpoint{e})
+	wantVerdict(t, s.Submit(start, request("run", 10)), port.VerdictPlace, ReasonPlaced)
+	e.State, e.Revision = port.EndpointGone, e.Revision+1
+	s.ChangeEndpoints(start, []port.Endpoint{e})
+	e.State, e.Revision = port.EndpointLive, e.Revision+1
+	s.ChangeEndpoints(start, []port.Endpoint{e})
+	if n := s.runner(e.ID).ownCount; n != 1 {
+		t.Fatalf("%d runs counted, want the one under way", n)
+	}
+}
--- a/internal/core/routing/scheduler.go
+++ b/internal/core/routing/scheduler.go
@@ -38,6 +38,8 @@
 	// mu guards changes of the endpoints.
 	mu     sync.Mutex
 	shards map[string]*shard
+	// gone are runners that are forgotten once nothing is counted there.
+	gone map[*runner]struct{}
 }
 
 var _ port.Scheduler = (*Scheduler)(nil)
@@ -79,6 +81,7 @@
 		lengths: o.Lengths,
 		seed:    maphash.MakeSeed(),
 		shards:  make(map[string]*shard),
+		gone:    make(map[*runner]struct{}),
 	}
 	for i := range s.stripes {
 		s.stripes[i].entries = make(map[string]*entry)
