--- a/internal/tools/measure/entry.go
+++ b/internal/tools/measure/entry.go
@@ -86,7 +86,17 @@
 			return err
 		}
 	}
-	time.Sleep(c.Watch)
+	if c.Profile != "" {
+		go c.profile(ctx, e.f.Daemons[len(e.f.Daemons)-1])
+	}
+	began := time.Now()
+	waiting, stop := context.WithTimeout(ctx, c.Watch)
+	defer stop()
+	for _, d := range e.f.Daemons {
+		waitForMembers(waiting, d, len(e.f.Daemons))
+	}
+	fmt.Fprintf(os.Stderr, "all daemons know all after %.2f s, if less than %v\n", time.Since(began).Seconds(), c.Watch)
+	time.Sleep(c.Watch - time.Since(began))
 	after, err := useOf(e.f.Daemons)
 	if err != nil {
 		return err
@@ -94,6 +104,39 @@
 	return c.row(table, e, runners, make([]entryUse, len(after)), after)
 }
 
+// membersPoll is the pause between two looks at a daemon's members.
+const membersPoll = 50 * time.Millisecond
+
+// waitForMembers waits until the daemon holds so many members, or the context
+// ends.
+func waitForMembers(ctx context.Context, d *testfleet.Daemon, members int) {
+	want := fmt.Sprintf(`"members_held":{"value":%d}`, members)
+	for ctx.Err() == nil {
+		if strings.Contains(metricsOf(ctx, d), want) {
+			return
+		}
+		time.Sleep(membersPoll)
+	}
+}
+
+// metricsOf is empty while the daemon doesn't answer.
+func metricsOf(ctx context.Context, d *testfleet.Daemon) string {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.Metrics+"/metrics", nil)
+	if err != nil {
+		return ""
+	}
+	res, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return ""
+	}
+	defer res.Body.Close()
+	raw, err := io.ReadAll(res.Body)
+	if err != nil {
+		return ""
+	}
+	return string(raw)
+}
+
 func (c *entryCommand) watch(ctx context.Context, e *entryFleet, table *tablewriter.Table, runners int) error {
 	calling, stop := context.WithCancel(ctx)
 	var background sync.WaitGroup
@@ -134,6 +177,9 @@
 }
 
 func (c *entryCommand) profile(ctx context.Context, d *testfleet.Daemon) {
+	for !d.Ready(ctx) && ctx.Err() == nil {
+		time.Sleep(membersPoll)
+	}
 	header := http.Header{"Authorization": {"Bearer " + procs.AdminToken}}
 	seconds := strconv.Itoa(int(c.Watch.Seconds()))
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, d.AdminURL()+"/admin/v1/profile?seconds="+seconds, nil)
