A daemon that many connect to doesn't sort all members at each message

Cause: with 120 daemons started at once, 30 % of the samples of a daemon that all connect to were keeper.standing, worked out anew at each change of members.

--- a/internal/keeper/standing.go
+++ b/internal/keeper/standing.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/dragonflyrail/dragonflyrail/internal/core/membership"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
@@ -11,8 +12,9 @@
 // many times a second, and each would sort hundreds of members; it is worked
 // out again only once the table has changed. Nothing in it is changed.
 type standing struct {
-	// digest is the table's when this was worked out.
+	// digest is the table's when this was worked out, at the time.
 	digest uint64
+	at     time.Time
 	// members are all known, live the keepers that can be connected to.
 	members []port.Member
 	live    []membership.Member
@@ -27,14 +29,24 @@
 func (k *Keeper) standing() *standing {
 	// Read before the table: a change in between is then found at the next call.
 	digest := k.node.Members.Digest()
-	if s := k.lastStanding.Load(); s != nil && s.digest == digest {
+	now := time.Now()
+	s := k.lastStanding.Load()
+	if s != nil && (s.digest == digest || len(s.live) > smallFleet && now.Sub(s.at) < standingFor) {
 		return s
 	}
-	s := k.workOutStanding(digest)
+	s = k.workOutStanding(digest)
+	s.at = now
 	k.lastStanding.Store(s)
 	return s
 }
 
+// standingFor is how long what was worked out of a large fleet holds although
+// its members change. When hundreds of daemons start together the members
+// change with every message, and each would be answered by sorting them all: a
+// third of the processor time of the daemons that all connect to. It is no more
+// than the time that a change spends between two daemons.
+const standingFor = 20 * time.Millisecond
+
 func (k *Keeper) workOutStanding(digest uint64) *standing {
 	s := &standing{digest: digest, live: membership.LiveKeepers(k.node.Members)}
 	s.owners = membership.NewOwners(s.live)
@@ -42,8 +54,9 @@
 		s.members = append(s.members, m.Port())
 	}
 	self := k.options.Self.ID
-	s.watcher = slices.Contains(membership.Watchers(s.live, k.options.Watchers), self)
-	s.hostPoller = slices.Contains(membership.Watchers(s.live, min(hostPollers, k.options.Watchers)), self)
+	watchers := membership.Watchers(s.live, k.options.Watchers)
+	s.watcher = slices.Contains(watchers, self)
+	s.hostPoller = slices.Contains(watchers[:min(hostPollers, len(watchers))], self)
 	s.ring = membership.NewRing(s.live)
 	for _, m := range s.ring.Neighbours(self) {
 		s.neighbours = append(s.neighbours, m.PeerAddress)
