A new link always compares at once

Leaving tables of over 256 entries to the ticks makes a change that was lost with a closing link wait half a second or more at each hop, and links close all the time while a fleet starts. Change: AskLater is gone; links compare when they open, as before.

--- a/internal/core/spread/exchange.go
+++ b/internal/core/spread/exchange.go
@@ -63,14 +63,6 @@
 	return &Exchange[T]{table: t, initiator: initiator, dirty: map[string]struct{}{}, askBuckets: initiator}
 }
 
-// AskLater leaves the first compare of buckets to the ticks, which find a
-// difference that stands still.
-func (x *Exchange[T]) AskLater() {
-	x.mu.Lock()
-	x.askBuckets = false
-	x.mu.Unlock()
-}
-
 // Dirty queues an entry for the peer. Only the key is kept, so a slow peer
 // costs bounded memory and gets the newest state once it reads again.
 func (x *Exchange[T]) Dirty(key string) {
--- a/internal/core/spread/node/link.go
+++ b/internal/core/spread/node/link.go
@@ -60,23 +60,12 @@
 		members:   spread.NewExchange(n.Members, initiator),
 		woken:     make(chan struct{}, 1),
 	}
-	if n.Endpoints.Len() > largeTable {
-		l.endpoints.AskLater()
-	}
-	if n.Members.Len() > largeTable {
-		l.members.AskLater()
-	}
 	n.mu.Lock()
 	n.links[l] = struct{}{}
 	n.mu.Unlock()
 	return l
 }
 
-// largeTable is the number of entries from which a new link compares a table
-// only once a difference stands still: in a large fleet something is always on
-// its way, and each compare costs whole buckets of what both ends have.
-const largeTable = 256
-
 // Close removes the link.
 func (l *Link) Close() {
 	l.node.mu.Lock()
