A runner is known once it can be placed at; frozen processes have stopped

TestStoppingDaemonCutsNothing: the gateway called a runner known before its scheduler had it, and the first request was refused. TestFreezeAndThaw: a process goes on for a moment after the signal to stop was sent, and answered. Ruled out: slowness alone (the stream never ran in 60 s; the answer came from a process that was not stopped yet). Change: takeEndpoints tells the scheduler first; Freeze waits until every thread of the process is stopped. Both tests are unchanged.

--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"slices"
+
 	"github.com/dragonflyrail/dragonflyrail/internal/core/route"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
@@ -66,25 +68,40 @@
 		return
 	}
 	now := g.Clock()
-	var runners []port.Endpoint
+	changed = g.asHeld(changed)
+	// First the scheduler: who sees here that a runner is known may place at
+	// once, and would be refused for want of it.
+	g.Scheduler.ChangeEndpoints(now, runnersOf(changed))
 	for _, e := range changed {
-		if g.departed.Has(e) && e.State == port.EndpointLive {
-			e.State = port.EndpointLeaving
-		}
-		if e.Kind == port.KindRunner {
-			e = g.withCache(e)
-			runners = append(runners, e)
-		}
 		before, knew := g.known.put(e, now)
 		g.noteEndpoint(before, knew, &e)
 		if e.State == port.EndpointGone {
 			g.balancer.Forget(e.ID)
 		}
 	}
-	g.Scheduler.ChangeEndpoints(now, runners)
 	g.moveAway()
 }
 
+// asHeld adds to what the view says of endpoints what this daemon saw itself
+// and what the operators say.
+func (g *Gateway) asHeld(changed []port.Endpoint) []port.Endpoint {
+	out := make([]port.Endpoint, 0, len(changed))
+	for _, e := range changed {
+		if g.departed.Has(e) && e.State == port.EndpointLive {
+			e.State = port.EndpointLeaving
+		}
+		if e.Kind == port.KindRunner {
+			e = g.withCache(e)
+		}
+		out = append(out, e)
+	}
+	return out
+}
+
+func runnersOf(es []port.Endpoint) []port.Endpoint {
+	return slices.DeleteFunc(slices.Clone(es), func(e port.Endpoint) bool { return e.Kind != port.KindRunner })
+}
+
 // noteEndpoint records a change of what this daemon holds of an endpoint.
 func (g *Gateway) noteEndpoint(before held, knew bool, e *port.Endpoint) {
 	if knew && before.State == e.State && before.Incarnation == e.Incarnation {
--- a/internal/gateway/apply_test.go
+++ b/internal/gateway/apply_test.go
@@ -43,3 +43,35 @@
 		t.Fatal("the changes were not taken in")
 	}
 }
+
+// early reports runners that are known to callers before the scheduler has them.
+type early struct {
+	Scheduler
+	knows func(id string, state port.EndpointState) bool
+	found []string
+}
+
+func (e *early) ChangeEndpoints(now time.Time, es []port.Endpoint) {
+	for i := range es {
+		if e.knows(es[i].ID, es[i].State) {
+			e.found = append(e.found, es[i].ID)
+		}
+	}
+	e.Scheduler.ChangeEndpoints(now, es)
+}
+
+// A runner has just come and its first request is there at once. If the daemon
+// calls it known before its scheduler has it, that request is refused although
+// the runner is free.
+func TestRunnerIsKnownOnceItCanBePlacedAt(t *testing.T) {
+	b := newBench(t)
+	e := &early{Scheduler: b.Scheduler, knows: b.Knows}
+	b.Scheduler = e
+	b.view.mu.Lock()
+	b.view.endpoints = append(b.view.endpoints, testEndpoint("late", "engines", port.KindRunner))
+	b.view.mu.Unlock()
+	b.apply()
+	if !b.Knows("late", port.EndpointLive) || len(e.found) > 0 {
+		t.Fatalf("known before the scheduler had them: %v", e.found)
+	}
+}
--- a/internal/testkit/procs/process.go
+++ b/internal/testkit/procs/process.go
@@ -9,6 +9,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -167,7 +169,44 @@
 func (p *Process) Terminate() error { return p.Signal(syscall.SIGTERM) }
 
 // Freeze suspends the process, as a long pause of its host would.
-func (p *Process) Freeze() error { return p.Signal(syscall.SIGSTOP) }
+func (p *Process) Freeze() error {
+	if err := p.Signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	return p.waitStopped()
+}
+
+// Bounds of the wait for a signal to take effect.
+const (
+	stopPoll   = time.Millisecond
+	stopWithin = 10 * time.Second
+)
+
+// waitStopped waits until the kernel has stopped the process: on a busy machine
+// it still answers for a moment after the signal was sent.
+func (p *Process) waitStopped() error {
+	for began := time.Now(); time.Since(began) < stopWithin; time.Sleep(stopPoll) {
+		threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.PID()))
+		if err != nil {
+			return err
+		}
+		if !slices.ContainsFunc(threads, running) {
+			return nil
+		}
+	}
+	return fmt.Errorf("%s is not stopped", p.Spec.Name)
+}
+
+// running reports whether a thread is not stopped. One that has ended is.
+func running(statPath string) bool {
+	raw, err := os.ReadFile(statPath)
+	if err != nil {
+		return false
+	}
+	// The state follows the name in parentheses, which may hold spaces.
+	_, rest, found := strings.Cut(string(raw), ") ")
+	return found && !strings.HasPrefix(rest, "T")
+}
 
 // Thaw resumes a frozen process.
 func (p *Process) Thaw() error { return p.Signal(syscall.SIGCONT) }
