--- a/internal/core/routing/organisation.go
+++ b/internal/core/routing/organisation.go
@@ -30,7 +30,7 @@
 	share    float64
 }
 
-// Bounds of an organisation's part, settled by the bench: a burst of some
+// Bounds of an organisation's part, settled with internal/tools/policybench: a burst of some
 // seconds must pass, a flood must not (docs/design/routing.md).
 const (
 	floodWindow = 60 * time.Second
