A field of our route tables has a name of our own

Cause: the JSON field of a route's prefix in our own records bore the name that the users' platform gives it, outside platform/. Ruled out: stored or released records with the old name; tables are encoded and decoded by core/route alone, and only between running daemons. Change: the field is "prefix". Conclusion: the platform's name stands in platform/ alone.

--- a/internal/core/route/table.go
+++ b/internal/core/route/table.go
@@ -46,7 +46,7 @@
 	Name string `json:"name"`
 	Host string `json:"host"`
 	// PathPrefix begins and ends with a slash.
-	PathPrefix string `json:"path_prefix"`
+	PathPrefix string `json:"prefix"`
 	// Targets has at least one entry.
 	Targets []Target   `json:"targets"`
 	Repeat  Repeatable `json:"repeat"`
