One state for each move; a panic ends one request, not the daemon

Ruled out: two ends of one move (drive has a single endMove); a copy that comes back twice. Change: each move has a moveState. The run leaves it behind with its source and cancels its copies; a relay that has taken the run up can't be stopped by it any more, and the end of a run ends its move. A panic in Serve or in a move is contained: log line with the stack, counter, truthful refusal. Before: TestMoveOutlivesTheRunThatItCopied panics on the code before. After: it, the rapid machine TestMovesOfOneRunInAnyOrder and the two tests of contained panics pass, go test -race -count=2 ./internal/gateway.

--- a/internal/gateway/decide.go
+++ b/internal/gateway/decide.go
@@ -15,6 +15,7 @@
 	verdictMove   = "move"
 	verdictCopy   = "copy"
 	verdictResume = "resume"
+	verdictPanic  = "panic"
 )
 
 const subjectRequest = "request"
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -25,6 +25,7 @@
 	r := &relay{x: x, p: p, run: &run{x: x}}
 	x.delivered = &port.Delivery{HeldMillis: x.held.Milliseconds(), Runners: 1}
 	r.run.reads(p.endpoint, a.Body)
+	defer r.run.end()
 	if p.generation {
 		x.g.runs.add(r.run)
 		defer x.g.runs.remove(r.run)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -24,6 +24,8 @@
 	// attempts counts the endpoints tried, ran those that may have run it.
 	attempts int
 	ran      int
+	// sending is the attempt that has not ended, nil for none.
+	sending *placement
 	// arrived: an endpoint has had the request, taken or not.
 	arrived bool
 	begun   bool
@@ -45,9 +47,9 @@
 
 // Serve answers one request. It returns nil once the caller has an endpoint's
 // whole answer, else the refusal.
-func (g *Gateway) Serve(ctx context.Context, req *Request, out Responder) *Refusal {
+func (g *Gateway) Serve(ctx context.Context, req *Request, out Responder) (refusal *Refusal) {
 	x := g.newExchange(req, out)
-	if refusal := g.begin(req); refusal != nil {
+	if refusal = g.begin(req); refusal != nil {
 		return x.refused(refusal)
 	}
 	defer g.life.leave()
@@ -57,6 +59,7 @@
 	defer cancel()
 	stop := g.cancelAtCut(cancel)
 	defer stop()
+	defer x.containServe(&refusal)
 	return x.serve(ctx)
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -27,6 +27,7 @@
 	calls      gometrics.Histogram
 	copies     gometrics.Histogram
 	moves      gometrics.Counter
+	panics     gometrics.Counter
 }
 
 func newInstruments(r gometrics.Registry) *instruments {
@@ -47,6 +48,7 @@
 		calls:      histogram("endpoint_answer_us"),
 		copies:     histogram("run_copy_us"),
 		moves:      counter("runs_moved_total"),
+		panics:     counter("panics_total"),
 	}
 }
 
--- a/internal/gateway/moves.go
+++ b/internal/gateway/moves.go
@@ -28,34 +28,35 @@
 	if r.x.engine == nil || !r.x.engine.CopiesOnRequest {
 		return
 	}
-	if _, begins := r.beginMove(); begins {
-		go g.move(r, at, h.leavingSince)
-	}
-}
-
-// move copies a run to another runner, and stops it once the copy is fresh.
-func (g *Gateway) move(r *run, from port.Endpoint, since time.Time) {
-	defer r.endMove()
-	m := &mover{g: g, run: r, from: from, move: continuity.NewMove(since.Add(g.options().ReclaimNotice))}
 	ctx, cancel := context.WithDeadline(context.Background(), r.x.deadline)
-	defer cancel()
-	m.drive(ctx)
+	state, from := r.beginMove(cancel)
+	if state == nil {
+		cancel()
+		return
+	}
+	m := &mover{g: g, run: r, state: state, from: from, move: continuity.NewMove(h.leavingSince.Add(g.options().ReclaimNotice))}
+	go m.drive(ctx)
 }
 
-// mover is one move under way.
+// mover is one move under way: it copies a run to another runner, and stops it
+// once the copy is fresh.
 type mover struct {
-	g    *Gateway
-	run  *run
-	from port.Endpoint
-	move *continuity.Move
-	to   port.Endpoint
+	g     *Gateway
+	run   *run
+	state *moveState
+	from  port.Endpoint
+	move  *continuity.Move
+	to    port.Endpoint
 	// refused names the runners that could not take the copy.
 	refused []string
 }
 
 func (m *mover) drive(ctx context.Context) {
+	defer m.state.cancel()
+	defer m.run.endMove(m.state)
+	defer m.run.x.containMove()
 	step := continuity.StepElsewhere
-	for {
+	for ctx.Err() == nil {
 		switch step {
 		case continuity.StepElsewhere:
 			if !m.choose(ctx) {
@@ -65,8 +66,9 @@
 		case continuity.StepCopy:
 			step = m.copy(ctx, false)
 		case continuity.StepStop:
-			m.run.setStopping()
-			m.copy(ctx, true)
+			if m.run.stop(m.state) {
+				m.copy(ctx, true)
+			}
 			return
 		default:
 			return
@@ -94,7 +96,7 @@
 	now := m.g.Clock()
 	observe(m.g.metrics.copies, now.Sub(began))
 	if c.Handle != "" {
-		m.run.setCopy(&copyAt{from: m.from, to: m.to, handle: c.Handle})
+		m.run.setCopy(m.state, &copyAt{from: m.from, to: m.to, handle: c.Handle})
 	}
 	result := resultOf(err)
 	m.run.x.note(verdictCopy, copyReason(stop, result, err), m.to.ID, nil)
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -130,6 +130,7 @@
 
 // begin tells the breakers and the balancer that an attempt begins.
 func (x *exchange) beginAttempt(p *placement) {
+	x.sending = p
 	if !p.generation {
 		x.g.breakers.Begin(x.g.Clock(), p.endpoint.ID)
 	}
@@ -138,6 +139,7 @@
 // endAttempt tells those who placed the attempt how it ended.
 func (x *exchange) endAttempt(p *placement, kind port.FinishKind) {
 	g := x.g
+	x.sending = nil
 	if p.generation {
 		g.Placer.Finished(x.req.ID, p.tokens, kind)
 		return
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -21,6 +21,7 @@
 	CauseStopping       Cause = "daemon_stopping"
 	CauseTooManyOpen    Cause = "too_many_open_requests"
 	CauseCallerGone     Cause = "caller_gone"
+	CauseInternal       Cause = "internal_error"
 )
 
 // Refusal is an honest answer in place of a whole one.
--- a/internal/gateway/runs.go
+++ b/internal/gateway/runs.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"sync"
 	"time"
@@ -50,14 +51,29 @@
 	lastID   string
 	// source is the answer that is being read.
 	source io.Closer
-	moving bool
+	// move is the last move off the endpoint, nil for none.
+	move *moveState
+}
+
+// moveState is what a move off one runner has come to. It belongs to the source
+// that the run had when the move began: once the run goes on from another
+// source, what that move still does is of no effect. Without this a late end of
+// one move ended the next one, whose channel was then closed twice, and the
+// daemon fell with all its streams.
+type moveState struct {
+	// cancel ends the copy that is under way.
+	cancel context.CancelFunc
+	// done is closed at the end of the move.
+	done chan struct{}
+	// ended: the move is over, and another may begin unless it stopped the run.
+	ended bool
 	// stopping: the last copy has begun, so the end of the source is not taken
 	// for a failure.
 	stopping bool
+	// left: the relay has taken the run up, or has given it up.
+	left bool
 	// copied is where a copy of the run lies, nil for nowhere.
 	copied *copyAt
-	// moved is closed at the end of the move.
-	moved chan struct{}
 }
 
 // copyAt names a copy of a run.
@@ -67,30 +83,33 @@
 	handle string
 }
 
-// beginMove reports whether a move may begin, and where the run is.
-func (r *run) beginMove() (port.Endpoint, bool) {
+// beginMove begins a move, whose copies cancel ends; nil where one is under way
+// or has stopped the run. It also returns where the run is.
+func (r *run) beginMove(cancel context.CancelFunc) (*moveState, port.Endpoint) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.moving {
-		return port.Endpoint{}, false
+	next := &moveState{cancel: cancel, done: make(chan struct{})}
+	if before := r.move; before != nil {
+		if !before.ended || before.stopping {
+			return nil, r.endpoint
+		}
+		next.copied = before.copied
 	}
-	r.moving = true
-	r.moved = make(chan struct{})
-	return r.endpoint, true
+	r.move = next
+	return next, r.endpoint
 }
 
 // endMove lets the relay go on.
-func (r *run) endMove() {
+func (r *run) endMove(m *moveState) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	close(r.moved)
-	if r.stopping {
+	m.ended = true
+	close(m.done)
+	if m.stopping && !m.left {
 		// The source should have ended by now. One that stays silent is
 		// closed, or the relay would wait for it.
 		time.AfterFunc(sourceGrace, r.closeSource(r.source))
-		return
 	}
-	r.moving = false
 }
 
 // sourceGrace is how long a stopped run's stream may take to arrive and end.
@@ -107,16 +126,20 @@
 	}
 }
 
-func (r *run) setCopy(c *copyAt) {
+// setCopy notes where a copy of the run lies.
+func (r *run) setCopy(m *moveState, c *copyAt) {
 	r.mu.Lock()
-	r.copied = c
+	m.copied = c
 	r.mu.Unlock()
 }
 
-func (r *run) setStopping() {
+// stop reports whether the run may be stopped for its last copy: not once the
+// relay has taken it up from an earlier one.
+func (r *run) stop(m *moveState) bool {
 	r.mu.Lock()
-	r.stopping = true
-	r.mu.Unlock()
+	defer r.mu.Unlock()
+	m.stopping = !m.left
+	return m.stopping
 }
 
 // took notes an event that the caller has.
@@ -133,28 +156,52 @@
 	return r.endpoint
 }
 
-// reads notes the answer that the relay reads now.
+// reads notes the source that the relay reads now.
 func (r *run) reads(e port.Endpoint, source io.Closer) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.endpoint, r.source = e, source
-	r.moving, r.stopping, r.copied = false, false, nil
+	r.leave()
+	r.endpoint, r.source, r.move = e, source, nil
+}
+
+// end ends the move that is under way with the run.
+func (r *run) end() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leave()
+}
+
+// leave ends the part that a move has in the run; r.mu is held.
+func (r *run) leave() {
+	if r.move == nil {
+		return
+	}
+	r.move.left = true
+	r.move.cancel()
 }
 
-// handover returns the copy from which the run goes on, once the move that is
-// under way has ended; nil where there is none.
+// handover returns the copy from which the run goes on, once a move that has
+// stopped the run has ended; nil where there is none. No move stops the run
+// afterwards.
 func (r *run) handover(done <-chan struct{}) (*copyAt, string) {
 	r.mu.Lock()
-	moved, stopping := r.moved, r.stopping
+	m := r.move
+	stopping := m != nil && m.stopping
+	if m != nil && !stopping {
+		m.left = true
+	}
 	r.mu.Unlock()
+	if m == nil {
+		return nil, ""
+	}
 	if stopping {
 		select {
-		case <-moved:
+		case <-m.done:
 		case <-done:
 			return nil, ""
 		}
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.copied, r.lastID
+	return m.copied, r.lastID
 }
