Lengths are learned for each route, and callers' hints are weighed

Cause: an answer of 4 events and one of 235 shared a curve, as the estimator knew model, organisation and prompt size only; the caller's hint was decoded and dropped. At the start of a report half of its chance lay under 50 tokens. Ruled out: trusting a hint as the length (an organisation that hints a tenth would be served first: TestWrongHintsAreLearned).

--- a/internal/core/length/bench_test.go
+++ b/internal/core/length/bench_test.go
@@ -9,11 +9,11 @@
 func BenchmarkEstimate(b *testing.B) {
 	e := NewEstimator(Options{})
 	for i := range 5000 {
-		e.Observe("m", fmt.Sprint(i%10), 100, i)
+		e.Observe(Subject{Model: "m", Organisation: fmt.Sprint(i % 10), PromptTokens: 100}, i)
 	}
 	b.ReportAllocs()
 	for b.Loop() {
-		s := e.Estimate("m", "3", 100)
+		s := e.Estimate(Subject{Model: "m", Organisation: "3", PromptTokens: 100})
 		_ = s.Given(10, 100)
 	}
 }
@@ -27,7 +27,7 @@
 				before := heap()
 				e := NewEstimator(Options{MaxPairs: 10 * pairs})
 				for i := range pairs {
-					e.Observe(fmt.Sprint("model-", i%38), fmt.Sprint("organisation-", i/38), 100, i)
+					e.Observe(Subject{Model: fmt.Sprint("model-", i%38), Organisation: fmt.Sprint("organisation-", i/38), PromptTokens: 100}, i)
 				}
 				b.ReportMetric(float64(heap()-before)/float64(pairs), "B/pair")
 				runtime.KeepAlive(e)
--- a/internal/core/length/estimator.go
+++ b/internal/core/length/estimator.go
@@ -18,7 +18,10 @@
 	// pooledWeight is how many observations the model's pooled curve counts
 	// for beside the organisation's own.
 	pooledWeight = 12
-	// cautiousWeight is the same for the cautious curve beside the pool.
+	// modelWeight is the same for the curve of all routes to a model beside that
+	// of one: a route that is new, as after a split, begins with it.
+	modelWeight = 4
+	// cautiousWeight is the same for the cautious curve beside the model's.
 	cautiousWeight = 4
 )
 
@@ -63,15 +66,42 @@
 	}
 }
 
+// Subject is what an estimate depends on.
+type Subject struct {
+	Model        string
+	Organisation string
+	// Route is the route that the request came by, empty where there is none.
+	// Two routes to one model may ask for a label and for a report: with one
+	// curve for both, every report looked short by half and every label long.
+	Route        string
+	PromptTokens int
+	// Hint is the caller's own guess of the answer's tokens, zero for none.
+	Hint int
+}
+
+// kind is what answers are alike for.
+type kind struct {
+	model string
+	route string
+}
+
+func (s *Subject) kind() kind { return kind{s.Model, s.Route} }
+
+// allRoutes is the kind of all requests to the model.
+func (s *Subject) allRoutes() kind { return kind{model: s.Model} }
+
+func (s *Subject) pair() pairKey { return pairKey{s.kind(), s.Organisation} }
+
 // pairKey names what an estimate is kept for.
 type pairKey struct {
-	model        string
+	kind
 	organisation string
 }
 
-// pair is what is known of one organisation with one model.
+// pair is what is known of one organisation with one kind of request.
 type pair struct {
 	classes [numClasses]histogram
+	hints   hintErrors
 	// used is cleared by the eviction hand and set by each observation.
 	used bool
 }
@@ -105,13 +135,14 @@
 	stripes [numStripes]stripe
 
 	poolsMu sync.RWMutex
-	pools   map[string]*pool
+	pools   map[kind]*pool
 }
 
-// pool is what is known of a model over all organisations.
+// pool is what is known of a kind of request over all organisations.
 type pool struct {
 	mu      sync.Mutex
 	classes [numClasses]histogram
+	hints   hintErrors
 }
 
 // NewEstimator makes an estimator that has seen nothing.
@@ -119,7 +150,7 @@
 	if o.MaxPairs <= 0 {
 		o.MaxPairs = DefaultMaxPairs
 	}
-	e := &Estimator{seed: maphash.MakeSeed(), pools: make(map[string]*pool)}
+	e := &Estimator{seed: maphash.MakeSeed(), pools: make(map[kind]*pool)}
 	for i := range e.stripes {
 		e.stripes[i].pairs = make(map[pairKey]*pair)
 		e.stripes[i].limit = max(1, o.MaxPairs/numStripes)
@@ -128,64 +159,100 @@
 }
 
 // Observe learns from a whole answer.
-func (e *Estimator) Observe(model, organisation string, promptTokens, outputTokens int) {
-	class := classOf(promptTokens)
-	p := e.pool(model, true)
-	p.mu.Lock()
-	p.classes[class].add(outputTokens, modelWindow)
-	p.mu.Unlock()
+func (e *Estimator) Observe(of Subject, outputTokens int) {
+	class := classOf(of.PromptTokens)
+	e.pool(of.kind(), true).observe(class, of.Hint, outputTokens)
+	if of.Route != "" {
+		e.pool(of.allRoutes(), true).observe(class, of.Hint, outputTokens)
+	}
 
-	key := pairKey{model, organisation}
+	key := of.pair()
 	s := e.stripe(key)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.get(key).classes[class].add(outputTokens, organisationWindow)
+	own := s.get(key)
+	own.classes[class].add(outputTokens, organisationWindow)
+	own.hints.add(of.Hint, outputTokens, organisationWindow)
 }
 
 // ObserveCut learns from an answer that was cut after seen tokens: its length
 // is only known to be larger. Leaving it out would make long answers, which
 // are cut more often, look rare; it counts as its expected median instead.
-func (e *Estimator) ObserveCut(model, organisation string, promptTokens, seen int) {
-	s := e.Estimate(model, organisation, promptTokens)
-	e.Observe(model, organisation, promptTokens, s.Quantile(seen, 0.5))
+func (e *Estimator) ObserveCut(of Subject, seen int) {
+	// The hint is left out: the length that is assumed follows from it, and it
+	// would seem better than it is.
+	of.Hint = 0
+	s := e.Estimate(of)
+	e.Observe(of, s.Quantile(seen, 0.5))
+}
+
+func (p *pool) observe(class, hint, outputTokens int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.classes[class].add(outputTokens, modelWindow)
+	p.hints.add(hint, outputTokens, modelWindow)
 }
 
 // Estimate returns the curve for a request. An organisation without history
-// gets the model's pooled curve, a model without history the cautious one.
-func (e *Estimator) Estimate(model, organisation string, promptTokens int) Survival {
-	class := classOf(promptTokens)
-	var own, pooled histogram
-	key := pairKey{model, organisation}
+// gets the pooled curve of its kind, a new route that of its model, and a model
+// without history the cautious one.
+func (e *Estimator) Estimate(of Subject) Survival {
+	class := classOf(of.PromptTokens)
+	var own histogram
+	var ownHints hintErrors
+	key := of.pair()
 	s := e.stripe(key)
 	s.mu.Lock()
 	if p := s.pairs[key]; p != nil {
-		own = p.classes[class]
+		own, ownHints = p.classes[class], p.hints
 	}
 	s.mu.Unlock()
-	if p := e.pool(model, false); p != nil {
-		p.mu.Lock()
-		pooled = p.classes[class]
-		p.mu.Unlock()
+	model, modelHints := e.pool(of.allRoutes(), false).read(class)
+	curve := cautiousCurve()
+	curve.blend(&model, cautiousWeight)
+	hints := modelHints
+	if of.Route != "" {
+		var pooled histogram
+		pooled, hints = e.pool(of.kind(), false).read(class)
+		curve.blend(&pooled, modelWeight)
+	}
+	curve.blend(&own, pooledWeight)
+	if of.Hint > 0 {
+		curve.weigh(of.Hint, blendErrors(&ownHints, &hints))
+	}
+	return curve
+}
+
+// read copies what the pool holds of a class; a pool that isn't there is empty.
+func (p *pool) read(class int) (histogram, hintErrors) {
+	if p == nil {
+		return histogram{}, hintErrors{}
 	}
-	return blend(&own, &pooled)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.classes[class], p.hints
 }
 
-// blend weighs the organisation's histogram with the pooled one, and that
-// with the cautious curve, which keeps a tail beyond all that was seen.
-func blend(own, pooled *histogram) Survival {
+// cautiousCurve keeps a tail beyond all that was seen.
+func cautiousCurve() Survival {
 	var s Survival
-	ownTotal := float64(own.total) / unit
-	pooledTotal := float64(pooled.total) / unit
-	var ownBeyond, pooledBeyond float64
-	for i := numEdges - 1; i >= 0; i-- {
-		ownBeyond += float64(own.counts[i]) / unit
-		pooledBeyond += float64(pooled.counts[i]) / unit
-		prior := (pooledBeyond + cautiousWeight*cautiousBeyond(edges[i])) / (pooledTotal + cautiousWeight)
-		s.beyond[i] = float32((ownBeyond + pooledWeight*prior) / (ownTotal + pooledWeight))
+	for i := range s.beyond {
+		s.beyond[i] = float32(cautiousBeyond(edges[i]))
 	}
 	return s
 }
 
+// blend weighs observed lengths with the curve so far, which counts for weight
+// observations.
+func (s *Survival) blend(h *histogram, weight float64) {
+	total := float64(h.total) / unit
+	var beyond float64
+	for i := numEdges - 1; i >= 0; i-- {
+		beyond += float64(h.counts[i]) / unit
+		s.beyond[i] = float32((beyond + weight*float64(s.beyond[i])) / (total + weight))
+	}
+}
+
 // Pairs counts the pairs kept.
 func (e *Estimator) Pairs() int {
 	n := 0
@@ -203,18 +270,18 @@
 	return &e.stripes[h%numStripes]
 }
 
-func (e *Estimator) pool(model string, create bool) *pool {
+func (e *Estimator) pool(of kind, create bool) *pool {
 	e.poolsMu.RLock()
-	p := e.pools[model]
+	p := e.pools[of]
 	e.poolsMu.RUnlock()
 	if p != nil || !create {
 		return p
 	}
 	e.poolsMu.Lock()
 	defer e.poolsMu.Unlock()
-	if p = e.pools[model]; p == nil {
+	if p = e.pools[of]; p == nil {
 		p = &pool{}
-		e.pools[model] = p
+		e.pools[of] = p
 	}
 	return p
 }
--- a/internal/core/length/length_test.go
+++ b/internal/core/length/length_test.go
@@ -26,9 +26,9 @@
 	rapid.Check(t, func(t *rapid.T) {
 		e := NewEstimator(Options{})
 		for _, n := range rapid.SliceOfN(rapid.IntRange(1, 100_000), 0, 400).Draw(t, "lengths") {
-			e.Observe("m", "o", 100, n)
+			e.Observe(Subject{Model: "m", Organisation: "o", PromptTokens: 100}, n)
 		}
-		s := e.Estimate("m", "o", 100)
+		s := e.Estimate(Subject{Model: "m", Organisation: "o", PromptTokens: 100})
 		seen := rapid.IntRange(0, 50_000).Draw(t, "seen")
 		last := 1.0
 		for ahead := 0; ahead < 100_000; ahead += 997 {
@@ -56,13 +56,13 @@
 	under := make([]float64, len(quantiles))
 	for range draws {
 		n := draw()
-		s := e.Estimate("m", organisation, 100)
+		s := e.Estimate(Subject{Model: "m", Organisation: organisation, PromptTokens: 100})
 		for i, q := range quantiles {
 			if n <= s.Quantile(0, q) {
 				under[i] += 1 / float64(draws)
 			}
 		}
-		e.Observe("m", organisation, 100, n)
+		e.Observe(Subject{Model: "m", Organisation: organisation, PromptTokens: 100}, n)
 	}
 	return under
 }
@@ -95,7 +95,7 @@
 			e := NewEstimator(Options{})
 			for i := range 600 {
 				if poolMedian > 0 {
-					e.Observe("m", fmt.Sprint("old", i%6), 100, lognormal(r, poolMedian, 0.8))
+					e.Observe(Subject{Model: "m", Organisation: fmt.Sprint("old", i%6), PromptTokens: 100}, lognormal(r, poolMedian, 0.8))
 				}
 			}
 			for i := range organisations {
@@ -136,12 +136,12 @@
 	for range 2000 {
 		n := lognormal(r, 400, 1)
 		if n > 600 {
-			e.ObserveCut("m", "o", 100, 600)
+			e.ObserveCut(Subject{Model: "m", Organisation: "o", PromptTokens: 100}, 600)
 			continue
 		}
-		e.Observe("m", "o", 100, n)
+		e.Observe(Subject{Model: "m", Organisation: "o", PromptTokens: 100}, n)
 	}
-	s := e.Estimate("m", "o", 100)
+	s := e.Estimate(Subject{Model: "m", Organisation: "o", PromptTokens: 100})
 	if beyond := s.Beyond(600); math.Abs(beyond-0.34) > 0.08 {
 		t.Fatalf("beyond the cut: %v, true 0.34", beyond)
 	}
@@ -150,7 +150,7 @@
 func TestPairsAreBounded(t *testing.T) {
 	e := NewEstimator(Options{MaxPairs: 64})
 	for i := range 10_000 {
-		e.Observe("m", fmt.Sprint(i), 10, 10)
+		e.Observe(Subject{Model: "m", Organisation: fmt.Sprint(i), PromptTokens: 10}, 10)
 	}
 	if n := e.Pairs(); n > 64 {
 		t.Fatalf("%d pairs", n)
--- a/internal/core/routing/bench_test.go
+++ b/internal/core/routing/bench_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/dragonflyrail/dragonflyrail/internal/core/length"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
 
@@ -15,7 +16,7 @@
 func loadedScheduler(b *testing.B, runners int) *Scheduler {
 	s := newTestScheduler(b, runners, func(o *Options) { o.Routers = ranked{2, 6} })
 	for i := range 500 {
-		s.lengths.Observe("m", "o", 100, 20+i)
+		s.lengths.Observe(length.Subject{Model: "m", Organisation: "o", PromptTokens: 100}, 20+i)
 	}
 	for i := range runners {
 		settle(s, start, i, 300+i%100, 8)
--- a/internal/core/routing/flood_test.go
+++ b/internal/core/routing/flood_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/dragonflyrail/dragonflyrail/internal/core/length"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
 
@@ -20,7 +21,7 @@
 		}
 	}
 	for range 300 {
-		s.lengths.Observe("m", "flood", 3000, 1000)
+		s.lengths.Observe(length.Subject{Model: "m", Organisation: "flood", PromptTokens: 3000}, 1000)
 	}
 	for i := range others {
 		s.Submit(start, organisationRequest(fmt.Sprint("o", i), fmt.Sprint("other", i)))
--- a/internal/core/routing/held.go
+++ b/internal/core/routing/held.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/dragonflyrail/dragonflyrail/internal/core/admission"
+	"github.com/dragonflyrail/dragonflyrail/internal/core/length"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
 
@@ -81,7 +82,7 @@
 		since:    now,
 		org:      s.organisation(now, r.Organisation),
 		priority: limits.Priority,
-		survival: s.scheduler.lengths.Estimate(r.Model, r.Organisation, r.PromptTokens),
+		survival: s.scheduler.lengths.Estimate(subjectOf(r)),
 	}
 	e.print.set(&e.survival, r.PromptTokens, 0, r.MaxTokens)
 	e.cost = e.print.work()
@@ -109,6 +110,13 @@
 	return e
 }
 
+// subjectOf is what the length of a request's answer depends on.
+func subjectOf(r *port.GenerationRequest) length.Subject {
+	return length.Subject{
+		Model: r.Model, Organisation: r.Organisation, Route: r.Route, PromptTokens: r.PromptTokens, Hint: r.LengthHint,
+	}
+}
+
 func (s *shard) lane(e *entry) admission.Lane {
 	if len(s.runners) > 0 && e.print.peak() > shortPart*s.runners[0].capacity() {
 		return admission.LaneLong
--- a/internal/core/routing/policy_test.go
+++ b/internal/core/routing/policy_test.go
@@ -93,8 +93,8 @@
 func TestShortPassesHeldLong(t *testing.T) {
 	s := newTestScheduler(t, 1, nil)
 	for i := range 300 {
-		s.lengths.Observe("m", "o", 50, 20+i%20)
-		s.lengths.Observe("m", "o", 3000, 2000+i)
+		s.lengths.Observe(length.Subject{Model: "m", Organisation: "o", PromptTokens: 50}, 20+i%20)
+		s.lengths.Observe(length.Subject{Model: "m", Organisation: "o", PromptTokens: 3000}, 2000+i)
 	}
 	settle(s, start, 0, 780, 5)
 	wantVerdict(t, s.Submit(start, request("long", 3000)), port.VerdictHold, ReasonHeldOverflow)
@@ -113,8 +113,8 @@
 		}
 	}
 	for range 300 {
-		s.lengths.Observe("m", "flood", 3000, 1000)
-		s.lengths.Observe("m", "other", 3000, 1000)
+		s.lengths.Observe(length.Subject{Model: "m", Organisation: "flood", PromptTokens: 3000}, 1000)
+		s.lengths.Observe(length.Subject{Model: "m", Organisation: "other", PromptTokens: 3000}, 1000)
 	}
 	for i := range 6 {
 		s.Submit(start, organisationRequest(fmt.Sprint("o", i), fmt.Sprint("other", i)))
@@ -146,7 +146,7 @@
 		}
 	}
 	for range 300 {
-		s.lengths.Observe("m", "one", 3000, 200)
+		s.lengths.Observe(length.Subject{Model: "m", Organisation: "one", PromptTokens: 3000}, 200)
 	}
 	for i := range 2000 {
 		id := fmt.Sprint("o", i)
@@ -296,9 +296,9 @@
 	for range trainings {
 		e := length.NewEstimator(length.Options{})
 		for range 500 {
-			e.Observe("m", "o", 1000, draw())
+			e.Observe(length.Subject{Model: "m", Organisation: "o", PromptTokens: 1000}, draw())
 		}
-		s := e.Estimate("m", "o", 1000)
+		s := e.Estimate(length.Subject{Model: "m", Organisation: "o", PromptTokens: 1000})
 		var sum, one footprint
 		one.set(&s, 1000, 0, 0)
 		for range generations {
--- a/internal/core/routing/shard.go
+++ b/internal/core/routing/shard.go
@@ -248,16 +248,16 @@
 	switch kind {
 	case port.FinishDone:
 		e.runner.breaker.succeeded()
-		s.scheduler.lengths.Observe(r.Model, r.Organisation, r.PromptTokens, max(1, tokens))
+		s.scheduler.lengths.Observe(subjectOf(r), max(1, tokens))
 	case port.FinishElsewhere:
 		e.runner.breaker.abandoned()
 	case port.FinishCancelled:
 		e.runner.breaker.abandoned()
-		s.scheduler.lengths.ObserveCut(r.Model, r.Organisation, r.PromptTokens, tokens)
+		s.scheduler.lengths.ObserveCut(subjectOf(r), tokens)
 	default:
 		e.runner.breaker.failed(now)
 		if tokens > 0 {
-			s.scheduler.lengths.ObserveCut(r.Model, r.Organisation, r.PromptTokens, tokens)
+			s.scheduler.lengths.ObserveCut(subjectOf(r), tokens)
 		}
 	}
 }
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -73,7 +73,8 @@
 	left := x.deadline.Sub(x.req.Arrived)
 	return &port.GenerationRequest{
 		RequestID: x.req.ID, Organisation: x.req.Pass.Organisation, Pool: x.pool, Model: a.Model,
-		PromptTokens: a.PromptTokens, MaxTokens: a.MaxTokens, PrefixHashes: prefixHashes(a.Parts),
+		Route:        x.req.Pass.Route.Name,
+		PromptTokens: a.PromptTokens, MaxTokens: a.MaxTokens, LengthHint: a.LengthHint, PrefixHashes: prefixHashes(a.Parts),
 		Excluded: x.tried, Attempt: x.attempts + 1,
 		Arrived: x.req.Arrived, Deadline: x.req.Arrived.Add(left / holdPart),
 	}
--- a/internal/port/scheduler.go
+++ b/internal/port/scheduler.go
@@ -8,11 +8,15 @@
 	RequestID    string
 	Organisation string
 	// Pool is where it must run; empty for any pool that serves the model.
-	Pool         string
-	Model        string
+	Pool  string
+	Model string
+	// Route is the route that it came by; empty where there is none.
+	Route        string
 	PromptTokens int
 	// MaxTokens bounds the output; zero when the caller set none.
 	MaxTokens int
+	// LengthHint is the caller's own guess of the output; zero for none.
+	LengthHint int
 	// PrefixHashes are the hashes of the prompt's leading blocks.
 	PrefixHashes []uint64
 	// Excluded names endpoints that already failed this request.
