Operators set their own admin token; without one no admin call is served

Cause: deploy/entry.json.tmpl carried a fixed hash whose token no page told: as deployed nobody could ask why or drain, or whoever made the hash could. Ruled out: a token drawn at the start and logged, which lets in who reads logs. Before: the deployed daemon took any token with the fixed hash.

--- a/cmd/dragonfly-entry/assemble.go
+++ b/cmd/dragonfly-entry/assemble.go
@@ -130,7 +130,7 @@
 func (a *assembly) admin(store *decisions.Store, registry gometrics.Registry) *http.Server {
 	records := &httprecords.Handler{Keeper: a.keeper, Decisions: store}
 	return httpserver.New(httpadmin.New(httpadmin.Options{
-		TokenSHA256: a.settings.AdminTokenSHA256, Decisions: store, Registry: registry,
+		TokenSHA256: a.settings.AdminTokenSHA256, Logger: a.logger, Decisions: store, Registry: registry,
 		Ready: a.gateway.Ready, Drain: func() { go a.gateway.Drain(context.Background()) },
 		Register: records.Register,
 	}))
--- a/cmd/dragonfly-keeper/assemble.go
+++ b/cmd/dragonfly-keeper/assemble.go
@@ -61,7 +61,7 @@
 	a.extras = newExtras(&parts{settings: s, logger: logger, registry: registry, platform: platform, decisions: store, keeper: k})
 	records := &httprecords.Handler{Keeper: k, Decisions: store}
 	a.admin = httpserver.New(httpadmin.New(httpadmin.Options{
-		TokenSHA256: s.AdminTokenSHA256, Decisions: store, Registry: registry,
+		TokenSHA256: s.AdminTokenSHA256, Logger: logger, Decisions: store, Registry: registry,
 		Ready: k.Ready, Drain: a.startDrain,
 		Register: func(mux *http.ServeMux) {
 			records.Register(mux)
--- a/cmd/dragonfly-router/assemble.go
+++ b/cmd/dragonfly-router/assemble.go
@@ -61,7 +61,7 @@
 		KeyRetention: sys.claims.Retention, BodyTimeout: s.BodyTimeout, WriteTimeout: s.WriteTimeout,
 	}))
 	a.admin = httpserver.New(httpadmin.New(httpadmin.Options{
-		TokenSHA256: s.AdminTokenSHA256, Decisions: store, Registry: registry,
+		TokenSHA256: s.AdminTokenSHA256, Logger: logger, Decisions: store, Registry: registry,
 		Ready: func() bool { return sys.view.Synced() && !a.app.Leaving() },
 		Drain: func() { go a.app.Drain(context.Background()) },
 	}))
--- a/internal/adapter/daemon/daemon.go
+++ b/internal/adapter/daemon/daemon.go
@@ -29,8 +29,9 @@
 	Host          string `json:"host" validate:"required,ip"`
 	FailureDomain string `json:"failure_domain" validate:"required,max=64"`
 	Listen        Listen `json:"listen" validate:"required"`
-	// AdminTokenSHA256 is the hash of the operators' token, in hex.
-	AdminTokenSHA256 string `json:"admin_token_sha256" validate:"required,len=64,hexadecimal"`
+	// AdminTokenSHA256 is the hash of the operators' token, in hex. Where it is
+	// empty no admin call is served.
+	AdminTokenSHA256 string `json:"admin_token_sha256" validate:"omitempty,len=64,hexadecimal"`
 	LogLevel         string `json:"log_level" validate:"oneof=debug info warn error"`
 	// Keepers are the peer addresses tried first.
 	Keepers []string `json:"keepers" validate:"max=64,dive,hostname_port"`
--- a/internal/adapter/httpadmin/httpadmin.go
+++ b/internal/adapter/httpadmin/httpadmin.go
@@ -8,6 +8,7 @@
 	"net/http/pprof"
 	"strings"
 
+	"github.com/phuslu/log"
 	gometrics "github.com/rcrowley/go-metrics"
 
 	"github.com/dragonflyrail/dragonflyrail/internal/adapter/httpserver"
@@ -18,10 +19,13 @@
 
 // Options are what a daemon gives to its admin listener.
 type Options struct {
-	// TokenSHA256 is the hash of the admin token, in hex.
+	// TokenSHA256 is the hash of the admin token, in hex; empty serves no admin
+	// call.
 	TokenSHA256 string
-	Decisions   port.DecisionSource
-	Registry    gometrics.Registry
+	// Logger is told where no admin call is served. It may be nil.
+	Logger    *log.Logger
+	Decisions port.DecisionSource
+	Registry  gometrics.Registry
 	// Ready reports whether the daemon serves.
 	Ready func() bool
 	// Drain starts a graceful shutdown and returns at once.
@@ -57,7 +61,7 @@
 		o.Register(admin)
 	}
 	mux := http.NewServeMux()
-	mux.Handle("/", httpserver.RequireToken(o.TokenSHA256, admin))
+	mux.Handle("/", o.guard(admin))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(http.StatusOK)
 	})
@@ -65,6 +69,23 @@
 	return mux
 }
 
+// guard lets only operators in. Without a hash nobody is one: a default that
+// stood in the deployed file would let in whoever made it, on every daemon.
+func (o *Options) guard(admin http.Handler) http.Handler {
+	if o.TokenSHA256 != "" {
+		return httpserver.RequireToken(o.TokenSHA256, admin)
+	}
+	if o.Logger != nil {
+		o.Logger.Warn().Str("event", "admin_calls_off").Str("reason", "admin_token_sha256 is not set").Msg("")
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		problem.Write(w, &problem.Problem{
+			Status: http.StatusForbidden, Title: "no admin call is served: the daemon's settings name no admin token",
+			Reason: "admin_calls_off", Outcome: problem.OutcomeNotRun,
+		})
+	})
+}
+
 func (o *Options) ready(w http.ResponseWriter, _ *http.Request) {
 	if !o.Ready() {
 		problem.Write(w, &problem.Problem{
--- a/internal/adapter/httpadmin/httpadmin_test.go
+++ b/internal/adapter/httpadmin/httpadmin_test.go
@@ -1,9 +1,11 @@
 package httpadmin
 
 import (
+	"bytes"
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 
 	gometrics "github.com/rcrowley/go-metrics"
@@ -55,3 +57,40 @@
 		t.Fatalf("drained %d times, want once", drained)
 	}
 }
+
+// A daemon is deployed with the file as it stands in the repository, which names
+// no token. Nobody may ask or drain it, whatever token they send; callers' checks
+// still work, and the log says at the start why operators are turned away.
+func TestNoTokenServesNoAdminCall(t *testing.T) {
+	var lines bytes.Buffer
+	drained := 0
+	handler := New(Options{
+		Logger:    jsonlog.New(&lines, "test", "t", "info"),
+		Decisions: decisions.New(jsonlog.New(io.Discard, "test", "t", "info"), 64),
+		Registry:  gometrics.NewRegistry(),
+		Ready:     func() bool { return true },
+		Drain:     func() { drained++ },
+	})
+	for path, want := range map[string]int{
+		"/healthz": 200, "/readyz": 200, "/metrics": 403, "/admin/v1/drain": 403, "/admin/v1/explain/requests/a": 403,
+	} {
+		for _, bearer := range []string{"", "Bearer ", "Bearer x"} {
+			r := httptest.NewRequest(http.MethodGet, path, http.NoBody)
+			if path == "/admin/v1/drain" {
+				r.Method = http.MethodPost
+			}
+			r.Header.Set("Authorization", bearer)
+			w := httptest.NewRecorder()
+			handler.ServeHTTP(w, r)
+			if w.Code != want {
+				t.Errorf("%s with %q: %d, want %d", path, bearer, w.Code, want)
+			}
+		}
+	}
+	if drained != 0 {
+		t.Errorf("drained %d times", drained)
+	}
+	if !strings.Contains(lines.String(), "admin_calls_off") {
+		t.Errorf("the log says nothing of it: %s", &lines)
+	}
+}
--- a/internal/ctl/commands.go
+++ b/internal/ctl/commands.go
@@ -77,6 +77,7 @@
 		{"why", "ask for the reason of decisions", "Shows the decisions on a request, an endpoint or a configuration, with candidates and reasons.", &whyCommand{app: a}},
 		{"in-force", "show which version is in force where", "Lists each daemon with the version in force there and its age.", &inForceCommand{app: a}},
 		{"drain", "stop a daemon gracefully", "Asks a daemon to take no new callers, to finish its streams and to exit.", &drainCommand{app: a}},
+		{"hash-token", "print the hash of an admin token", "Reads a token from standard input and prints the hash that a daemon's settings name in admin_token_sha256. The token itself stays with the operators.", &hashTokenCommand{app: a}},
 		{"entry", "show which addresses callers are given", "Asks a router as a caller does: the addresses to use, in order, and how long to keep them.", &entryCommand{app: a}},
 	}
 }
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/dragonflyrail/dragonflyrail/internal/adapter/httpserver"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
 
@@ -266,3 +267,12 @@
 		t.Fatalf("%+v", got)
 	}
 }
+
+// An operator makes a token and needs what the daemons' settings name. A token
+// that is short enough to be guessed is turned down.
+func TestHashToken(t *testing.T) {
+	const token = "0123456789abcdef0123"
+	run(t, token+"\n", "hash-token").want(t, ExitOK, httpserver.HashToken(token))
+	run(t, "short", "hash-token").want(t, ExitUsage, "standard input")
+	run(t, strings.Repeat("x", mostToken+1), "hash-token").want(t, ExitUsage)
+}
