A request for a model that nobody serves is told so

Cause: router and gateway answered "overloaded" for it, so callers came back for a load that was not there. Change: cause unknown_model, with the model in the detail; still not run, with the time after which a load order can have brought one. Before: overloaded. After: TestUnknownModelIsSaid in router and gateway.

--- a/internal/gateway/calls_test.go
+++ b/internal/gateway/calls_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -291,3 +292,16 @@
 		t.Fatalf("%d retries for %d calls at one of three daemons, want at most %d", retries, calls, most)
 	}
 }
+
+// A request names a model that no runner of its route's pool serves: it is told
+// so, and that it has not run.
+func TestUnknownModelIsSaid(t *testing.T) {
+	b := newBench(t)
+	for i := range 3 {
+		b.leave(fmt.Sprint("e", i))
+	}
+	refusal := b.ask(t, "/stream/", &caller{})
+	if refusal == nil || refusal.Cause != CauseUnknownModel || refusal.Outcome != outcome.NotRun {
+		t.Fatalf("refused with %+v", refusal)
+	}
+}
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/dragonflyrail/dragonflyrail/internal/core/routing"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
 
@@ -55,6 +57,10 @@
 		return x.chosen(&placement{endpoint: d.Endpoint, generation: true}), nil
 	}
 	refusal := &Refusal{Cause: CauseOverloaded, Detail: d.Reason, RetryAfter: d.RetryAfter}
+	if d.Reason == routing.ReasonRefusedModel {
+		refusal.Cause = CauseUnknownModel
+		refusal.Detail = "no known endpoint of pool " + x.pool + " serves the model " + strconv.Quote(ask.Model)
+	}
 	x.interrupted(ctx, refusal)
 	return nil, refusal
 }
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -11,10 +11,12 @@
 
 // The causes. They are stable: logs and counters name them.
 const (
-	CauseNotSynced      Cause = "routes_unknown"
-	CauseNoRoute        Cause = "no_route"
-	CauseNoKey          Cause = "unknown_key"
-	CauseNoEndpoint     Cause = "no_endpoint"
+	CauseNotSynced  Cause = "routes_unknown"
+	CauseNoRoute    Cause = "no_route"
+	CauseNoKey      Cause = "unknown_key"
+	CauseNoEndpoint Cause = "no_endpoint"
+	// CauseUnknownModel: no endpoint of the route's pool serves the model.
+	CauseUnknownModel   Cause = "unknown_model"
 	CauseOverloaded     Cause = "overloaded"
 	CauseEndpointFailed Cause = "endpoint_failed"
 	CauseTimeout        Cause = "timeout"
--- a/internal/router/fake_test.go
+++ b/internal/router/fake_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/dragonflyrail/dragonflyrail/internal/core/breaker"
+	"github.com/dragonflyrail/dragonflyrail/internal/core/routing"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/stream"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 	"github.com/dragonflyrail/dragonflyrail/internal/testkit/fakes"
@@ -89,6 +90,8 @@
 	withdrawn int
 	finished  []port.FinishKind
 	reports   int
+	// unserved: no endpoint serves the model.
+	unserved bool
 }
 
 // fakeVersion is the routing configuration behind every placement.
@@ -110,7 +113,11 @@
 			return port.Decision{Verdict: port.VerdictPlace, Endpoint: e, Reason: "first", ConfigurationVersion: fakeVersion}
 		}
 	}
-	return port.Decision{Verdict: port.VerdictRefuse, Reason: "none left", RetryAfter: time.Second}
+	reason := "none left"
+	if s.unserved {
+		reason = routing.ReasonRefusedModel
+	}
+	return port.Decision{Verdict: port.VerdictRefuse, Reason: reason, RetryAfter: time.Second}
 }
 
 func (s *scheduler) Ready(string) <-chan struct{} { return s.ready }
--- a/internal/router/generate.go
+++ b/internal/router/generate.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/dragonflyrail/dragonflyrail/internal/core/outcome"
+	"github.com/dragonflyrail/dragonflyrail/internal/core/routing"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/stream"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
@@ -124,14 +125,25 @@
 				return d, refusal
 			}
 		default:
-			return d, &Refusal{
-				Cause: CauseOverloaded, Detail: d.Reason, DecisionID: g.decision,
-				RetryAfter: d.RetryAfter, LastIndex: -1,
-			}
+			return d, g.unplaced(&d)
 		}
 	}
 }
 
+// unplaced is the refusal of what the scheduler refused. A caller that names a
+// model which nobody serves must not look for a load that it could wait out.
+func (g *generation) unplaced(d *port.Decision) *Refusal {
+	refusal := &Refusal{
+		Cause: CauseOverloaded, Detail: d.Reason, DecisionID: g.decision,
+		RetryAfter: d.RetryAfter, LastIndex: -1,
+	}
+	if d.Reason == routing.ReasonRefusedModel {
+		refusal.Cause = CauseUnknownModel
+		refusal.Detail = "no known endpoint serves the model " + strconv.Quote(g.ask.Model)
+	}
+	return refusal
+}
+
 // hold waits until the request should be submitted again. It never outlasts
 // the deadline: a caller that is given up hears it at once.
 func (g *generation) hold(ctx context.Context, now time.Time, d *port.Decision) *Refusal {
--- a/internal/router/generate_test.go
+++ b/internal/router/generate_test.go
@@ -380,3 +380,14 @@
 		t.Fatalf("told the scheduler %v", b.scheduler.finished)
 	}
 }
+
+// A caller names a model that no endpoint serves. It is told so: "overloaded" made
+// its callers come back again and again for a load that was not there.
+func TestUnknownModelIsSaid(t *testing.T) {
+	b := newBench(testOptions("r1"))
+	b.scheduler.unserved = true
+	refusal := b.generate(&reader{}, true)
+	if refusal == nil || refusal.Cause != CauseUnknownModel || refusal.Outcome != outcome.NotRun {
+		t.Fatalf("refused with %+v", refusal)
+	}
+}
--- a/internal/router/refusal.go
+++ b/internal/router/refusal.go
@@ -11,9 +11,11 @@
 
 // The causes. They are the reasons that callers read.
 const (
-	CauseOverloaded     Cause = "overloaded"
-	CauseHeldTooLong    Cause = "held_too_long"
-	CauseNoEndpoint     Cause = "no_endpoint"
+	CauseOverloaded  Cause = "overloaded"
+	CauseHeldTooLong Cause = "held_too_long"
+	CauseNoEndpoint  Cause = "no_endpoint"
+	// CauseUnknownModel: no endpoint that is known serves the model.
+	CauseUnknownModel   Cause = "unknown_model"
 	CauseEndpointFailed Cause = "endpoint_failed"
 	CauseRejected       Cause = "rejected_by_engine"
 	CauseRetriesSpent   Cause = "retry_budget_spent"
