--- a/internal/core/routing/relocate.go
+++ b/internal/core/routing/relocate.go
@@ -53,7 +53,8 @@
 
 // rankDestinations scores the runners that could take over a run. It is about
 // to be lost where it is, so any chance of overflow later is accepted; only
-// room that is missing now is not.
+// room that is missing now, or as soon as those there have grown a little, is
+// not: a run that takes the last room stalls another one there.
 func (s *shard) rankDestinations(now time.Time, e *entry, terms port.Relocation, out *ranking) {
 	q := s.query(now, e)
 	runners := s.byModel[e.request.Model]
@@ -75,7 +76,7 @@
 			c.excluded = ExcludedBreaker
 		case r.endpoint.Slots > 0 && r.count() >= float64(r.endpoint.Slots):
 			c.excluded = ExcludedBatch
-		case used+e.context() > capacity:
+		case used+e.context()+growthRoom*r.count() > capacity:
 			c.excluded = ExcludedOverflow
 		}
 		out.note(&c)
--- a/internal/core/routing/relocate_test.go
+++ b/internal/core/routing/relocate_test.go
@@ -128,3 +128,34 @@
 type nopTB struct{ testing.TB }
 
 func (nopTB) Helper() {}
+
+// A run must move and its only possible runner has just its room left. The runs
+// there grow while it is copied: moved into the last room it stalls one of them.
+// With room for some growth it moves.
+func TestMovesLeaveRoomForThoseThereToGrow(t *testing.T) {
+	const prompt, grown = 3000, 400
+	for _, c := range []struct {
+		name  string
+		spare int
+		want  port.Verdict
+	}{
+		{"the last room", 0, port.VerdictRefuse},
+		{"room for the growth of one run", growthRoom, port.VerdictPlace},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newTestScheduler(t, 0, nil)
+			es := inDomains(2, "a")
+			es[1].CacheTokens = prompt + grown + prompt + c.spare
+			s.SetEndpoints(start, es)
+			run := request("run", prompt)
+			there := request("there", prompt)
+			there.Excluded, run.Excluded = []string{"runner-0"}, []string{"runner-1"}
+			wantVerdict(t, s.Submit(start, there), port.VerdictPlace, ReasonPlaced)
+			wantVerdict(t, s.Submit(start, run), port.VerdictPlace, ReasonPlaced)
+			s.Progress(at(time.Second), "run", grown)
+			if d := s.Relocate(at(time.Second), "run", port.Relocation{FailureDomain: "a"}); d.Verdict != c.want {
+				t.Fatalf("%v for %q, want %v", d.Verdict, d.Reason, c.want)
+			}
+		})
+	}
+}
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -140,7 +140,6 @@
 		r.p.endpoint = at
 		r.x.delivered.Runners++
 		r.x.release(r.run.reads(at, next.Body))
-		r.x.g.moveIfLeaving(r.run)
 		return next
 	}
 	return nil
