why request says when a caller had its stream

Cause: why showed the decisions on a late report, but not where its time went; only the log line of its end did. Change: a line from what the end of a stream records: time until a place, from there to the first event, the longest pause and before which event, runners.

--- a/internal/ctl/why.go
+++ b/internal/ctl/why.go
@@ -274,6 +274,11 @@
 			return err
 		}
 	}
+	for i := range x.Decisions {
+		if d := x.Decisions[i].Delivered; d != nil {
+			c.app.note("%s", deliveryText(d))
+		}
+	}
 	if err := c.printCandidates(x); err != nil {
 		return err
 	}
@@ -293,6 +298,20 @@
 	}
 }
 
+// deliveryText says what the caller had of a stream, and when: where a late
+// answer lost its time.
+func deliveryText(d *port.Delivery) string {
+	read := d.FirstMillis - d.HeldMillis
+	text := fmt.Sprintf("the caller had %d events: %d ms until a place, %d ms from there to the first event", d.Events, d.HeldMillis, read)
+	if d.GapMillis > 0 {
+		text += fmt.Sprintf(", the longest pause %d ms before event %d", d.GapMillis, d.GapEvent)
+	}
+	if d.Runners > 1 {
+		text += fmt.Sprintf(", from %d runners", d.Runners)
+	}
+	return text
+}
+
 // printCandidates shows the scores of the newest decision that has some.
 func (c *whyCommand) printCandidates(x *explained) error {
 	for _, d := range slices.Backward(x.Decisions) {
