Logs tell from whom a record came and what a lost link carried

Of a version that was late at some daemons the log said neither who had sent it nor how large it was, and 'peer: silent' stood for frozen peers and for links that were busy to the last moment. record_heard, the bytes and the quiet time of a lost link, and counters of bytes are there to tell these apart; one line for each new version, and lost links had their line already.

--- a/internal/adapter/grpcpeer/keeper.go
+++ b/internal/adapter/grpcpeer/keeper.go
@@ -153,6 +153,7 @@
 func (s *session) receive(h *peerv1.Heartbeat) {
 	if w := h.GetMember(); w.GetId() != "" {
 		s.member = memberFromWire(w)
+		s.link.SetPeer(s.member.ID)
 	}
 	if h.GetSequence() != 0 {
 		// Asked with each heartbeat, as the ring changes.
--- a/internal/adapter/grpcpeer/subscriber.go
+++ b/internal/adapter/grpcpeer/subscriber.go
@@ -44,6 +44,8 @@
 type Subscriber struct {
 	Node     *node.Node
 	Identity *Identity
+	// Peer names the keeper in what is logged of it.
+	Peer string
 	// HeartbeatEvery and SilenceAfter default to the constants.
 	HeartbeatEvery time.Duration
 	SilenceAfter   time.Duration
@@ -86,6 +88,7 @@
 		return merry.Prepend(ErrPeerLost, err.Error())
 	}
 	link := s.Node.Open(true)
+	link.SetPeer(s.Peer)
 	defer link.Close()
 	// A frozen keeper's kernel keeps the connection open: only the silence
 	// shows it. The symptom would be a router that stays on old records.
--- a/internal/core/spread/node/link.go
+++ b/internal/core/spread/node/link.go
@@ -47,6 +47,8 @@
 	peerComplete atomic.Bool
 	// holdsEndpoints: what is new of endpoints stays queued.
 	holdsEndpoints atomic.Bool
+	// peer names the other end in what is told of records.
+	peer atomic.Pointer[string]
 	// ticks counts towards the next time an incomplete node asks again.
 	ticks atomic.Uint32
 }
@@ -66,6 +68,16 @@
 	return l
 }
 
+// SetPeer names the other end.
+func (l *Link) SetPeer(name string) { l.peer.Store(&name) }
+
+func (l *Link) peerName() string {
+	if name := l.peer.Load(); name != nil {
+		return *name
+	}
+	return ""
+}
+
 // Close removes the link.
 func (l *Link) Close() {
 	l.node.mu.Lock()
@@ -135,6 +147,7 @@
 		raise(&l.node.highestKnown, r.Version)
 		key := spread.RecordKey(r.Kind, r.Name)
 		l.node.spread(l, func(o *Link) { o.records.Dirty(key) })
+		l.node.heardRecord(&r, l.peerName())
 	}
 	for _, e := range l.endpoints.Receive(&m.Endpoints) {
 		l.node.spread(l, func(o *Link) { o.endpoints.Dirty(e.ID) })
--- a/internal/core/spread/node/node.go
+++ b/internal/core/spread/node/node.go
@@ -24,6 +24,9 @@
 	highestKnown atomic.Uint64
 	complete     atomic.Bool
 
+	// onRecord is told of each record that is new here.
+	onRecord func(r *port.Record, from string)
+
 	mu      sync.Mutex
 	links   map[*Link]struct{}
 	changed chan struct{}
@@ -40,6 +43,16 @@
 	}
 }
 
+// OnRecord has f told of each record that is new here, and of the peer that
+// it came from, empty for the platform. It is set before any link is opened.
+func (n *Node) OnRecord(f func(r *port.Record, from string)) { n.onRecord = f }
+
+func (n *Node) heardRecord(r *port.Record, from string) {
+	if n.onRecord != nil {
+		n.onRecord(r, from)
+	}
+}
+
 // PutRecord merges a record from the platform and passes it on.
 func (n *Node) PutRecord(r port.Record) bool { return n.applyRecord(r, nil) }
 
@@ -69,6 +82,7 @@
 	raise(&n.highestKnown, r.Version)
 	key := spread.RecordKey(r.Kind, r.Name)
 	n.spread(from, func(l *Link) { l.records.Dirty(key) })
+	n.heardRecord(&r, "")
 	return true
 }
 
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -172,6 +172,9 @@
 	// ownVersion is since when the highest version held here is.
 	ownVersion versionClock
 
+	// bytesSent and bytesReceived count what links that have ended carried.
+	bytesSent, bytesReceived gometrics.Counter
+
 	// failing counts the watches whose last call failed.
 	failing atomic.Int32
 
@@ -191,6 +194,9 @@
 		identity: grpcpeer.NewIdentity(o.Self),
 		hearing:  membership.NewHearing(),
 	}
+	k.bytesSent = gometrics.GetOrRegisterCounter("keeper_links_sent_bytes_total", o.Registry)
+	k.bytesReceived = gometrics.GetOrRegisterCounter("keeper_links_received_bytes_total", o.Registry)
+	k.node.OnRecord(k.logRecord)
 	k.duty = duty{fallbackAfter: o.FallbackAfter, started: time.Now()}
 	k.SetSeeds(o.Keepers)
 	k.introduce()
--- a/internal/keeper/links.go
+++ b/internal/keeper/links.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"google.golang.org/grpc"
+
 	"github.com/dragonflyrail/dragonflyrail/internal/adapter/grpcpeer"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/membership"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
@@ -107,19 +109,27 @@
 }
 
 func (k *Keeper) linkOnce(ctx context.Context, address string) {
-	conn, err := grpcpeer.Dial(address, k.options.DialOptions...)
+	var traffic grpcpeer.Traffic
+	options := append([]grpc.DialOption{traffic.DialOption()}, k.options.DialOptions...)
+	conn, err := grpcpeer.Dial(address, options...)
 	if err != nil {
 		return
 	}
 	defer conn.Close()
+	began := time.Now()
 	s := &grpcpeer.Subscriber{
-		Node: k.node, Identity: k.identity,
+		Node: k.node, Identity: k.identity, Peer: address,
 		HeartbeatEvery: k.options.HeartbeatEvery, SilenceAfter: k.options.SilenceAfter,
 		HeardAge: k.heardAge, OwnAge: k.ageNow,
 	}
 	err = s.Run(ctx, conn)
+	now := time.Now()
+	k.bytesSent.Inc(traffic.Sent())
+	k.bytesReceived.Inc(traffic.Received())
 	if ctx.Err() == nil {
-		k.options.Logger.Info().Str("event", "keeper_link_lost").Str("keeper", address).Err(err).Msg("")
+		k.options.Logger.Info().Str("event", "keeper_link_lost").Str("keeper", address).
+			Int64("after_ms", now.Sub(began).Milliseconds()).Int64("quiet_ms", *port.AgeMillis(traffic.Quiet(now))).
+			Int64("bytes_sent", traffic.Sent()).Int64("bytes_received", traffic.Received()).Err(err).Msg("")
 	}
 }
 
