--- /dev/null
+++ b/internal/adapter/grpcpeer/slowlinks_test.go
@@ -0,0 +1,297 @@
+package grpcpeer
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/dragonflyrail/dragonflyrail/internal/core/membership"
+	"github.com/dragonflyrail/dragonflyrail/internal/core/route"
+	"github.com/dragonflyrail/dragonflyrail/internal/core/spread/node"
+	"github.com/dragonflyrail/dragonflyrail/internal/port"
+)
+
+// The fleet and the table that the tests play.
+const (
+	slowDaemons  = 66
+	slowWatchers = 5
+	tableRoutes  = 4200
+	addedRoutes  = 1400
+	// slowLink is 10 Mbit/s in bytes a second, each way.
+	slowLink = 10e6 / 8
+	// linkDelay is one way between two hosts.
+	linkDelay = 1500 * time.Microsecond
+	// slowBeat and slowSilence are an entry daemon's settings.
+	slowBeat    = 250 * time.Millisecond
+	slowSilence = time.Second
+	// inForceWithin is what is left of three seconds once a watcher has read a
+	// megabyte from the store over such a link.
+	inForceWithin = 2 * time.Second
+	// changeBytes is what one change may cost a daemon: 2 KB/s at 9,200 a day.
+	changeBytes = 2000 * 86400 / 9200
+)
+
+// tableOf draws a table as operators write them: names that say nothing, on
+// one host, to two pools.
+func tableOf(version uint64, routes int) *route.Table {
+	random := rand.New(rand.NewPCG(1, 2))
+	word := func(n int) string {
+		b := make([]byte, n)
+		for i := range b {
+			b[i] = "abcdefghijklmnopqrstuvwxyz0123456789"[random.IntN(36)]
+		}
+		return string(b)
+	}
+	t := &route.Table{Schema: route.SchemaVersion, Version: version}
+	for range routes {
+		t.Routes = append(t.Routes, route.Route{
+			Name: "r-" + word(7), Host: "halls.example", PathPrefix: "/" + word(8) + "/", Repeat: route.RepeatSafe,
+			Targets: []route.Target{{Pool: "depot-app", Weight: 1}}, MaxAttempts: 2, Timeout: 1500 * time.Millisecond,
+			Objective: 150 * time.Millisecond, Rank: 2, Open: random.IntN(2) == 0,
+		})
+	}
+	return t
+}
+
+func tableRecord(t *route.Table) port.Record {
+	return port.Record{Kind: route.RecordKind, Name: "main", Version: t.Version, Body: t.Encode()}
+}
+
+// slowEnd is one daemon's end of a link.
+type slowEnd struct {
+	owner, peer int
+	link        *node.Link
+	busy        bool
+	heard       time.Duration
+	quietest    time.Duration
+}
+
+// event is something that happens at a time of its own.
+type event struct {
+	at    time.Duration
+	order int
+	run   func()
+}
+
+type events []event
+
+func (q events) Len() int { return len(q) }
+func (q events) Less(i, j int) bool {
+	return cmp.Or(cmp.Compare(q[i].at, q[j].at), cmp.Compare(q[i].order, q[j].order)) < 0
+}
+func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *events) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *events) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+// slowFleet joins nodes on the ring over links of limited speed, on a clock of
+// its own. What a host sends leaves one message after the other.
+type slowFleet struct {
+	now    time.Duration
+	queue  events
+	order  int
+	nodes  []*node.Node
+	ends   [][]*slowEnd
+	upFree []time.Duration
+	inFree []time.Duration
+	sent   []int
+}
+
+func newSlowFleet(daemons int) *slowFleet {
+	f := &slowFleet{
+		ends: make([][]*slowEnd, daemons), upFree: make([]time.Duration, daemons),
+		inFree: make([]time.Duration, daemons), sent: make([]int, daemons),
+	}
+	var members []membership.Member
+	index := map[string]int{}
+	for i := range daemons {
+		f.nodes = append(f.nodes, node.New())
+		id := fmt.Sprintf("entry-%d", i)
+		index[id] = i
+		members = append(members, membership.Member{ID: id})
+	}
+	ring := membership.NewRing(members)
+	for i := range members {
+		for _, m := range ring.Neighbours(members[i].ID) {
+			f.connect(i, index[m.ID])
+		}
+	}
+	return f
+}
+
+func (f *slowFleet) connect(from, to int) {
+	a := &slowEnd{owner: from, peer: to, link: f.nodes[from].Open(true)}
+	b := &slowEnd{owner: to, peer: from, link: f.nodes[to].Open(false)}
+	f.ends[from] = append(f.ends[from], a)
+	f.ends[to] = append(f.ends[to], b)
+	f.serve(a, b)
+	f.serve(b, a)
+}
+
+func (f *slowFleet) after(d time.Duration, run func()) {
+	f.order++
+	heap.Push(&f.queue, event{at: f.now + d, order: f.order, run: run})
+}
+
+// serve has one end beat, each with an offset of its own.
+func (f *slowFleet) serve(e, other *slowEnd) {
+	var beat func()
+	beat = func() {
+		if !e.busy {
+			e.link.Tick()
+			f.transmit(e, other)
+		}
+		f.after(slowBeat, beat)
+	}
+	f.after(time.Duration(f.order%int(slowBeat/time.Millisecond))*time.Millisecond, beat)
+	var poll func()
+	poll = func() {
+		if !e.busy {
+			select {
+			case <-e.link.Woken():
+				f.transmit(e, other)
+			default:
+			}
+		}
+		f.after(coalesce, poll)
+	}
+	f.after(coalesce, poll)
+}
+
+// transmit sends what the end has to say now; the end is busy until its host's
+// link has carried it.
+func (f *slowFleet) transmit(e, other *slowEnd) {
+	m := e.link.Next()
+	size := proto.Size(updateToWire(&m))
+	took := time.Duration(float64(size) / slowLink * float64(time.Second))
+	f.sent[e.owner] += size
+	e.busy = true
+	f.upFree[e.owner] = max(f.upFree[e.owner], f.now) + took
+	f.after(f.upFree[e.owner]-f.now, func() {
+		e.busy = false
+		f.inFree[e.peer] = max(f.inFree[e.peer]+took, f.now)
+		f.after(f.inFree[e.peer]-f.now+linkDelay, func() { f.deliver(other, &m) })
+	})
+}
+
+func (f *slowFleet) deliver(e *slowEnd, m *node.Message) {
+	e.quietest = max(e.quietest, f.now-e.heard)
+	e.heard = f.now
+	e.link.Receive(m)
+}
+
+func (f *slowFleet) runUntil(until time.Duration) {
+	for len(f.queue) > 0 && f.queue[0].at <= until {
+		e := heap.Pop(&f.queue).(event)
+		f.now = e.at
+		e.run()
+	}
+	f.now = until
+}
+
+// put is the watchers' read of a version.
+func (f *slowFleet) put(r port.Record) {
+	for i := range slowWatchers {
+		f.nodes[i*len(f.nodes)/slowWatchers].PutRecord(r)
+	}
+}
+
+// behind counts the daemons that don't have the whole of a version in force.
+func (f *slowFleet) behind(want port.Record) int {
+	behind := 0
+	for _, n := range f.nodes {
+		held := LiveRecords(n)
+		if len(held) != 1 || held[0].Version < want.Version || string(held[0].Body) != string(want.Body) {
+			behind++
+		}
+	}
+	return behind
+}
+
+func (f *slowFleet) quietest() time.Duration {
+	var longest time.Duration
+	for _, ends := range f.ends {
+		for _, e := range ends {
+			longest = max(longest, e.quietest, f.now-e.heard)
+		}
+	}
+	return longest
+}
+
+// startedFleet is a fleet in which all hold the table.
+func startedFleet(t *testing.T, table *route.Table) *slowFleet {
+	t.Helper()
+	f := newSlowFleet(slowDaemons)
+	for _, n := range f.nodes {
+		n.PutRecord(tableRecord(table))
+		n.SetComplete()
+	}
+	f.runUntil(30 * time.Second)
+	for i, ends := range f.ends {
+		f.sent[i] = 0
+		for _, e := range ends {
+			e.quietest = 0
+		}
+	}
+	if n := f.behind(tableRecord(table)); n != 0 {
+		t.Fatalf("%d daemons don't hold the table that all began with", n)
+	}
+	return f
+}
+
+// Callers ask for routes that operators added and had acknowledged seconds
+// before, and are told that there is no such route. Operators grow a table of
+// thousands of routes and then change it again, while daemons' links carry
+// 10 Mbit/s.
+func TestLargeTableIsInForceInTime(t *testing.T) {
+	f := startedFleet(t, tableOf(1, tableRoutes))
+	began := f.now
+	latest := tableOf(2, tableRoutes+addedRoutes)
+	f.put(tableRecord(latest))
+	for v := uint64(3); v <= 8; v++ {
+		f.runUntil(f.now + 250*time.Millisecond)
+		latest = tableOf(v, tableRoutes+addedRoutes)
+		latest.Routes[int(v)*100].MaxAttempts = 3
+		f.put(tableRecord(latest))
+	}
+	written := f.now
+	for f.behind(tableRecord(latest)) > 0 && f.now < began+time.Minute {
+		f.runUntil(f.now + 50*time.Millisecond)
+	}
+	if took := f.now - written; took > inForceWithin {
+		t.Errorf("the last version is in force everywhere after %v, want within %v", took, inForceWithin)
+	}
+	if quiet := f.quietest(); quiet >= slowSilence {
+		t.Errorf("a link had no whole message for %v and is cut after %v", quiet, slowSilence)
+	}
+}
+
+// A change of one route among thousands is sent as what changed: at the rate
+// of changes that is planned for, whole tables alone would be fifty times what
+// a daemon may spend on control, and stand before all else on its links.
+func TestChangeOfOneRouteCostsWhatChanged(t *testing.T) {
+	f := startedFleet(t, tableOf(1, tableRoutes))
+	f.runUntil(f.now + 2*time.Second)
+	idle := append([]int(nil), f.sent...)
+	clear(f.sent)
+	next := tableOf(2, tableRoutes)
+	next.Routes[tableRoutes/2].Timeout += time.Second
+	f.put(tableRecord(next))
+	f.runUntil(f.now + 2*time.Second)
+	if n := f.behind(tableRecord(next)); n != 0 {
+		t.Errorf("%d daemons don't have the change in force after 2 s", n)
+	}
+	for i, sent := range f.sent {
+		if cost := sent - idle[i]; cost > changeBytes {
+			t.Fatalf("daemon %d sent %d bytes for the change, want %d at most", i, cost, changeBytes)
+		}
+	}
+}
