Large records are passed on in parts; one changed route costs what changed

Callers saw 404 for routes acknowledged three seconds before, on 66 daemons with links of 10 Mbit/s and tables of 4,200 routes.

Cause: each daemon sent the whole table (884 KB) to each of its four or so neighbours for each version. Heartbeats, and the news that the store had answered, stood behind tables: links were cut as silent in the middle of one and began it again, and all daemons read the store themselves. Class: state is passed on whole where a change would do, without bounds on a message, so that bulk blocks control. Mend: content-defined parts, asked for by name from one neighbour, in messages of 16 KB; in force once whole.

Compressing whole bodies: 13 KB/s at the planned rate of changes.

Before and after (go test -v -run 'LargeTable|Rewritten|ChangeOfOne' ./internal/adapter/grpcpeer): last of seven versions in force everywhere 13.45 s, now 0.15 s (aim 2 s); longest without a message on a link 5.2 s, now 0.25 s (cut after 1 s); one changed route 3,374,779 bytes at the dearest daemon, now 17,749 (aim 18,782). The test's links sent empty messages for nothing, which hid silence; they no longer do, and the code before still fails.

Conclusion: what a change costs no longer depends on the table's size.

--- a/internal/adapter/grpcpeer/convert.go
+++ b/internal/adapter/grpcpeer/convert.go
@@ -5,6 +5,8 @@
 package grpcpeer
 
 import (
+	"google.golang.org/protobuf/proto"
+
 	peerv1 "github.com/dragonflyrail/dragonflyrail/api/peer/v1"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/membership"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/spread"
@@ -20,6 +22,24 @@
 	return port.Record{Kind: r.GetKind(), Name: r.GetName(), Version: r.GetVersion(), Body: r.GetDocument(), Deleted: r.GetDeleted()}
 }
 
+func revisionToWire(r spread.Revision) *peerv1.Record {
+	w := recordToWire(r.Record)
+	w.Parts, w.Sum = partIDsToWire(r.Parts), r.Sum
+	return w
+}
+
+func revisionFromWire(r *peerv1.Record) spread.Revision {
+	return spread.Revision{Record: recordFromWire(r), Parts: partIDsFromWire(r.GetParts()), Sum: r.GetSum()}
+}
+
+func partIDsToWire(ids []spread.PartID) []uint64 {
+	return mapSlice(ids, func(id spread.PartID) uint64 { return uint64(id) })
+}
+
+func partIDsFromWire(ids []uint64) []spread.PartID {
+	return mapSlice(ids, func(id uint64) spread.PartID { return spread.PartID(id) })
+}
+
 func endpointToWire(e membership.Endpoint) *peerv1.Endpoint {
 	return &peerv1.Endpoint{
 		Id: e.ID, Kind: string(e.Kind), Pool: e.Pool, Address: e.Address,
@@ -98,8 +118,12 @@
 
 		HighestVersion: m.HighestVersion,
 		Complete:       m.Complete,
+		Parts:          m.Parts,
+		WantedParts:    partIDsToWire(m.WantedParts),
+		TakesParts:     m.TakesParts,
+		Fallbacks:      mapSlice(m.Fallbacks, revisionToWire),
 	}
-	if s.Records == nil && s.Endpoints == nil && s.Members == nil && s.HighestVersion == 0 && !s.Complete {
+	if proto.Size(s) == 0 {
 		return nil
 	}
 	return s
@@ -108,7 +132,7 @@
 func updateToWire(m *node.Message) *peerv1.Update {
 	return &peerv1.Update{
 		Complete:  m.Complete,
-		Records:   mapSlice(m.Records.Entries, recordToWire),
+		Records:   mapSlice(m.Records.Entries, revisionToWire),
 		Endpoints: mapSlice(m.Endpoints.Entries, endpointToWire),
 		Members:   mapSlice(m.Members.Entries, memberToWire),
 		Sync:      syncToWire(m),
@@ -118,11 +142,15 @@
 // messageFromWire joins what either direction of a stream carries.
 func messageFromWire(s *peerv1.Sync, rs []*peerv1.Record, es []*peerv1.Endpoint, ms []*peerv1.Member) node.Message {
 	return node.Message{
-		Records:        stepFromWire(s.GetRecords(), mapSlice(rs, recordFromWire)),
+		Records:        stepFromWire(s.GetRecords(), mapSlice(rs, revisionFromWire)),
 		Endpoints:      stepFromWire(s.GetEndpoints(), mapSlice(es, endpointFromWire)),
 		Members:        stepFromWire(s.GetMembers(), mapSlice(ms, memberFromWire)),
 		HighestVersion: s.GetHighestVersion(),
 		Complete:       s.GetComplete(),
+		Parts:          s.GetParts(),
+		WantedParts:    partIDsFromWire(s.GetWantedParts()),
+		TakesParts:     s.GetTakesParts(),
+		Fallbacks:      mapSlice(s.GetFallbacks(), revisionFromWire),
 	}
 }
 
@@ -132,7 +160,7 @@
 
 func heartbeatToWire(m *node.Message) *peerv1.Heartbeat {
 	return &peerv1.Heartbeat{
-		Records:           mapSlice(m.Records.Entries, recordToWire),
+		Records:           mapSlice(m.Records.Entries, revisionToWire),
 		ObservedEndpoints: mapSlice(m.Endpoints.Entries, endpointToWire),
 		KnownMembers:      mapSlice(m.Members.Entries, memberToWire),
 		Sync:              syncToWire(m),
--- a/internal/adapter/grpcpeer/slowlinks_test.go
+++ b/internal/adapter/grpcpeer/slowlinks_test.go
@@ -1,6 +1,7 @@
 package grpcpeer
 
 import (
+	"bytes"
 	"cmp"
 	"container/heap"
 	"fmt"
@@ -66,9 +67,12 @@
 type slowEnd struct {
 	owner, peer int
 	link        *node.Link
-	busy        bool
-	heard       time.Duration
-	quietest    time.Duration
+	other       *slowEnd
+	// busy: the host's link carries a message of this end. due: one is to be
+	// sent, as soon as the link is free.
+	busy, due bool
+	heard     time.Duration
+	quietest  time.Duration
 }
 
 // event is something that happens at a time of its own.
@@ -130,10 +134,11 @@
 func (f *slowFleet) connect(from, to int) {
 	a := &slowEnd{owner: from, peer: to, link: f.nodes[from].Open(true)}
 	b := &slowEnd{owner: to, peer: from, link: f.nodes[to].Open(false)}
+	a.other, b.other = b, a
 	f.ends[from] = append(f.ends[from], a)
 	f.ends[to] = append(f.ends[to], b)
-	f.serve(a, b)
-	f.serve(b, a)
+	f.beat(a)
+	f.beat(b)
 }
 
 func (f *slowFleet) after(d time.Duration, run func()) {
@@ -141,36 +146,48 @@
 	heap.Push(&f.queue, event{at: f.now + d, order: f.order, run: run})
 }
 
-// serve has one end beat, each with an offset of its own.
-func (f *slowFleet) serve(e, other *slowEnd) {
+// beat has one end send heartbeats, each with an offset of its own.
+func (f *slowFleet) beat(e *slowEnd) {
 	var beat func()
 	beat = func() {
 		if !e.busy {
 			e.link.Tick()
-			f.transmit(e, other)
+			m := e.link.Next()
+			f.transmit(e, &m)
 		}
 		f.after(slowBeat, beat)
 	}
 	f.after(time.Duration(f.order%int(slowBeat/time.Millisecond))*time.Millisecond, beat)
-	var poll func()
-	poll = func() {
-		if !e.busy {
-			select {
-			case <-e.link.Woken():
-				f.transmit(e, other)
-			default:
-			}
+}
+
+// stir has the ends of one daemon send what they were woken for, after the time
+// that holds bursts together.
+func (f *slowFleet) stir(daemon int) {
+	for _, e := range f.ends[daemon] {
+		select {
+		case <-e.link.Woken():
+			f.after(coalesce, func() {
+				e.due = true
+				f.sendDue(e)
+			})
+		default:
 		}
-		f.after(coalesce, poll)
 	}
-	f.after(coalesce, poll)
 }
 
-// transmit sends what the end has to say now; the end is busy until its host's
-// link has carried it.
-func (f *slowFleet) transmit(e, other *slowEnd) {
-	m := e.link.Next()
-	size := proto.Size(updateToWire(&m))
+func (f *slowFleet) sendDue(e *slowEnd) {
+	if !e.due || e.busy {
+		return
+	}
+	e.due = false
+	if m := e.link.Next(); !m.Empty() {
+		f.transmit(e, &m)
+	}
+}
+
+// transmit sends a message; the end is busy until its host's link has carried it.
+func (f *slowFleet) transmit(e *slowEnd, m *node.Message) {
+	size := proto.Size(updateToWire(m))
 	took := time.Duration(float64(size) / slowLink * float64(time.Second))
 	f.sent[e.owner] += size
 	e.busy = true
@@ -178,7 +195,9 @@
 	f.after(f.upFree[e.owner]-f.now, func() {
 		e.busy = false
 		f.inFree[e.peer] = max(f.inFree[e.peer]+took, f.now)
-		f.after(f.inFree[e.peer]-f.now+linkDelay, func() { f.deliver(other, &m) })
+		f.after(f.inFree[e.peer]-f.now+linkDelay, func() { f.deliver(e.other, m) })
+		f.sendDue(e)
+		f.stir(e.owner)
 	})
 }
 
@@ -186,6 +205,7 @@
 	e.quietest = max(e.quietest, f.now-e.heard)
 	e.heard = f.now
 	e.link.Receive(m)
+	f.stir(e.owner)
 }
 
 func (f *slowFleet) runUntil(until time.Duration) {
@@ -200,7 +220,9 @@
 // put is the watchers' read of a version.
 func (f *slowFleet) put(r port.Record) {
 	for i := range slowWatchers {
-		f.nodes[i*len(f.nodes)/slowWatchers].PutRecord(r)
+		watcher := i * len(f.nodes) / slowWatchers
+		f.nodes[watcher].PutRecord(r)
+		f.stir(watcher)
 	}
 }
 
@@ -209,7 +231,15 @@
 	behind := 0
 	for _, n := range f.nodes {
 		held := LiveRecords(n)
-		if len(held) != 1 || held[0].Version < want.Version || string(held[0].Body) != string(want.Body) {
+		if len(held) != 1 || held[0].Version < want.Version {
+			behind++
+		}
+	}
+	if behind > 0 {
+		return behind
+	}
+	for _, n := range f.nodes {
+		if !bytes.Equal(LiveRecords(n)[0].Body, want.Body) {
 			behind++
 		}
 	}
@@ -230,11 +260,9 @@
 func startedFleet(t *testing.T, table *route.Table) *slowFleet {
 	t.Helper()
 	f := newSlowFleet(slowDaemons)
-	for _, n := range f.nodes {
-		n.PutRecord(tableRecord(table))
-		n.SetComplete()
-	}
-	f.runUntil(30 * time.Second)
+	f.put(tableRecord(table))
+	f.nodes[0].SetComplete()
+	f.runUntil(3 * time.Second)
 	for i, ends := range f.ends {
 		f.sent[i] = 0
 		for _, e := range ends {
@@ -250,8 +278,13 @@
 // Callers ask for routes that operators added and had acknowledged seconds
 // before, and are told that there is no such route. Operators grow a table of
 // thousands of routes and then change it again, while daemons' links carry
-// 10 Mbit/s.
+// 10 Mbit/s. Cause: each daemon sent the whole table to each neighbour for each
+// version; heartbeats stood behind tables, links without one were cut in the
+// middle of a table, and the next link began it again. Evidence, of such a day:
+// of 1,390 links cut as silent all had received bytes in their last second, and
+// daemons had a fifth of their processor time in use.
 func TestLargeTableIsInForceInTime(t *testing.T) {
+	t.Parallel()
 	f := startedFleet(t, tableOf(1, tableRoutes))
 	began := f.now
 	latest := tableOf(2, tableRoutes+addedRoutes)
@@ -266,7 +299,9 @@
 	for f.behind(tableRecord(latest)) > 0 && f.now < began+time.Minute {
 		f.runUntil(f.now + 50*time.Millisecond)
 	}
-	if took := f.now - written; took > inForceWithin {
+	took := f.now - written
+	t.Logf("in force everywhere after %v, longest without a message on a link %v", took, f.quietest())
+	if took > inForceWithin {
 		t.Errorf("the last version is in force everywhere after %v, want within %v", took, inForceWithin)
 	}
 	if quiet := f.quietest(); quiet >= slowSilence {
@@ -274,10 +309,30 @@
 	}
 }
 
+// Operators write the same routes in another order, so that next to nothing of
+// the table before can be used again. It still has to be in force in time.
+func TestRewrittenTableIsInForceInTime(t *testing.T) {
+	t.Parallel()
+	f := startedFleet(t, tableOf(1, tableRoutes))
+	rewritten := tableOf(2, tableRoutes)
+	rand.New(rand.NewPCG(3, 4)).Shuffle(tableRoutes, func(i, j int) {
+		rewritten.Routes[i], rewritten.Routes[j] = rewritten.Routes[j], rewritten.Routes[i]
+	})
+	f.put(tableRecord(rewritten))
+	f.runUntil(f.now + inForceWithin)
+	if n := f.behind(tableRecord(rewritten)); n != 0 {
+		t.Errorf("%d daemons don't have the table in force after %v", n, inForceWithin)
+	}
+	if quiet := f.quietest(); quiet >= slowSilence {
+		t.Errorf("a link had no whole message for %v and is cut after %v", quiet, slowSilence)
+	}
+}
+
 // A change of one route among thousands is sent as what changed: at the rate
 // of changes that is planned for, whole tables alone would be fifty times what
 // a daemon may spend on control, and stand before all else on its links.
 func TestChangeOfOneRouteCostsWhatChanged(t *testing.T) {
+	t.Parallel()
 	f := startedFleet(t, tableOf(1, tableRoutes))
 	f.runUntil(f.now + 2*time.Second)
 	idle := append([]int(nil), f.sent...)
@@ -289,9 +344,12 @@
 	if n := f.behind(tableRecord(next)); n != 0 {
 		t.Errorf("%d daemons don't have the change in force after 2 s", n)
 	}
+	dearest := 0
 	for i, sent := range f.sent {
-		if cost := sent - idle[i]; cost > changeBytes {
-			t.Fatalf("daemon %d sent %d bytes for the change, want %d at most", i, cost, changeBytes)
-		}
+		dearest = max(dearest, sent-idle[i])
+	}
+	t.Logf("the change cost a daemon %d bytes at most", dearest)
+	if dearest > changeBytes {
+		t.Fatalf("a daemon sent %d bytes for the change, want %d at most", dearest, changeBytes)
 	}
 }
--- a/internal/adapter/grpcpeer/view.go
+++ b/internal/adapter/grpcpeer/view.go
@@ -216,7 +216,7 @@
 func (v *View) Snapshot() *peerv1.Update {
 	// Complete is read first: what is vouched for must be in the records.
 	update := &peerv1.Update{Complete: v.node.Complete()}
-	for r := range v.node.Records.All() {
+	for _, r := range v.node.Whole() {
 		update.Records = append(update.Records, recordToWire(r))
 	}
 	for e := range v.node.Endpoints.All() {
@@ -231,7 +231,7 @@
 // LiveRecords lists the records of a node without deleted ones.
 func LiveRecords(n *node.Node) []port.Record {
 	var out []port.Record
-	for r := range n.Records.All() {
+	for _, r := range n.Whole() {
 		if !r.Deleted {
 			out = append(out, r)
 		}
--- a/internal/core/membership/lattice_test.go
+++ b/internal/core/membership/lattice_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"bytes"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -62,15 +63,19 @@
 	return e
 })
 
-var anyRecord = rapid.Custom(func(t *rapid.T) port.Record {
+// largeBody is passed on in parts.
+func largeBody(fill byte) []byte { return bytes.Repeat([]byte{fill}, 10<<10) }
+
+var anyRecord = rapid.Custom(func(t *rapid.T) spread.Revision {
 	r := port.Record{
 		Kind: "k", Name: "n", Version: few[uint64](1, 2).Draw(t, "version"),
 		Deleted: rapid.Bool().Draw(t, "deleted"),
 	}
 	if !r.Deleted {
-		r.Body = few([]byte("1"), []byte("2")).Draw(t, "body")
+		r.Body = few([]byte("1"), []byte("2"), largeBody('1'), largeBody('2')).Draw(t, "body")
 	}
-	return r
+	revision, _ := spread.Divide(r)
+	return revision
 })
 
 func TestMembersAreASemilattice(t *testing.T)   { checkLattice(t, MemberOrder{}, anyMember) }
--- a/internal/core/spread/changes_test.go
+++ b/internal/core/spread/changes_test.go
@@ -8,7 +8,7 @@
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
 
-func names(records []port.Record) []string {
+func names(records []Revision) []string {
 	var out []string
 	for _, r := range records {
 		out = append(out, r.Name)
@@ -20,7 +20,7 @@
 func TestChangesYieldWhatChangedOnce(t *testing.T) {
 	table := NewRecordTable()
 	put := func(name string, version uint64) {
-		table.Merge(port.Record{Kind: "k", Name: name, Version: version})
+		table.Merge(Revision{Record: port.Record{Kind: "k", Name: name, Version: version}})
 	}
 	put("a", 1)
 	put("b", 2)
@@ -51,7 +51,7 @@
 	for w := range writers {
 		wg.Go(func() {
 			for i := range each {
-				table.Merge(port.Record{Kind: "k", Name: string(rune('a' + w)), Version: uint64(i + 1)})
+				table.Merge(Revision{Record: port.Record{Kind: "k", Name: string(rune('a' + w)), Version: uint64(i + 1)}})
 			}
 		})
 	}
--- a/internal/core/spread/node/link.go
+++ b/internal/core/spread/node/link.go
@@ -5,12 +5,11 @@
 
 	"github.com/dragonflyrail/dragonflyrail/internal/core/membership"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/spread"
-	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
 
 // Message is one step of the exchange over a link.
 type Message struct {
-	Records   spread.Step[port.Record]
+	Records   spread.Step[spread.Revision]
 	Endpoints spread.Step[membership.Endpoint]
 	Members   spread.Step[membership.Member]
 	// HighestVersion is the highest record version known anywhere.
@@ -18,12 +17,23 @@
 	// Complete: the sender holds a complete set of records, and with this
 	// message the receiver has had all of it.
 	Complete bool
+	// Parts are packed pieces of records' bodies that the receiver asked for,
+	// WantedParts name those that the sender asks for.
+	Parts       [][]byte
+	WantedParts []spread.PartID
+	// Fallbacks are the newest versions that the sender holds whole, for those of
+	// Records that it doesn't. The daemon that had the newest may be gone with
+	// parts that nobody else got; one that starts then has something to serve by.
+	Fallbacks []spread.Revision
+	// TakesParts: the sender understands records in parts. It is said once.
+	TakesParts bool
 }
 
 // Empty reports whether the message says nothing new.
 func (m *Message) Empty() bool {
 	return m.Records.Empty() && m.Endpoints.Empty() && m.Members.Empty() &&
-		m.HighestVersion == 0 && !m.Complete
+		m.HighestVersion == 0 && !m.Complete &&
+		len(m.Parts) == 0 && len(m.WantedParts) == 0 && !m.TakesParts
 }
 
 // askAgainTicks is how many heartbeats a node that isn't complete waits for an
@@ -34,9 +44,10 @@
 type Link struct {
 	node      *Node
 	initiator bool
-	records   *spread.Exchange[port.Record]
+	records   *spread.Exchange[spread.Revision]
 	endpoints *spread.Exchange[membership.Endpoint]
 	members   *spread.Exchange[membership.Member]
+	parts     partExchange
 	woken     chan struct{}
 	// answered is set once the peer's bucket digests were compared: from
 	// then on a message that says Complete is.
@@ -45,6 +56,13 @@
 	saidHighest  atomic.Uint64
 	// peerComplete: the peer said that it holds a complete set.
 	peerComplete atomic.Bool
+	// peerTakesParts: the peer said that it understands records in parts.
+	peerTakesParts atomic.Bool
+	saidTakesParts atomic.Bool
+	// heard: the peer has said something.
+	heard atomic.Bool
+	// untold are the records in parts that wait for the peer's first word.
+	untold untold
 	// holdsEndpoints: what is new of endpoints stays queued.
 	holdsEndpoints atomic.Bool
 	// peer names the other end in what is told of records.
@@ -83,6 +101,7 @@
 	l.node.mu.Lock()
 	delete(l.node.links, l)
 	l.node.mu.Unlock()
+	l.node.askAnotherLink()
 }
 
 // Woken yields a value when there is something to send.
@@ -104,7 +123,7 @@
 
 // wakeForMore has the rest sent that a bounded message left.
 func (l *Link) wakeForMore() {
-	if l.records.More() || l.members.More() || !l.holdsEndpoints.Load() && l.endpoints.More() {
+	if l.records.More() || l.members.More() || l.parts.more(l.node.bodies) || !l.holdsEndpoints.Load() && l.endpoints.More() {
 		l.wake()
 	}
 }
@@ -117,6 +136,7 @@
 	l.records.Tick()
 	l.endpoints.Tick()
 	l.members.Tick()
+	l.parts.tick(l.node.bodies)
 }
 
 // Next returns what to send now; it may be empty.
@@ -129,6 +149,10 @@
 	if !l.holdsEndpoints.Load() {
 		m.Endpoints = l.endpoints.Next()
 	}
+	m.Fallbacks = l.node.bodies.wholeRevisions(m.Records.Entries)
+	m.Records.Entries = l.asPeerTakes(m.Records.Entries)
+	m.WantedParts, m.Parts = l.parts.next(l.node.bodies)
+	m.TakesParts = !l.saidTakesParts.Swap(true)
 	if highest := l.node.HighestKnown(); highest > l.saidHighest.Load() {
 		m.HighestVersion = highest
 		l.saidHighest.Store(highest)
@@ -142,13 +166,8 @@
 // Receive merges a message and passes on what it changed.
 func (l *Link) Receive(m *Message) {
 	raise(&l.node.highestKnown, m.HighestVersion)
-	for _, r := range l.records.Receive(&m.Records) {
-		raise(&l.node.highestHeld, r.Version)
-		raise(&l.node.highestKnown, r.Version)
-		key := spread.RecordKey(r.Kind, r.Name)
-		l.node.spread(l, func(o *Link) { o.records.Dirty(key) })
-		l.node.heardRecord(&r, l.peerName())
-	}
+	l.hearPeer(m.TakesParts)
+	l.receiveRecords(m)
 	for _, e := range l.endpoints.Receive(&m.Endpoints) {
 		l.node.spread(l, func(o *Link) { o.endpoints.Dirty(e.ID) })
 	}
@@ -176,6 +195,6 @@
 		return
 	}
 	if l.initiator && m.Complete || l.records.Agrees() {
-		l.node.SetComplete()
+		l.node.becomeComplete()
 	}
 }
--- a/internal/core/spread/node/node.go
+++ b/internal/core/spread/node/node.go
@@ -14,7 +14,9 @@
 
 // Node is the state of one daemon. It is safe for concurrent use.
 type Node struct {
-	Records   *spread.Table[port.Record]
+	// Records holds revisions; the bodies of large ones may still be on their
+	// way, see Whole.
+	Records   *spread.Table[spread.Revision]
 	Endpoints *spread.Table[membership.Endpoint]
 	Members   *spread.Table[membership.Member]
 
@@ -24,8 +26,13 @@
 	highestKnown atomic.Uint64
 	complete     atomic.Bool
 
-	// onRecord is told of each record that is new here.
-	onRecord func(r *port.Record, from string)
+	// bodies holds what the revisions leave out.
+	bodies *bodies
+	// completeOnceWhole: all records that make the set complete are known.
+	completeOnceWhole atomic.Bool
+
+	// onRecord is told of each version that is new here.
+	onRecord func(r *spread.Revision, from string, missing int)
 
 	mu      sync.Mutex
 	links   map[*Link]struct{}
@@ -38,23 +45,66 @@
 		Records:   spread.NewRecordTable(),
 		Endpoints: membership.NewEndpointTable(),
 		Members:   membership.NewMemberTable(),
+		bodies:    newBodies(),
 		links:     map[*Link]struct{}{},
 		changed:   make(chan struct{}),
 	}
 }
 
-// OnRecord has f told of each record that is new here, and of the peer that
-// it came from, empty for the platform. It is set before any link is opened.
-func (n *Node) OnRecord(f func(r *port.Record, from string)) { n.onRecord = f }
+// OnRecord has f told of each version that is new here, of the peer that it
+// came from, empty for the platform, and how many parts of its body are missing.
+// It is set before any link is opened.
+func (n *Node) OnRecord(f func(r *spread.Revision, from string, missing int)) { n.onRecord = f }
 
-func (n *Node) heardRecord(r *port.Record, from string) {
+func (n *Node) heardRecord(r *spread.Revision, from string) {
 	if n.onRecord != nil {
-		n.onRecord(r, from)
+		n.onRecord(r, from, len(n.bodies.lacks()))
 	}
 }
 
 // PutRecord merges a record from the platform and passes it on.
-func (n *Node) PutRecord(r port.Record) bool { return n.applyRecord(r, nil) }
+func (n *Node) PutRecord(r port.Record) bool {
+	revision, parts := spread.Divide(r)
+	if !n.Records.Merge(revision) {
+		return false
+	}
+	raise(&n.highestKnown, r.Version)
+	n.bodies.put(r, &revision, parts)
+	n.noteWhole([]port.Record{r})
+	key := spread.RecordKey(r.Kind, r.Name)
+	n.spread(nil, func(l *Link) { l.records.Dirty(key) })
+	n.heardRecord(&revision, "")
+	return true
+}
+
+// Whole returns the newest version of each record that is held with its whole
+// body, deleted ones included.
+func (n *Node) Whole() []port.Record { return n.bodies.records() }
+
+// WholeRecord returns the newest version of one record that is held whole.
+func (n *Node) WholeRecord(kind, name string) (port.Record, bool) {
+	return n.bodies.record(spread.RecordKey(kind, name))
+}
+
+// MissingParts counts the parts of newer versions that are on their way.
+func (n *Node) MissingParts() int { return len(n.bodies.lacks()) }
+
+// noteWhole takes note of versions that are whole from now on.
+func (n *Node) noteWhole(records []port.Record) {
+	for i := range records {
+		raise(&n.highestHeld, records[i].Version)
+	}
+	if n.completeOnceWhole.Load() && n.bodies.allWhole() {
+		n.SetComplete()
+	}
+}
+
+// becomeComplete says that all records of a complete set are known. Where
+// bodies are on their way the set is complete once each has come.
+func (n *Node) becomeComplete() {
+	n.completeOnceWhole.Store(true)
+	n.noteWhole(nil)
+}
 
 // PutEndpoint merges an endpoint state and passes it on.
 func (n *Node) PutEndpoint(e membership.Endpoint) bool {
@@ -74,18 +124,6 @@
 	return changed
 }
 
-func (n *Node) applyRecord(r port.Record, from *Link) bool {
-	if !n.Records.Merge(r) {
-		return false
-	}
-	raise(&n.highestHeld, r.Version)
-	raise(&n.highestKnown, r.Version)
-	key := spread.RecordKey(r.Kind, r.Name)
-	n.spread(from, func(l *Link) { l.records.Dirty(key) })
-	n.heardRecord(&r, "")
-	return true
-}
-
 // spread marks a change on all links but the one it came from, and tells
 // those who wait on Changed.
 func (n *Node) spread(from *Link, mark func(l *Link)) {
--- a/internal/core/spread/node/spread_test.go
+++ b/internal/core/spread/node/spread_test.go
@@ -23,12 +23,24 @@
 
 func nameOf(i int) string { return fmt.Sprintf("r%d", i) }
 
-// bodyOf is the only body that the platform ever gave to a version.
+// bodyOf is the only body that the platform ever gave to a version. Every other
+// one is large enough to be passed on in parts, most of which it shares.
 func bodyOf(version uint64, deleted bool) []byte {
 	if deleted {
 		return nil
 	}
-	return fmt.Appendf(nil, `{"v":%d}`, version)
+	if version%2 == 0 {
+		return fmt.Appendf(nil, `{"v":%d}`, version)
+	}
+	body := fmt.Appendf(nil, `{"v":%d,"routes":[`, version)
+	for i := range uint64(400) {
+		weight := i * i % 251
+		if i == version*37%400 {
+			weight = 1000 + version
+		}
+		body = fmt.Appendf(body, `{"name":"route-%d","weight":%d},`, i*7919%1000, weight)
+	}
+	return append(body, "{}]}"...)
 }
 
 // floors holds a version per record.
@@ -163,7 +175,7 @@
 // says it is complete holds what it must.
 func (s *system) check(t *rapid.T) {
 	for i, d := range s.daemons {
-		for r := range d.node.Records.All() {
+		for _, r := range d.node.Whole() {
 			var n int
 			if _, err := fmt.Sscanf(r.Name, "r%d", &n); err != nil {
 				t.Fatalf("daemon %d holds %q", i, r.Name)
@@ -233,7 +245,7 @@
 
 func held(n *Node) []string {
 	var out []string
-	for r := range n.Records.All() {
+	for _, r := range n.Whole() {
 		out = append(out, fmt.Sprintf("%s@%d", r.Name, r.Version))
 	}
 	slices.Sort(out)
@@ -327,7 +339,7 @@
 	s := &system{wires: []*wire{w}}
 	s.heal()
 	// Merged past the links, as if its delta had been lost.
-	a.Records.Merge(port.Record{Kind: "k", Name: "n", Version: 7, Body: []byte("{}")})
+	a.Records.Merge(spread.Revision{Record: port.Record{Kind: "k", Name: "n", Version: 7, Body: []byte("{}")}})
 	s.heal()
 	if r, ok := b.Records.Get(spread.RecordKey("k", "n")); !ok || r.Version != 7 {
 		t.Fatalf("not repaired: %v %v", r, ok)
@@ -380,11 +392,11 @@
 	s := chain(b, a)
 	a.SetComplete()
 	s.heal()
-	a.Records.Merge(port.Record{Kind: "k", Name: "n", Version: 7, Body: []byte("{}")})
+	a.Records.Merge(spread.Revision{Record: port.Record{Kind: "k", Name: "n", Version: 7, Body: []byte("{}")}})
 	w := s.wires[0]
 	w.ends[1].Tick()
 	stale := w.ends[1].Next()
-	b.Records.Merge(port.Record{Kind: "k", Name: "n", Version: 8, Body: []byte("{}")})
+	b.Records.Merge(spread.Revision{Record: port.Record{Kind: "k", Name: "n", Version: 8, Body: []byte("{}")}})
 	s.heal()
 	// The old digest arrives last of all.
 	w.ends[0].Receive(&stale)
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -328,6 +328,7 @@
 		k.options.Registry.GetOrRegister(name, gometrics.NewFunctionalGauge(f))
 	}
 	gauge("records_held", func() int64 { return int64(k.node.Records.Len()) })
+	gauge("record_parts_missing", func() int64 { return int64(k.node.MissingParts()) })
 	gauge("endpoints_held", func() int64 { return int64(k.node.Endpoints.Len()) })
 	gauge("members_held", func() int64 { return int64(k.node.Members.Len()) })
 	gauge("members_heard", func() int64 { return int64(len(k.hearing.All())) })
--- a/internal/keeper/records.go
+++ b/internal/keeper/records.go
@@ -324,15 +324,16 @@
 	})
 }
 
-// logRecord tells from whom a record came, when and how large it was: of a
-// version that is late here, it shows how far it had come and what it cost.
-func (k *Keeper) logRecord(r *port.Record, from string) {
+// logRecord tells from whom a version came, when, and what of it is missing: of
+// one that is late here, it shows how far it had come.
+func (k *Keeper) logRecord(r *spread.Revision, from string, missing int) {
 	k.options.Logger.Info().Str("event", "record_heard").Str("record", spread.RecordKey(r.Kind, r.Name)).
 		Uint64("version", r.Version).Str("from", cmp.Or(from, "platform")).Int("bytes", len(r.Body)).
+		Int("parts", len(r.Parts)).Int("parts_missing", missing).
 		Int64("platform_age_ms", *port.AgeMillis(k.PlatformAge(time.Now()))).Msg("")
 }
 
 // Record returns one record in force, a deleted one as such.
 func (k *Keeper) Record(kind, name string) (port.Record, bool) {
-	return k.node.Records.Get(spread.RecordKey(kind, name))
+	return k.node.WholeRecord(kind, name)
 }
