Reads of the store are bounded by their progress, not as a whole

A daemon on a link of 10 Mbit/s that has to read the store itself (a start, a lost watcher) never got a configuration of 884 KB: the timeout of one second bounded the whole answer, and each try began it again, beside the relay's traffic. Callers there were told by the old configuration. Class: a timeout on a whole transfer whose size it doesn't know.

The same cause elsewhere, left: the call by which a starting router asks another for all records (1 s, internal/adapter/grpcpeer/view.go).

--- a/internal/adapter/httpplatform/client.go
+++ b/internal/adapter/httpplatform/client.go
@@ -5,8 +5,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -19,6 +17,7 @@
 	"github.com/ansel1/merry/v2"
 	gometrics "github.com/rcrowley/go-metrics"
 
+	"github.com/dragonflyrail/dragonflyrail/internal/adapter/httpanswer"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
 
@@ -41,7 +40,8 @@
 type Options struct {
 	// BaseURL is the platform's address, as in http://127.0.0.1:7001.
 	BaseURL string
-	// Timeout bounds each call but a watch; zero is DefaultTimeout.
+	// Timeout bounds the wait for an answer's beginning, but for a watch, and for
+	// each next piece of it; zero is DefaultTimeout.
 	Timeout time.Duration
 	// Registry counts calls; nil counts nowhere.
 	Registry gometrics.Registry
@@ -137,14 +137,12 @@
 		return port.Object{}, port.ErrTooLarge
 	}
 	c.writes.Inc(1)
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
-	defer cancel()
 	var sent atomic.Bool
 	r, err := c.writeRequest(ctx, &sent, objectPath(kind, name), expect, value)
 	if err != nil {
 		return port.Object{}, merry.Prepend(port.ErrPlatformUnavailable, err.Error())
 	}
-	status, raw, err := c.do(r)
+	status, raw, err := c.do(r, c.timeout)
 	if err != nil {
 		c.failed.Inc(1)
 		return port.Object{}, lostWrite(sent.Load(), err)
@@ -216,13 +214,11 @@
 
 func (c *Client) read(ctx context.Context, timeout time.Duration, path string) ([]byte, error) {
 	c.reads.Inc(1)
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, http.NoBody)
 	if err != nil {
 		return nil, merry.Prepend(port.ErrPlatformUnavailable, err.Error())
 	}
-	status, raw, err := c.do(r)
+	status, raw, err := c.do(r, timeout)
 	if err != nil {
 		c.failed.Inc(1)
 		return nil, merry.Prepend(port.ErrPlatformUnavailable, err.Error())
@@ -242,20 +238,9 @@
 	}
 }
 
-func (c *Client) do(r *http.Request) (int, []byte, error) {
-	res, err := c.http.Do(r)
-	if err != nil {
-		return 0, nil, err
-	}
-	defer res.Body.Close()
-	raw, err := io.ReadAll(io.LimitReader(res.Body, maxReplyBytes+1))
-	if err != nil {
-		return 0, nil, err
-	}
-	if len(raw) > maxReplyBytes {
-		return 0, nil, errors.New("reply is too large")
-	}
-	return res.StatusCode, raw, nil
+// do waits so long for the answer to begin.
+func (c *Client) do(r *http.Request, begin time.Duration) (int, []byte, error) {
+	return httpanswer.Do(c.http, r, httpanswer.Bounds{Begin: begin, Pause: c.timeout, MaxBytes: maxReplyBytes})
 }
 
 func objectPath(kind, name string) string {
