A digest that was never heard counts as a different one

A router that moves to another keeper could stay on an old version, and its callers with it: where the first message of either end was lost and nothing changed afterwards, the end that asks had never heard a digest and saw no difference, and neither said its own again. Class: silence taken for agreement. Mend: it counts as a difference and is asked about after a few heartbeats.

--- a/internal/core/spread/exchange.go
+++ b/internal/core/spread/exchange.go
@@ -77,7 +77,9 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.digestDue = true
-	if !x.initiator || !x.peerKnown || own == x.peerDigest {
+	// A digest that was never heard counts as a different one: where the first
+	// message of either end is lost, neither would say its digest again.
+	if !x.initiator || x.peerKnown && own == x.peerDigest {
 		x.still, x.moving = 0, 0
 		return
 	}
--- a/internal/core/spread/node/spread_test.go
+++ b/internal/core/spread/node/spread_test.go
@@ -447,6 +447,27 @@
 	}
 }
 
+// A router moves to a keeper that holds a newer version, and the first message of
+// either end is lost; nothing changes afterwards. The router has never heard the
+// keeper's digest, so it saw no difference to ask about, and its callers stayed
+// on the old version. Found by TestSpreadAgainstFloors with -rapid.seed=136237.
+func TestFirstMessagesOfBothEndsAreLost(t *testing.T) {
+	router, keeper := New(), New()
+	router.PutRecord(large(1))
+	router.SetComplete()
+	keeper.PutRecord(large(3))
+	keeper.SetComplete()
+	s := chain(router, keeper)
+	for end := range 2 {
+		s.send(s.wires[0], end)
+		s.wires[0].inFlight[end] = nil
+	}
+	s.heal()
+	if !holds(router, 3) {
+		t.Fatalf("the router still holds version %d", router.HighestHeld())
+	}
+}
+
 // A new router hears of a version before it has it: it must not serve below.
 func TestKnownButNotHeldIsNotCaughtUp(t *testing.T) {
 	n := New()
