A version read from the platform is whole although a peer told of it before

A daemon hears of a large version from a neighbour that then freezes, and reads it from the platform itself: the read was dropped as known, the parts stayed missing, and a daemon that starts said that it was complete without routes. Mend: the body is taken wherever it is newer than the one held.

--- a/internal/core/spread/node/bodies.go
+++ b/internal/core/spread/node/bodies.go
@@ -50,10 +50,14 @@
 	}
 }
 
-// put takes a record with its whole body.
-func (b *bodies) put(r port.Record, revision *spread.Revision, parts [][]byte) {
+// put takes a record with its whole body, and reports whether it is newer than
+// the one held.
+func (b *bodies) put(r port.Record, revision *spread.Revision, parts [][]byte) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if !b.setWhole(r) {
+		return false
+	}
 	for i, id := range revision.Parts {
 		if b.parts[id] == nil {
 			b.parts[id] = &part{packed: spread.Pack(parts[i])}
@@ -61,8 +65,8 @@
 	}
 	b.know(revision)
 	b.share(revision, parts, r.Body)
-	b.setWhole(r)
 	b.tidy()
+	return true
 }
 
 // expect takes a revision of which parts may be missing, and returns the
@@ -294,12 +298,15 @@
 	}
 }
 
-// setWhole wants b.mu. An older version changes nothing.
-func (b *bodies) setWhole(r port.Record) {
+// setWhole reports whether the record is newer than the one held; another
+// changes nothing. It wants b.mu.
+func (b *bodies) setWhole(r port.Record) bool {
 	key := spread.RecordKey(r.Kind, r.Name)
-	if held, any := b.whole[key]; !any || r.Version >= held.Version {
-		b.whole[key] = r
+	if held, any := b.whole[key]; any && r.Version <= held.Version {
+		return false
 	}
+	b.whole[key] = r
+	return true
 }
 
 // tidy drops the parts that no kept version has, and works out what is
--- a/internal/core/spread/node/node.go
+++ b/internal/core/spread/node/node.go
@@ -65,14 +65,19 @@
 // PutRecord merges a record from the platform and passes it on.
 func (n *Node) PutRecord(r port.Record) bool {
 	revision, parts := spread.Divide(r)
-	if !n.Records.Merge(revision) {
+	merged := n.Records.Merge(revision)
+	// A peer may have told of the version before; its body is new all the same.
+	if newer := n.bodies.put(r, &revision, parts); !merged && !newer {
 		return false
 	}
 	raise(&n.highestKnown, r.Version)
-	n.bodies.put(r, &revision, parts)
 	n.noteWhole([]port.Record{r})
 	key := spread.RecordKey(r.Kind, r.Name)
-	n.spread(nil, func(l *Link) { l.records.Dirty(key) })
+	n.spread(nil, func(l *Link) {
+		if merged {
+			l.records.Dirty(key)
+		}
+	})
 	n.heardRecord(&revision, "")
 	return true
 }
--- a/internal/core/spread/node/parts_test.go
+++ b/internal/core/spread/node/parts_test.go
@@ -122,6 +122,27 @@
 	}
 }
 
+// A neighbour tells a daemon of a version and freezes; then the daemon reads the
+// version from the platform itself. It has all of it, and may say that it is
+// complete; were the body left out as that of a version known already, it would
+// refuse callers as a daemon without routes.
+func TestPlatformCompletesWhatAPeerToldOf(t *testing.T) {
+	frozen, daemon := New(), New()
+	w := &wire{ends: [2]*Link{daemon.Open(true), frozen.Open(false)}}
+	s := &system{wires: []*wire{w}}
+	s.heal()
+	frozen.PutRecord(large(1))
+	m := w.ends[1].Next()
+	w.ends[0].Receive(&m)
+	if holds(daemon, 1) {
+		t.Fatal("the parts came with the first word of the version")
+	}
+	daemon.PutRecord(large(1))
+	if !holds(daemon, 1) || daemon.HighestHeld() != 1 || daemon.MissingParts() != 0 {
+		t.Fatalf("not whole: %d parts are missing", daemon.MissingParts())
+	}
+}
+
 // Daemons are replaced one after the other by a build that passes tables on in
 // parts. Those of the build before know no parts: they are sent the body, and
 // what they send is taken.
