--- a/internal/core/spread/node/node.go
+++ b/internal/core/spread/node/node.go
@@ -31,8 +31,7 @@
 	// completeOnceWhole: all records that make the set complete are known.
 	completeOnceWhole atomic.Bool
 
-	// onRecord is told of each version that is new here.
-	onRecord func(r *spread.Revision, from string, missing int)
+	listener Listener
 
 	mu      sync.Mutex
 	links   map[*Link]struct{}
@@ -51,14 +50,21 @@
 	}
 }
 
-// OnRecord has f told of each version that is new here, of the peer that it
-// came from, empty for the platform, and how many parts of its body are missing.
-// It is set before any link is opened.
-func (n *Node) OnRecord(f func(r *spread.Revision, from string, missing int)) { n.onRecord = f }
+// Listener is told of versions of records.
+type Listener interface {
+	// RecordHeard tells of a version that is new here, of the peer that it came
+	// from, empty for the platform, and how many parts of bodies are missing now.
+	RecordHeard(r *spread.Revision, from string, missing int)
+	// RecordWhole tells of a version of which all parts have come.
+	RecordWhole(r *port.Record)
+}
+
+// SetListener is called before any link is opened.
+func (n *Node) SetListener(l Listener) { n.listener = l }
 
 func (n *Node) heardRecord(r *spread.Revision, from string) {
-	if n.onRecord != nil {
-		n.onRecord(r, from, len(n.bodies.lacks()))
+	if n.listener != nil {
+		n.listener.RecordHeard(r, from, len(n.bodies.lacks()))
 	}
 }
 
@@ -98,6 +104,9 @@
 func (n *Node) noteWhole(records []port.Record) {
 	for i := range records {
 		raise(&n.highestHeld, records[i].Version)
+		if n.listener != nil && spread.InParts(&records[i]) {
+			n.listener.RecordWhole(&records[i])
+		}
 	}
 	if n.completeOnceWhole.Load() && n.bodies.allWhole() {
 		n.SetComplete()
--- a/internal/core/spread/records.go
+++ b/internal/core/spread/records.go
@@ -27,10 +27,13 @@
 // parts. Below it the parts' names and the calls for them save nothing.
 const divideOver = 8 << 10
 
+// InParts reports whether a record's body is passed on in parts.
+func InParts(r *port.Record) bool { return len(r.Body) >= divideOver }
+
 // Divide returns a record's revision and the contents of its parts, none for a
 // small body.
 func Divide(r port.Record) (Revision, [][]byte) {
-	if len(r.Body) < divideOver {
+	if !InParts(&r) {
 		return Revision{Record: r}, nil
 	}
 	parts := Cut(r.Body)
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -196,7 +196,7 @@
 	}
 	k.bytesSent = gometrics.GetOrRegisterCounter("keeper_links_sent_bytes_total", o.Registry)
 	k.bytesReceived = gometrics.GetOrRegisterCounter("keeper_links_received_bytes_total", o.Registry)
-	k.node.OnRecord(k.logRecord)
+	k.node.SetListener(k)
 	k.duty = duty{fallbackAfter: o.FallbackAfter, started: time.Now()}
 	k.SetSeeds(o.Keepers)
 	k.introduce()
--- a/internal/keeper/records.go
+++ b/internal/keeper/records.go
@@ -324,15 +324,20 @@
 	})
 }
 
-// logRecord tells from whom a version came, when, and what of it is missing: of
-// one that is late here, it shows how far it had come.
-func (k *Keeper) logRecord(r *spread.Revision, from string, missing int) {
+// RecordHeard logs from whom a version came, and what of it is missing: of one
+// that is late here, it shows how far it had come.
+func (k *Keeper) RecordHeard(r *spread.Revision, from string, missing int) {
 	k.options.Logger.Info().Str("event", "record_heard").Str("record", spread.RecordKey(r.Kind, r.Name)).
-		Uint64("version", r.Version).Str("from", cmp.Or(from, "platform")).Int("bytes", len(r.Body)).
-		Int("parts", len(r.Parts)).Int("parts_missing", missing).
+		Uint64("version", r.Version).Str("from", cmp.Or(from, "platform")).Int("parts", len(r.Parts)).Int("parts_missing", missing).
 		Int64("platform_age_ms", *port.AgeMillis(k.PlatformAge(time.Now()))).Msg("")
 }
 
+// RecordWhole logs that a version that came in parts can be put in force.
+func (k *Keeper) RecordWhole(r *port.Record) {
+	k.options.Logger.Info().Str("event", "record_whole").Str("record", spread.RecordKey(r.Kind, r.Name)).
+		Uint64("version", r.Version).Int("bytes", len(r.Body)).Msg("")
+}
+
 // Record returns one record in force, a deleted one as such.
 func (k *Keeper) Record(kind, name string) (port.Record, bool) {
 	return k.node.WholeRecord(kind, name)
