Peers that know no parts have a file of their own

No change of what is sent but one: a version that becomes whole through a fallback wakes those who wait on Changed, as any other does. Names: deferredKeys for records that wait for a peer's first word, tellWhole, passOnParts.

--- a/internal/core/spread/node/bodies.go
+++ b/internal/core/spread/node/bodies.go
@@ -186,7 +186,7 @@
 // oldestToDrop is the oldest version but for the one in force, which a daemon
 // that starts now may need. It wants b.mu.
 func (b *bodies) oldestToDrop(key string, known []spread.Revision) int {
-	if held, any := b.whole[key]; any && known[0].Version == held.Version {
+	if held, found := b.whole[key]; found && known[0].Version == held.Version {
 		return 1
 	}
 	return 0
@@ -200,8 +200,8 @@
 	var out []spread.Revision
 	for i := range revisions {
 		key := spread.RecordKey(revisions[i].Kind, revisions[i].Name)
-		held, any := b.whole[key]
-		if !any || held.Version >= revisions[i].Version {
+		held, found := b.whole[key]
+		if !found || held.Version >= revisions[i].Version {
 			continue
 		}
 		out = append(out, b.revisionOf(key, held))
@@ -234,10 +234,10 @@
 // newestWhole puts together the newest version of which all parts are held and
 // that is newer than the one held.
 func (b *bodies) newestWhole(key string, known []spread.Revision) (port.Record, bool) {
-	held, any := b.whole[key]
+	held, found := b.whole[key]
 	for i := len(known) - 1; i >= 0; i-- {
 		revision := &known[i]
-		if any && revision.Version <= held.Version {
+		if found && revision.Version <= held.Version {
 			break
 		}
 		contents, ok := b.contents(revision.Parts)
@@ -302,7 +302,7 @@
 // changes nothing. It wants b.mu.
 func (b *bodies) setWhole(r port.Record) bool {
 	key := spread.RecordKey(r.Kind, r.Name)
-	if held, any := b.whole[key]; any && r.Version <= held.Version {
+	if held, found := b.whole[key]; found && r.Version <= held.Version {
 		return false
 	}
 	b.whole[key] = r
@@ -315,9 +315,9 @@
 	used := map[spread.PartID]struct{}{}
 	clear(b.missing)
 	for key, known := range b.versions {
-		held, any := b.whole[key]
+		held, found := b.whole[key]
 		for i := range known {
-			wanted := !any || known[i].Version > held.Version
+			wanted := !found || known[i].Version > held.Version
 			for _, id := range known[i].Parts {
 				used[id] = struct{}{}
 				if wanted && b.parts[id] == nil {
--- a/internal/core/spread/node/link.go
+++ b/internal/core/spread/node/link.go
@@ -61,8 +61,8 @@
 	saidTakesParts atomic.Bool
 	// heard: the peer has said something.
 	heard atomic.Bool
-	// untold are the records in parts that wait for the peer's first word.
-	untold untold
+	// deferred are the records in parts that wait for the peer's first word.
+	deferred deferredKeys
 	// holdsEndpoints: what is new of endpoints stays queued.
 	holdsEndpoints atomic.Bool
 	// peer names the other end in what is told of records.
--- a/internal/core/spread/node/node.go
+++ b/internal/core/spread/node/node.go
@@ -111,6 +111,28 @@
 	if n.completeOnceWhole.Load() && n.bodies.allWhole() {
 		n.SetComplete()
 	}
+	if len(records) > 0 {
+		n.tellWhole(records)
+	}
+}
+
+// tellWhole tells those who wait on Changed, and the peers that take no parts
+// and so could not be told of the versions before.
+func (n *Node) tellWhole(records []port.Record) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for l := range n.links {
+		if l.peerTakesParts.Load() {
+			continue
+		}
+		for i := range records {
+			if spread.InParts(&records[i]) {
+				l.records.Dirty(spread.RecordKey(records[i].Kind, records[i].Name))
+				l.wake()
+			}
+		}
+	}
+	n.notify()
 }
 
 // becomeComplete says that all records of a complete set are known. Where
--- a/internal/core/spread/node/parts.go
+++ b/internal/core/spread/node/parts.go
@@ -5,7 +5,6 @@
 	"sync"
 
 	"github.com/dragonflyrail/dragonflyrail/internal/core/spread"
-	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
 
 // Bounds of what a link carries of parts.
@@ -138,7 +137,10 @@
 func (l *Link) receiveRecords(m *Message) {
 	n := l.node
 	n.divide(m.Records.Entries)
-	n.partsCame(n.bodies.take(m.Parts), len(m.Parts) > 0)
+	if len(m.Parts) > 0 {
+		n.noteWhole(n.bodies.take(m.Parts))
+		n.passOnParts()
+	}
 	for _, r := range l.records.Receive(&m.Records) {
 		raise(&n.highestKnown, r.Version)
 		n.noteWhole(n.bodies.expect(&r))
@@ -155,29 +157,15 @@
 	l.parts.want(n.unasked(missing))
 }
 
-// partsCame passes parts on to the peers that wait for them, and what is whole
-// now to the peers that take no parts.
-func (n *Node) partsCame(completed []port.Record, any bool) {
-	if !any {
-		return
-	}
-	n.noteWhole(completed)
+// passOnParts has the links send what their peers asked for and is held now.
+func (n *Node) passOnParts() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for l := range n.links {
-		for i := range completed {
-			if !l.peerTakesParts.Load() {
-				l.records.Dirty(spread.RecordKey(completed[i].Kind, completed[i].Name))
-				l.wake()
-			}
-		}
 		if l.parts.more(n.bodies) {
 			l.wake()
 		}
 	}
-	if len(completed) > 0 {
-		n.notify()
-	}
 }
 
 // unasked returns the missing parts that no peer was asked for.
@@ -213,98 +201,3 @@
 		}
 	}
 }
-
-// divide turns large bodies, as peers of an earlier build send them, into
-// parts that are all held.
-func (n *Node) divide(entries []spread.Revision) {
-	for i := range entries {
-		whole := entries[i].Record
-		if len(entries[i].Parts) > 0 {
-			continue
-		}
-		revision, parts := spread.Divide(whole)
-		if len(parts) > 0 {
-			n.bodies.put(whole, &revision, parts)
-			n.noteWhole([]port.Record{whole})
-			entries[i] = revision
-		}
-	}
-}
-
-// untold collects keys of records.
-type untold struct {
-	mu   sync.Mutex
-	keys []string
-}
-
-func (u *untold) add(key string) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if !slices.Contains(u.keys, key) {
-		u.keys = append(u.keys, key)
-	}
-}
-
-func (u *untold) take() []string {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	keys := u.keys
-	u.keys = nil
-	return keys
-}
-
-// asPeerTakes returns revisions as the peer understands them. Until it has said
-// whether it takes parts, those that have some wait: with bodies they would be
-// megabytes on each new link at the moment at which operators write.
-func (l *Link) asPeerTakes(entries []spread.Revision) []spread.Revision {
-	if l.peerTakesParts.Load() {
-		return entries
-	}
-	if l.heard.Load() {
-		return l.node.withBodies(entries)
-	}
-	told := slices.DeleteFunc(entries, func(r spread.Revision) bool {
-		if len(r.Parts) > 0 {
-			l.untold.add(spread.RecordKey(r.Kind, r.Name))
-		}
-		return len(r.Parts) > 0
-	})
-	if l.heard.Load() {
-		// The first word came in between.
-		l.tell()
-	}
-	return told
-}
-
-// tell queues what waited for the peer's first word.
-func (l *Link) tell() {
-	for _, key := range l.untold.take() {
-		l.records.Dirty(key)
-	}
-}
-
-// hearPeer takes note of what the peer understands.
-func (l *Link) hearPeer(takesParts bool) {
-	if takesParts {
-		l.peerTakesParts.Store(true)
-	}
-	l.heard.Store(true)
-	l.tell()
-}
-
-// withBodies replaces revisions in parts by the newest versions held whole, for
-// a peer of an earlier build, which would take them for empty. One that isn't
-// whole yet is left out, and sent once it is.
-func (n *Node) withBodies(entries []spread.Revision) []spread.Revision {
-	var out []spread.Revision
-	for i := range entries {
-		if len(entries[i].Parts) == 0 {
-			out = append(out, entries[i])
-			continue
-		}
-		if r, held := n.WholeRecord(entries[i].Kind, entries[i].Name); held {
-			out = append(out, spread.Revision{Record: r})
-		}
-	}
-	return out
-}
