The route of a request is looked up, not searched for

Among thousands of routes each request compared its path with all prefixes of its host: 23 us at 4,200 routes, some 120 us on a fifth of a core, for every request and every probe of a route that isn't there. Prefixes end with a slash, so what comes before each slash of the path is looked up, the longest first.

TestLongestPrefixAmongThousands passes before and after.

--- a/internal/adapter/grpcpeer/slowlinks_test.go
+++ b/internal/adapter/grpcpeer/slowlinks_test.go
@@ -6,6 +6,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -257,9 +258,9 @@
 }
 
 // startedFleet is a fleet in which all hold the table.
-func startedFleet(t *testing.T, table *route.Table) *slowFleet {
+func startedFleet(t testing.TB, daemons int, table *route.Table) *slowFleet {
 	t.Helper()
-	f := newSlowFleet(slowDaemons)
+	f := newSlowFleet(daemons)
 	f.put(tableRecord(table))
 	f.nodes[0].SetComplete()
 	f.runUntil(3 * time.Second)
@@ -285,7 +286,7 @@
 // daemons had a fifth of their processor time in use.
 func TestLargeTableIsInForceInTime(t *testing.T) {
 	t.Parallel()
-	f := startedFleet(t, tableOf(1, tableRoutes))
+	f := startedFleet(t, slowDaemons, tableOf(1, tableRoutes))
 	began := f.now
 	latest := tableOf(2, tableRoutes+addedRoutes)
 	f.put(tableRecord(latest))
@@ -313,7 +314,7 @@
 // the table before can be used again. It still has to be in force in time.
 func TestRewrittenTableIsInForceInTime(t *testing.T) {
 	t.Parallel()
-	f := startedFleet(t, tableOf(1, tableRoutes))
+	f := startedFleet(t, slowDaemons, tableOf(1, tableRoutes))
 	rewritten := tableOf(2, tableRoutes)
 	rand.New(rand.NewPCG(3, 4)).Shuffle(tableRoutes, func(i, j int) {
 		rewritten.Routes[i], rewritten.Routes[j] = rewritten.Routes[j], rewritten.Routes[i]
@@ -333,9 +334,9 @@
 // a daemon may spend on control, and stand before all else on its links.
 func TestChangeOfOneRouteCostsWhatChanged(t *testing.T) {
 	t.Parallel()
-	f := startedFleet(t, tableOf(1, tableRoutes))
+	f := startedFleet(t, slowDaemons, tableOf(1, tableRoutes))
 	f.runUntil(f.now + 2*time.Second)
-	idle := append([]int(nil), f.sent...)
+	idle := slices.Clone(f.sent)
 	clear(f.sent)
 	next := tableOf(2, tableRoutes)
 	next.Routes[tableRoutes/2].Timeout += time.Second
@@ -353,3 +354,47 @@
 		t.Fatalf("a daemon sent %d bytes for the change, want %d at most", dearest, changeBytes)
 	}
 }
+
+// BenchmarkChangeInForce gives what a change costs over links of 10 Mbit/s, on
+// the links' own clock. With whole tables on each link, 66 daemons had one
+// changed route in force after more than 2 s and sent up to 3.4 MB each; in
+// parts it is 0.15 s and 17.7 KB.
+func BenchmarkChangeInForce(b *testing.B) {
+	changes := map[string]func(*route.Table) *route.Table{
+		"one route": func(t *route.Table) *route.Table {
+			t.Routes[tableRoutes/2].Timeout += time.Second
+			return t
+		},
+		"1400 routes more": func(*route.Table) *route.Table { return tableOf(2, tableRoutes+addedRoutes) },
+	}
+	for _, daemons := range []int{slowDaemons, 360} {
+		for name, change := range changes {
+			b.Run(fmt.Sprintf("%d daemons, %s", daemons, name), func(b *testing.B) {
+				for range b.N {
+					measureChange(b, daemons, change(tableOf(2, tableRoutes)))
+				}
+			})
+		}
+	}
+}
+
+func measureChange(b *testing.B, daemons int, next *route.Table) {
+	f := startedFleet(b, daemons, tableOf(1, tableRoutes))
+	f.runUntil(f.now + 2*time.Second)
+	idle := slices.Clone(f.sent)
+	clear(f.sent)
+	began := f.now
+	f.put(tableRecord(next))
+	for f.behind(tableRecord(next)) > 0 && f.now < began+time.Minute {
+		f.runUntil(f.now + 10*time.Millisecond)
+	}
+	b.ReportMetric(float64((f.now - began).Milliseconds()), "ms-in-force")
+	f.runUntil(began + 2*time.Second)
+	dearest, total := 0, 0
+	for i, sent := range f.sent {
+		dearest = max(dearest, sent-idle[i])
+		total += sent - idle[i]
+	}
+	b.ReportMetric(float64(dearest), "B/dearest-daemon")
+	b.ReportMetric(float64(total)/float64(daemons), "B/daemon")
+}
--- a/internal/core/route/index.go
+++ b/internal/core/route/index.go
@@ -1,38 +1,34 @@
 package route
 
-import (
-	"cmp"
-	"slices"
-	"strings"
-)
+import "strings"
 
 // Index answers for requests from one table. It doesn't change and is safe
 // for concurrent use.
 type Index struct {
 	table *Table
-	// byHost lists a host's routes, the longest prefix first.
-	byHost map[string][]*Route
+	byHost map[string]*hostRoutes
 	pools  map[string]*Pool
 	keys   map[string]*Organisation
 }
 
+// hostRoutes are the routes of one host.
+type hostRoutes struct {
+	byPrefix map[string]*Route
+	// longest is the length of the longest prefix, in bytes.
+	longest int
+}
+
 // NewIndex indexes a table, which must not change afterwards.
 func NewIndex(t *Table) *Index {
 	x := &Index{
 		table:  t,
-		byHost: make(map[string][]*Route),
+		byHost: make(map[string]*hostRoutes),
 		pools:  make(map[string]*Pool),
 		keys:   make(map[string]*Organisation),
 	}
 	for i := range t.Routes {
 		r := &t.Routes[i]
-		host := normalHost(r.Host)
-		x.byHost[host] = append(x.byHost[host], r)
-	}
-	for _, routes := range x.byHost {
-		slices.SortStableFunc(routes, func(a, b *Route) int {
-			return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix))
-		})
+		x.add(normalHost(r.Host), r)
 	}
 	for i := range t.Pools {
 		x.pools[t.Pools[i].Name] = &t.Pools[i]
@@ -46,6 +42,19 @@
 	return x
 }
 
+// add leaves the first route of a prefix in place.
+func (x *Index) add(host string, r *Route) {
+	routes := x.byHost[host]
+	if routes == nil {
+		routes = &hostRoutes{byPrefix: make(map[string]*Route)}
+		x.byHost[host] = routes
+	}
+	if _, taken := routes.byPrefix[r.PathPrefix]; !taken {
+		routes.byPrefix[r.PathPrefix] = r
+		routes.longest = max(routes.longest, len(r.PathPrefix))
+	}
+}
+
 // Version is the table's version.
 func (x *Index) Version() uint64 { return x.table.Version }
 
@@ -64,10 +73,18 @@
 	return p, ok
 }
 
-// Match returns the route with the longest prefix that begins the path.
+// Match returns the route with the longest prefix that begins the path. Prefixes
+// end with a slash, so only what comes before each slash of the path is looked
+// up: the cost is that of the path, however many routes there are.
 func (x *Index) Match(host, path string) (*Route, bool) {
-	for _, r := range x.byHost[normalHost(host)] {
-		if strings.HasPrefix(path, r.PathPrefix) {
+	routes := x.byHost[normalHost(host)]
+	if routes == nil {
+		return nil, false
+	}
+	// A path of thousands of slashes costs no more than the longest prefix.
+	path = path[:min(len(path), routes.longest)]
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if r, found := routes.byPrefix[path[:end+1]]; found {
 			return r, true
 		}
 	}
