--- a/internal/core/route/index.go
+++ b/internal/core/route/index.go
@@ -5,7 +5,7 @@
 // Index answers for requests from one table. It doesn't change and is safe
 // for concurrent use.
 type Index struct {
-	table *Table
+	table  *Table
 	byHost map[string]*hostRoutes
 	pools  map[string]*Pool
 	keys   map[string]*Organisation
