--- a/cmd/dragonfly-entry/settings.go
+++ b/cmd/dragonfly-entry/settings.go
@@ -91,9 +91,8 @@
 	takeCallsPart       = 0.7
 	endPart             = 0.93
 	// busyUse lets an organisation over its share wait only once the pool is
-	// expected to be full: its generations end within ten seconds, and holding
-	// them at half a pool made one request in five late while caches stood
-	// half empty (fleet of 7 daemons and 12 runners, 62 in 100 in use).
+	// expected to be full: its generations end within ten seconds, and held back
+	// before they would be late while caches stand half empty.
 	busyUse = 1.0
 	// unreadLimit is two reports' prompts: engines read 7 tokens a millisecond
 	// while others decode, so the second of them still has its first token
