Parts that don't make the announced body are not fetched over and over

The version is dropped instead and the one before stays. TestPartsOfAnotherBody fails before (all parts asked for again) and passes. A small version that is older than the one held is no longer taken note of twice.

--- a/internal/core/spread/node/bodies.go
+++ b/internal/core/spread/node/bodies.go
@@ -74,12 +74,14 @@
 func (b *bodies) expect(revision *spread.Revision) []port.Record {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if len(revision.Parts) == 0 {
-		b.setWhole(revision.Record)
-		return []port.Record{revision.Record}
+	if len(revision.Parts) > 0 {
+		b.know(revision)
+		return b.settle()
 	}
-	b.know(revision)
-	return b.settle()
+	if !b.setWhole(revision.Record) {
+		return nil
+	}
+	return []port.Record{revision.Record}
 }
 
 // take takes parts that came, and returns the versions that are whole now.
@@ -249,10 +251,9 @@
 			b.share(revision, contents, body)
 			return r, true
 		}
-		// Two contents with one hash: the parts are fetched anew.
-		for _, id := range revision.Parts {
-			delete(b.parts, id)
-		}
+		// The sender hashes otherwise, or two contents share a hash. Fetched anew
+		// they would be the same, over and over; the version before stays.
+		b.versions[key] = slices.Delete(slices.Clone(known), i, i+1)
 	}
 	return port.Record{}, false
 }
--- a/internal/core/spread/node/parts_test.go
+++ b/internal/core/spread/node/parts_test.go
@@ -222,6 +222,33 @@
 	}
 }
 
+// A peer's parts don't make the body that it announced, as its build hashes
+// otherwise. The version isn't put in force, and isn't fetched over and over.
+func TestPartsOfAnotherBody(t *testing.T) {
+	daemon := New()
+	link := daemon.Open(true)
+	revision, parts := spread.Divide(large(1))
+	revision.Sum++
+	link.Receive(&Message{TakesParts: true, Records: spread.Step[spread.Revision]{Entries: []spread.Revision{revision}}})
+	if ask := link.Next(); len(ask.WantedParts) != len(revision.Parts) {
+		t.Fatalf("%d parts are asked for, want %d", len(ask.WantedParts), len(revision.Parts))
+	}
+	packed := make([][]byte, len(parts))
+	for i := range parts {
+		packed[i] = spread.Pack(parts[i])
+	}
+	link.Receive(&Message{Parts: packed})
+	for range 2 * askAnewTicks {
+		link.Tick()
+		if ask := link.Next(); len(ask.WantedParts) > 0 {
+			t.Fatalf("%d parts are asked for again", len(ask.WantedParts))
+		}
+	}
+	if len(daemon.Whole()) != 0 || daemon.HighestHeld() != 0 {
+		t.Fatal("another body is in force")
+	}
+}
+
 // Parts that nobody asked for, or that are damaged, are dropped: a peer can
 // neither fill a daemon's memory nor give it another table.
 func TestPartsThatWereNotAskedFor(t *testing.T) {
