--- a/internal/adapter/grpcpeer/slowlinks_test.go
+++ b/internal/adapter/grpcpeer/slowlinks_test.go
@@ -257,6 +257,24 @@
 	return longest
 }
 
+// mustBeInForce runs until all have the record, which must come in time and
+// leave no link without a message.
+func (f *slowFleet) mustBeInForce(t *testing.T, want port.Record) {
+	t.Helper()
+	began := f.now
+	for f.behind(want) > 0 && f.now < began+time.Minute {
+		f.runUntil(f.now + 50*time.Millisecond)
+	}
+	took, quiet := f.now-began, f.quietest()
+	t.Logf("in force everywhere after %v, longest without a message on a link %v", took, quiet)
+	if took > inForceWithin {
+		t.Errorf("in force everywhere after %v, want within %v", took, inForceWithin)
+	}
+	if quiet >= slowSilence {
+		t.Errorf("a link had no whole message for %v and is cut after %v", quiet, slowSilence)
+	}
+}
+
 // startedFleet is a fleet in which all hold the table.
 func startedFleet(t testing.TB, daemons int, table *route.Table) *slowFleet {
 	t.Helper()
@@ -287,7 +305,6 @@
 func TestLargeTableIsInForceInTime(t *testing.T) {
 	t.Parallel()
 	f := startedFleet(t, slowDaemons, tableOf(1, tableRoutes))
-	began := f.now
 	latest := tableOf(2, tableRoutes+addedRoutes)
 	f.put(tableRecord(latest))
 	for v := uint64(3); v <= 8; v++ {
@@ -296,18 +313,7 @@
 		latest.Routes[int(v)*100].MaxAttempts = 3
 		f.put(tableRecord(latest))
 	}
-	written := f.now
-	for f.behind(tableRecord(latest)) > 0 && f.now < began+time.Minute {
-		f.runUntil(f.now + 50*time.Millisecond)
-	}
-	took := f.now - written
-	t.Logf("in force everywhere after %v, longest without a message on a link %v", took, f.quietest())
-	if took > inForceWithin {
-		t.Errorf("the last version is in force everywhere after %v, want within %v", took, inForceWithin)
-	}
-	if quiet := f.quietest(); quiet >= slowSilence {
-		t.Errorf("a link had no whole message for %v and is cut after %v", quiet, slowSilence)
-	}
+	f.mustBeInForce(t, tableRecord(latest))
 }
 
 // Operators write the same routes in another order, so that next to nothing of
@@ -320,13 +326,7 @@
 		rewritten.Routes[i], rewritten.Routes[j] = rewritten.Routes[j], rewritten.Routes[i]
 	})
 	f.put(tableRecord(rewritten))
-	f.runUntil(f.now + inForceWithin)
-	if n := f.behind(tableRecord(rewritten)); n != 0 {
-		t.Errorf("%d daemons don't have the table in force after %v", n, inForceWithin)
-	}
-	if quiet := f.quietest(); quiet >= slowSilence {
-		t.Errorf("a link had no whole message for %v and is cut after %v", quiet, slowSilence)
-	}
+	f.mustBeInForce(t, tableRecord(rewritten))
 }
 
 // Most of a table is the hashes of organisations' keys, which can't be compressed:
@@ -346,17 +346,7 @@
 	}
 	f := startedFleet(t, slowDaemons, tableOf(1, 10))
 	f.put(tableRecord(table))
-	began := f.now
-	for f.behind(tableRecord(table)) > 0 && f.now < began+time.Minute {
-		f.runUntil(f.now + 50*time.Millisecond)
-	}
-	t.Logf("in force everywhere after %v, longest without a message on a link %v", f.now-began, f.quietest())
-	if took := f.now - began; took > inForceWithin {
-		t.Errorf("in force everywhere after %v, want within %v", took, inForceWithin)
-	}
-	if quiet := f.quietest(); quiet >= slowSilence {
-		t.Errorf("a link had no whole message for %v and is cut after %v", quiet, slowSilence)
-	}
+	f.mustBeInForce(t, tableRecord(table))
 }
 
 // A change of one route among thousands is sent as what changed: at the rate
