Lines of lost attempts name the request's fingerprint and what lay behind the error

Cause: the logs of the incident can't tell a request that crashes runners from runners that end for another cause. Attempts have ids of their own, and 'the request was not sent' doesn't say whether the address refused or gave no answer.

Change: finish and retry lines of attempts that ended by a broken connection carry a fingerprint of organisation, method, host, target and body; their reason carries the cause of the error. No decision changes.

Before: none of the 28 finish lines of lost attempts in the incident's logs names more than its organisation.

--- a/internal/adapter/jsonlog/jsonlog.go
+++ b/internal/adapter/jsonlog/jsonlog.go
@@ -37,6 +37,7 @@
 		{"model", d.Model},
 		{"endpoint", d.Endpoint},
 		{"outcome", d.Outcome},
+		{"fingerprint", d.Fingerprint},
 		{"coordinator", d.Coordinator},
 		{"actor", d.Actor},
 	} {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -7,6 +7,8 @@
 	"io"
 	"net/http"
 
+	"github.com/ansel1/merry/v2"
+
 	"github.com/dragonflyrail/dragonflyrail/internal/adapter/eventstream"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/stream"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
@@ -99,17 +101,28 @@
 	if ctx.Err() != nil {
 		kind = port.FinishCancelled
 	}
-	x.reason = err.Error()
+	x.lost = kind == port.FinishFailed
+	x.reason = withCause(err)
 	x.g.metrics.lost(name)
 	x.endAttempt(p, kind)
 	return fate
 }
 
+// withCause is an error's text with what lies behind it: whether an address
+// refuses connections or doesn't answer is not in the text itself.
+func withCause(err error) string {
+	if cause := merry.Cause(err); cause != nil {
+		return err.Error() + ": " + cause.Error()
+	}
+	return err.Error()
+}
+
 // relayBody passes on an answer that isn't a stream of events.
 func (x *exchange) relayBody(ctx context.Context, p *placement, a *port.Answer) stream.Fate {
 	b, err := readAnswer(a)
 	if err != nil {
 		x.reason = "the answer broke off: " + err.Error()
+		x.lost = ctx.Err() == nil
 		x.g.metrics.lost("cut")
 		x.endAttempt(p, finishOf(ctx, port.FinishFailed))
 		return stream.FateUnknown
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -168,6 +168,7 @@
 func (x *exchange) eventsEnded(ctx context.Context, p *placement, a *port.Answer, err error) stream.Fate {
 	if !errors.Is(err, io.EOF) || ctx.Err() != nil {
 		x.reason = "the stream broke off: " + err.Error()
+		x.lost = ctx.Err() == nil
 		x.g.metrics.lost("cut")
 		x.endAttempt(p, finishOf(ctx, port.FinishFailed))
 		if x.begun {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/dragonflyrail/dragonflyrail/internal/core/outcome"
+	"github.com/dragonflyrail/dragonflyrail/internal/core/quarantine"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/route"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/stream"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
@@ -43,6 +44,10 @@
 	reason   string
 	// kept is an endpoint's own failure, given where nothing better comes.
 	kept *buffered
+	// lost: the connection to the endpoint of the last attempt broke off.
+	lost bool
+	// print is read through fingerprint.
+	print *quarantine.Fingerprint
 }
 
 // Serve answers one request. It returns nil once the caller has an endpoint's
@@ -185,6 +190,15 @@
 	return x.record(verdictFinish, reason, string(o), nil)
 }
 
+// fingerprint is worked out when first asked for.
+func (x *exchange) fingerprint() quarantine.Fingerprint {
+	if x.print == nil {
+		f := quarantine.FingerprintOf(x.req.Pass.Organisation, x.req.Method, x.req.Host, x.req.Target, x.req.Body)
+		x.print = &f
+	}
+	return *x.print
+}
+
 // record writes the line of one decision on this request.
 func (x *exchange) record(verdict, reason, result string, candidates []port.CandidateScore) string {
 	d := &port.DecisionRecord{
@@ -195,6 +209,9 @@
 	if verdict == verdictFinish {
 		d.Delivered = x.delivered
 	}
+	if x.lost {
+		d.Fingerprint = x.fingerprint().String()
+	}
 	x.decision = x.g.decide(d)
 	return x.decision
 }
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -138,7 +138,7 @@
 
 // begin tells the breakers and the balancer that an attempt begins.
 func (x *exchange) beginAttempt(p *placement) {
-	x.sending = p
+	x.sending, x.lost = p, false
 	if !p.generation {
 		x.g.breakers.Begin(x.g.Clock(), p.endpoint.ID)
 	}
--- a/internal/port/explain.go
+++ b/internal/port/explain.go
@@ -14,12 +14,15 @@
 	Organisation string `json:"organisation,omitempty"`
 	Model        string `json:"model,omitempty"`
 	// Verdict is for instance "place", "hold", "refuse", "order", "accepted".
-	Verdict    string           `json:"verdict"`
-	Reason     string           `json:"reason"`
-	Endpoint   string           `json:"endpoint,omitempty"`
-	Attempt    int              `json:"attempt,omitempty"`
-	Outcome    string           `json:"outcome,omitempty"`
-	Candidates []CandidateScore `json:"candidates,omitempty"`
+	Verdict  string `json:"verdict"`
+	Reason   string `json:"reason"`
+	Endpoint string `json:"endpoint,omitempty"`
+	Attempt  int    `json:"attempt,omitempty"`
+	Outcome  string `json:"outcome,omitempty"`
+	// Fingerprint tells a request that is sent again, see package quarantine. It
+	// is set where an attempt ended without a whole answer.
+	Fingerprint string           `json:"fingerprint,omitempty"`
+	Candidates  []CandidateScore `json:"candidates,omitempty"`
 	// ConfigurationVersion is the version the decision rested on.
 	ConfigurationVersion uint64 `json:"configuration_version,omitempty"`
 	// Revision is that of the platform's registry which it rested on.
