--- a/cmd/dragonfly-standin/fleet.go
+++ b/cmd/dragonfly-standin/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os"
 	"time"
 
 	"github.com/phuslu/log"
@@ -36,7 +37,10 @@
 
 // Execute runs the stand-in until it is stopped, which it announces.
 func (c *fleetRunnerCommand) Execute([]string) error {
-	r := &standin.Runner{ID: c.ID, EventEvery: c.EventEvery, Work: c.Work, CacheTokens: standin.CacheTokens}
+	r := &standin.Runner{
+		ID: c.ID, EventEvery: c.EventEvery, Work: c.Work, CacheTokens: standin.CacheTokens,
+		OnCrash: func() { os.Exit(exitCrashed) },
+	}
 	var kept *standin.Registration
 	return c.serveWith("fleet-runner", r, hooks{
 		background: func(ctx context.Context, l *log.Logger) {
@@ -55,6 +59,9 @@
 	})
 }
 
+// exitCrashed is the exit code of a runner that a request has crashed.
+const exitCrashed = 3
+
 // leave tells the store, and serves on for the notice.
 func (c *fleetRunnerCommand) leave(r *standin.Runner, kept *standin.Registration, l *log.Logger) {
 	r.SetLeaving(true)
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -68,6 +68,7 @@
 // chosen counts the attempt that follows.
 func (x *exchange) chosen(p *placement) *placement {
 	x.attempts++
+	x.lost = false
 	x.endpoint = p.endpoint.ID
 	x.tried = append(x.tried, p.endpoint.ID)
 	return p
@@ -138,7 +139,7 @@
 
 // begin tells the breakers and the balancer that an attempt begins.
 func (x *exchange) beginAttempt(p *placement) {
-	x.sending, x.lost = p, false
+	x.sending = p
 	if !p.generation {
 		x.g.breakers.Begin(x.g.Clock(), p.endpoint.ID)
 	}
--- /dev/null
+++ b/test/crashing_test.go
@@ -0,0 +1,150 @@
+package test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/dragonflyrail/dragonflyrail/platform/standin"
+	"github.com/dragonflyrail/dragonflyrail/platform/testfleet"
+)
+
+// Bounds of what a crashing request may do.
+const (
+	crashesToLearn = 3
+	// learnedWithin is the time from the last of these to when all daemons know.
+	learnedWithin  = 3 * time.Second
+	runsAfterwards = 3
+)
+
+// A generation that crashes each runner must not be sent to one after the other,
+// whichever daemon it comes to; callers who shared its runners stay served.
+func TestGenerationThatCrashesRunnersIsNotSentOnAndOn(t *testing.T) {
+	t.Parallel()
+	crashesRunners(t, testfleet.Generation)
+}
+
+// The same for a call that may be repeated, which the system itself sends to a
+// second endpoint.
+func TestCallThatCrashesEndpointsIsNotSentOnAndOn(t *testing.T) {
+	t.Parallel()
+	crashesRunners(t, testfleet.Repeatable)
+}
+
+func crashesRunners(t *testing.T, kind testfleet.Kind) {
+	f := startFleet(t, func(l *testfleet.Layout) { l.Engines, l.Plain = 6, 6 })
+	ctx, stop := context.WithCancel(bounded(t))
+	defer stop()
+	var background sync.WaitGroup
+	background.Go(func() { f.Respawn(ctx, time.Second) })
+	innocent := f.repeats(ctx, &background, kind)
+	f.crashes(kind, 30)
+	f.mustHaveLearned(t)
+	innocent.mustBeServed(t)
+	stop()
+	background.Wait()
+}
+
+// crashing is what the request that crashes runners begins its ids with.
+const crashing = "crashing-"
+
+// crashes sends one request that crashes runners to all daemons in turn.
+func (f *fleetTest) crashes(kind testfleet.Kind, times int) {
+	f.t.Helper()
+	const pause = 200 * time.Millisecond
+	for i := range times {
+		r := &testfleet.Request{
+			ID: fmt.Sprint(crashing, i), Kind: kind, Events: 3,
+			Path: string(kind) + "fatal", Body: standin.CrashMark,
+		}
+		a := f.caller.Ask(bounded(f.t), f.Daemons[i%len(f.Daemons)].Callers, r)
+		if a.Err == nil && a.Status == 200 {
+			f.t.Fatalf("%s was answered", r.ID)
+		}
+		time.Sleep(pause)
+	}
+}
+
+// mustHaveLearned checks how often the request ran.
+func (f *fleetTest) mustHaveLearned(t *testing.T) {
+	t.Helper()
+	runs := f.runsOf(crashing)
+	if len(runs) < crashesToLearn {
+		t.Fatalf("%d runs, too few to tell anything", len(runs))
+	}
+	learned := runs[crashesToLearn-1].Add(learnedWithin)
+	late := 0
+	for _, at := range runs {
+		if at.After(learned) {
+			late++
+		}
+	}
+	if late > runsAfterwards {
+		t.Errorf("%d runs in all, %d of them later than %v after the third", len(runs), late, learnedWithin)
+	}
+}
+
+// runsOf lists when runners began to run requests whose ids begin so, in order.
+func (f *fleetTest) runsOf(prefix string) []time.Time {
+	var out []time.Time
+	for _, r := range f.Runners() {
+		lines := bufio.NewScanner(bytes.NewReader(r.Log()))
+		for lines.Scan() {
+			var line struct {
+				Event     string `json:"event"`
+				RequestID string `json:"request_id"`
+				Millis    int64  `json:"unix_ms"`
+			}
+			if json.Unmarshal(lines.Bytes(), &line) == nil && line.Event == "run" && strings.HasPrefix(line.RequestID, prefix) {
+				out = append(out, time.UnixMilli(line.Millis))
+			}
+		}
+	}
+	slices.SortFunc(out, time.Time.Compare)
+	return out
+}
+
+// repeated is one small request that callers send over and over.
+type repeated struct {
+	f    *fleetTest
+	kind testfleet.Kind
+}
+
+// repeats has callers send it until the context ends.
+func (f *fleetTest) repeats(ctx context.Context, background *sync.WaitGroup, kind testfleet.Kind) *repeated {
+	s := &repeated{f: f, kind: kind}
+	const callers = 4
+	for i := range callers {
+		background.Go(func() {
+			for n := i; ctx.Err() == nil; n++ {
+				s.ask(ctx, n)
+			}
+		})
+	}
+	return s
+}
+
+func (s *repeated) ask(ctx context.Context, n int) bool {
+	r := s.f.request(s.kind, 1)
+	r.Path, r.Body = string(s.kind)+"small", "small"
+	return s.f.caller.Ask(ctx, s.f.Daemons[n%len(s.f.Daemons)].Callers, r).Whole(r)
+}
+
+// mustBeServed: once the crashes have ended, nothing is held against it.
+func (s *repeated) mustBeServed(t *testing.T) {
+	t.Helper()
+	const asks = 30
+	ctx := bounded(t)
+	for n := range asks {
+		if !s.ask(ctx, n) {
+			t.Errorf("ask %d of %d at %s was not served", n, asks, s.f.Daemons[n%len(s.f.Daemons)].ID)
+		}
+	}
+}
