A request under which endpoints crash is not sent to any more of them

What callers saw: their streams broke off one after the other, as 13 and 19 language runners ended within 13 s under one request that came again and again.

Cause: each attempt has an id of its own and was judged by itself. What ended under the attempt before was known to one daemon, for as long as that attempt lasted, and the next one went to the next runner.

Ruled out: our own retries and moves (every lost attempt is a first one); to count broken connections as crashes (runners break off answers and live: each loss is followed by a look at the runner's health over a new connection); to blame whatever ran at a crashed runner (all innocent runs of that runner would be refused after three).

Change: core/quarantine. Requests have a fingerprint (organisation, method, host, target, body). A daemon that finds a runner ended tells of all that it lost there, and daemons join what they tell in a table of its own on the links between them. A request is refused (crashes_endpoints, not run, Retry-After) once three endpoints have crashed under it and no other request explains these as well, or five whatever explains them. A run to its end, seen by any daemon, clears it. 4,096 suspects at most, ten minutes after the last that was heard.

Conclusion: the table holds what one attempt can't know; its verdict is the same at all daemons, as it follows from the table alone.

--- a/internal/adapter/grpcpeer/convert.go
+++ b/internal/adapter/grpcpeer/convert.go
@@ -125,6 +125,7 @@
 		Records:   tableToWire(&m.Records),
 		Endpoints: tableToWire(&m.Endpoints),
 		Members:   tableToWire(&m.Members),
+		Suspects:  tableToWire(&m.Suspects),
 
 		HighestVersion: m.HighestVersion,
 		Complete:       m.Complete,
@@ -145,16 +146,18 @@
 		Records:   mapSlice(m.Records.Entries, revisionToWire),
 		Endpoints: mapSlice(m.Endpoints.Entries, endpointToWire),
 		Members:   mapSlice(m.Members.Entries, memberToWire),
+		Suspects:  suspectsToWire(m.Suspects.Entries),
 		Sync:      syncToWire(m),
 	}
 }
 
 // messageFromWire joins what either direction of a stream carries.
-func messageFromWire(s *peerv1.Sync, rs []*peerv1.Record, es []*peerv1.Endpoint, ms []*peerv1.Member) node.Message {
+func messageFromWire(s *peerv1.Sync, rs []*peerv1.Record, es []*peerv1.Endpoint, ms []*peerv1.Member, ss []*peerv1.Suspect) node.Message {
 	return node.Message{
 		Records:        stepFromWire(s.GetRecords(), mapSlice(rs, revisionFromWire)),
 		Endpoints:      stepFromWire(s.GetEndpoints(), mapSlice(es, endpointFromWire)),
 		Members:        stepFromWire(s.GetMembers(), mapSlice(ms, memberFromWire)),
+		Suspects:       stepFromWire(s.GetSuspects(), suspectsFromWire(ss)),
 		HighestVersion: s.GetHighestVersion(),
 		Complete:       s.GetComplete(),
 		Parts:          s.GetParts(),
@@ -165,7 +168,7 @@
 }
 
 func updateFromWire(u *peerv1.Update) node.Message {
-	return messageFromWire(u.GetSync(), u.GetRecords(), u.GetEndpoints(), u.GetMembers())
+	return messageFromWire(u.GetSync(), u.GetRecords(), u.GetEndpoints(), u.GetMembers(), u.GetSuspects())
 }
 
 func heartbeatToWire(m *node.Message) *peerv1.Heartbeat {
@@ -173,10 +176,11 @@
 		Records:           mapSlice(m.Records.Entries, revisionToWire),
 		ObservedEndpoints: mapSlice(m.Endpoints.Entries, endpointToWire),
 		KnownMembers:      mapSlice(m.Members.Entries, memberToWire),
+		Suspects:          suspectsToWire(m.Suspects.Entries),
 		Sync:              syncToWire(m),
 	}
 }
 
 func heartbeatFromWire(h *peerv1.Heartbeat) node.Message {
-	return messageFromWire(h.GetSync(), h.GetRecords(), h.GetObservedEndpoints(), h.GetKnownMembers())
+	return messageFromWire(h.GetSync(), h.GetRecords(), h.GetObservedEndpoints(), h.GetKnownMembers(), h.GetSuspects())
 }
--- a/internal/adapter/jsonlog/jsonlog.go
+++ b/internal/adapter/jsonlog/jsonlog.go
@@ -50,6 +50,7 @@
 		value uint64
 	}{
 		{"attempt", uint64(d.Attempt)},
+		{"crashes", uint64(d.Crashes)},
 		{"configuration_version", d.ConfigurationVersion},
 		{"store_era", d.Revision.Era()},
 		{"revision", d.Revision.Revision()},
--- a/internal/adapter/oncehttp/oncehttp.go
+++ b/internal/adapter/oncehttp/oncehttp.go
@@ -29,6 +29,8 @@
 	// zero is DefaultIdleTimeout.
 	IdleConnections int
 	IdleTimeout     time.Duration
+	// Fresh has each request sent over a connection of its own.
+	Fresh bool
 }
 
 // DefaultIdleTimeout is how long an unused connection is kept.
@@ -60,6 +62,7 @@
 		ReadBufferSize:         bufferBytes,
 		WriteBufferSize:        bufferBytes,
 		DisableCompression:     true,
+		DisableKeepAlives:      o.Fresh,
 	}}
 }
 
--- a/internal/core/spread/node/link.go
+++ b/internal/core/spread/node/link.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 
 	"github.com/dragonflyrail/dragonflyrail/internal/core/membership"
+	"github.com/dragonflyrail/dragonflyrail/internal/core/quarantine"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/spread"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
@@ -13,6 +14,7 @@
 	Records   spread.Step[spread.Revision]
 	Endpoints spread.Step[membership.Endpoint]
 	Members   spread.Step[membership.Member]
+	Suspects  spread.Step[quarantine.Suspect]
 	// HighestVersion is the highest record version known anywhere.
 	HighestVersion uint64
 	// Complete: the sender holds a complete set of records, and with this
@@ -32,7 +34,7 @@
 
 // Empty reports whether the message says nothing new.
 func (m *Message) Empty() bool {
-	return m.Records.Empty() && m.Endpoints.Empty() && m.Members.Empty() &&
+	return m.Records.Empty() && m.Endpoints.Empty() && m.Members.Empty() && m.Suspects.Empty() &&
 		m.HighestVersion == 0 && !m.Complete &&
 		len(m.Parts) == 0 && len(m.WantedParts) == 0 && !m.TakesParts
 }
@@ -48,6 +50,7 @@
 	records   *spread.Exchange[spread.Revision]
 	endpoints *spread.Exchange[membership.Endpoint]
 	members   *spread.Exchange[membership.Member]
+	suspects  *spread.Exchange[quarantine.Suspect]
 	parts     partExchange
 	woken     chan struct{}
 	// answered is set once the peer's bucket digests were compared: from
@@ -79,6 +82,7 @@
 		records:   spread.NewExchange(n.Records, initiator),
 		endpoints: spread.NewExchange(n.Endpoints, initiator),
 		members:   spread.NewExchange(n.Members, initiator),
+		suspects:  spread.NewExchange(n.suspects, initiator),
 		woken:     make(chan struct{}, 1),
 	}
 	n.mu.Lock()
@@ -124,7 +128,7 @@
 
 // wakeForMore has the rest sent that a bounded message left.
 func (l *Link) wakeForMore() {
-	if l.records.More() || l.members.More() || l.parts.more(l.node.bodies) || !l.holdsEndpoints.Load() && l.endpoints.More() {
+	if l.records.More() || l.members.More() || l.suspects.More() || l.parts.more(l.node.bodies) || !l.holdsEndpoints.Load() && l.endpoints.More() {
 		l.wake()
 	}
 }
@@ -137,6 +141,7 @@
 	l.records.Tick()
 	l.endpoints.Tick()
 	l.members.Tick()
+	l.suspects.Tick()
 	l.parts.tick(l.node.bodies)
 }
 
@@ -146,7 +151,7 @@
 	// a list that ends in between would vouch for records not sent.
 	complete := l.node.Complete() && (l.initiator || l.answered.Load())
 	defer l.wakeForMore()
-	m := Message{Records: l.records.Next(), Members: l.members.Next()}
+	m := Message{Records: l.records.Next(), Members: l.members.Next(), Suspects: l.suspects.Next()}
 	if !l.holdsEndpoints.Load() {
 		m.Endpoints = l.endpoints.Next()
 	}
@@ -173,6 +178,9 @@
 	for _, v := range l.members.Receive(&m.Members) {
 		l.node.spread(l, func(o *Link) { o.members.Dirty(v.ID) })
 	}
+	for _, v := range l.suspects.Receive(&m.Suspects) {
+		l.node.spread(l, func(o *Link) { o.suspects.Dirty(quarantine.Order{}.Key(v)) })
+	}
 	if len(m.Records.BucketDigests) > 0 {
 		l.answered.Store(true)
 		l.saidComplete.Store(false)
--- a/internal/core/spread/node/node.go
+++ b/internal/core/spread/node/node.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 
 	"github.com/dragonflyrail/dragonflyrail/internal/core/membership"
+	"github.com/dragonflyrail/dragonflyrail/internal/core/quarantine"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/spread"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
@@ -19,6 +20,7 @@
 	Records   *spread.Table[spread.Revision]
 	Endpoints *spread.Table[membership.Endpoint]
 	Members   *spread.Table[membership.Member]
+	suspects  *spread.Table[quarantine.Suspect]
 
 	// highestHeld is the highest record version held, highestKnown the
 	// highest that any daemon is known to hold.
@@ -44,6 +46,7 @@
 		Records:   spread.NewRecordTable(),
 		Endpoints: membership.NewEndpointTable(),
 		Members:   membership.NewMemberTable(),
+		suspects:  quarantine.NewTable(),
 		bodies:    newBodies(),
 		links:     map[*Link]struct{}{},
 		changed:   make(chan struct{}),
@@ -154,6 +157,18 @@
 	return changed
 }
 
+// Suspects returns the requests under which endpoints have crashed.
+func (n *Node) Suspects() *spread.Table[quarantine.Suspect] { return n.suspects }
+
+// PutSuspect merges what is known of a request and passes it on.
+func (n *Node) PutSuspect(s quarantine.Suspect) bool {
+	changed := n.suspects.Merge(s)
+	if changed {
+		n.spread(nil, func(l *Link) { l.suspects.Dirty(quarantine.Order{}.Key(s)) })
+	}
+	return changed
+}
+
 // PutMember merges a member state and passes it on.
 func (n *Node) PutMember(m membership.Member) bool {
 	changed := n.Members.Merge(m)
--- a/internal/core/spread/table.go
+++ b/internal/core/spread/table.go
@@ -80,6 +80,22 @@
 	return true
 }
 
+// Remove forgets an entry, as nothing in an order ever does. What a peer still
+// holds comes back with the next repair: entries that are removed need an end of
+// life by which peers refuse them.
+func (t *Table[T]) Remove(key string) {
+	s := &t.shards[t.Bucket(key)]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old, held := s.entries[key]
+	if !held {
+		return
+	}
+	delete(s.entries, key)
+	s.digest -= t.order.Hash(old)
+	t.noteChange(key)
+}
+
 // Get returns the entry of a key.
 func (t *Table[T]) Get(key string) (T, bool) {
 	s := &t.shards[t.Bucket(key)]
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -170,7 +170,7 @@
 // deliver gives the caller an answer. Once it has begun, an error leaves the
 // caller with a part that must not look whole.
 func (x *exchange) deliver(b *buffered) error {
-	x.begun = true
+	x.begun, x.status = true, b.status
 	if err := x.out.Begin(b.status, b.header, b.length); err != nil {
 		return err
 	}
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"testing"
+	"time"
 
+	"github.com/dragonflyrail/dragonflyrail/internal/core/outcome"
+	"github.com/dragonflyrail/dragonflyrail/internal/core/quarantine"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
+	"github.com/dragonflyrail/dragonflyrail/internal/testkit/eventually"
 )
 
 // The lines of two attempts that lost their endpoint show whether they were of
@@ -39,3 +43,139 @@
 	}
 	return name
 }
+
+// look sets what a look at all plain endpoints shows.
+func (b *bench) look(p port.Presence) {
+	b.world.mu.Lock()
+	defer b.world.mu.Unlock()
+	b.world.presence = map[string]port.Presence{"s0": p, "s1": p, "s2": p}
+}
+
+// fingerprintOf is that of a request which ask sends.
+func fingerprintOf(path string) quarantine.Fingerprint {
+	return quarantine.FingerprintOf("o", "POST", "h", path, nil)
+}
+
+// condemn has endpoints that nobody knows crash under a request.
+func (b *bench) condemn(path string) {
+	for id := range quarantine.CrashID(3) {
+		b.quarantine.Crashed(time.Now(), 1000+id, []quarantine.Fingerprint{fingerprintOf(path)})
+	}
+}
+
+// A request that endpoints are known to crash under is refused at once and sent
+// to none; others of the same caller are served.
+func TestCondemnedRequestIsNotSent(t *testing.T) {
+	for _, path := range []string{"/safe/fatal", "/once/fatal", "/stream/fatal"} {
+		b := newBench(t)
+		b.everywhere("s", reply(200, "fine"))
+		b.everywhere("e", reply(200, "fine"))
+		b.condemn(path)
+		refusal := b.ask(t, path, &caller{})
+		if refusal == nil || refusal.Cause != CauseQuarantined || refusal.Outcome != outcome.NotRun || refusal.RetryAfter <= time.Minute {
+			t.Errorf("%s: refused with %+v", path, refusal)
+		}
+		if arrivals := b.world.arrivals(); len(arrivals) != 0 {
+			t.Errorf("%s was sent to %v", path, arrivals)
+		}
+		if refusal := b.ask(t, path+"not", &caller{}); refusal != nil {
+			t.Errorf("another request: %+v", refusal)
+		}
+	}
+}
+
+// Endpoints end one after the other under one request: the daemon finds that
+// nothing listens there any more, and sends it to no other after the third.
+func TestRequestUnderWhichEndpointsEndIsCondemned(t *testing.T) {
+	b := newBench(t)
+	b.everywhere("s", failure(port.ErrEndpointLost))
+	b.look(port.PresenceGone)
+	eventually.True(t, "the request is condemned", func() bool {
+		refusal := b.ask(t, "/once/fatal", &caller{})
+		return refusal != nil && refusal.Cause == CauseQuarantined
+	})
+	arrivals := len(b.world.arrivals())
+	if refusal := b.ask(t, "/once/fatal", &caller{}); refusal == nil || refusal.Cause != CauseQuarantined {
+		t.Fatalf("%+v", refusal)
+	}
+	if len(b.world.arrivals()) != arrivals {
+		t.Fatal("it was sent again")
+	}
+}
+
+// Connections break at endpoints that go on serving, as a faulty network or
+// endpoint breaks them: the request is not to blame.
+func TestBrokenConnectionIsNoCrash(t *testing.T) {
+	for _, presence := range []port.Presence{port.PresenceServing, port.PresenceUnknown} {
+		b := newBench(t)
+		b.everywhere("s", failure(port.ErrEndpointLost))
+		b.look(presence)
+		for range 12 {
+			b.ask(t, "/once/unlucky", &caller{})
+		}
+		b.looksEnd(t)
+		if refusal := b.ask(t, "/once/unlucky", &caller{}); refusal == nil || refusal.Cause == CauseQuarantined {
+			t.Errorf("presence %d: %+v", presence, refusal)
+		}
+	}
+}
+
+// Endpoints end as planned, with what they still run: no request is to blame.
+func TestEndOfAnEndpointThatLeavesIsNoCrash(t *testing.T) {
+	b := newBench(t)
+	b.look(port.PresenceGone)
+	for _, id := range []string{"s0", "s1", "s2"} {
+		b.world.on[id] = func(*port.Exchange) (*port.Answer, error) {
+			b.leave(id)
+			return nil, port.ErrEndpointLost
+		}
+	}
+	for range 3 {
+		b.ask(t, "/once/unlucky", &caller{})
+	}
+	b.looksEnd(t)
+	if n := b.quarantine.Condemnations(); len(n) > 0 {
+		t.Fatalf("condemned: %v", n)
+	}
+}
+
+// looksEnd waits until nobody looks at an endpoint any more.
+func (b *bench) looksEnd(t *testing.T) {
+	t.Helper()
+	eventually.True(t, "the looks have ended", func() bool { return b.flights.Looking() == 0 })
+}
+
+// A repeatable request has crashed an endpoint in this very attempt, and others
+// before: the second try that the route allows is not made.
+func TestRetryOfACondemnedRequestIsNotMade(t *testing.T) {
+	b := newBench(t)
+	f := fingerprintOf("/safe/fatal")
+	b.everywhere("s", func(*port.Exchange) (*port.Answer, error) {
+		b.condemn("/safe/fatal")
+		return nil, port.ErrEndpointLost
+	})
+	refusal := b.ask(t, "/safe/fatal", &caller{})
+	if refusal == nil || refusal.Cause != CauseQuarantined || refusal.Outcome != outcome.Unknown {
+		t.Fatalf("%+v, fingerprint %s", refusal, f)
+	}
+	if n := len(b.world.arrivals()); n != 1 {
+		t.Fatalf("sent %d times", n)
+	}
+}
+
+// A request runs to its end at one endpoint after it was lost with others: it is
+// served as before.
+func TestRequestThatRunsToItsEndIsNotCondemned(t *testing.T) {
+	b := newBench(t)
+	f := fingerprintOf("/once/unlucky")
+	b.quarantine.Crashed(time.Now(), 1, []quarantine.Fingerprint{f})
+	b.quarantine.Crashed(time.Now(), 2, []quarantine.Fingerprint{f})
+	b.everywhere("s", reply(200, "fine"))
+	if refusal := b.ask(t, "/once/unlucky", &caller{}); refusal != nil {
+		t.Fatal(refusal)
+	}
+	b.quarantine.Crashed(time.Now(), 3, []quarantine.Fingerprint{f})
+	if refusal := b.ask(t, "/once/unlucky", &caller{}); refusal != nil {
+		t.Fatal(refusal)
+	}
+}
--- a/internal/gateway/decide.go
+++ b/internal/gateway/decide.go
@@ -16,6 +16,8 @@
 	verdictCopy   = "copy"
 	verdictResume = "resume"
 	verdictPanic  = "panic"
+	// verdictCrash: an endpoint ended with what it ran.
+	verdictCrash = "crash"
 	// verdictRelease: a copy is freed.
 	verdictRelease = "release"
 )
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -124,7 +124,7 @@
 		return nil
 	}
 	c, lastID := r.run.handover(ctx.Done())
-	if c == nil {
+	if c == nil || r.x.condemned() != nil {
 		return nil
 	}
 	for _, at := range []port.Endpoint{c.to, c.from} {
@@ -137,7 +137,9 @@
 		r.x.g.metrics.moves.Inc(1)
 		r.x.g.Placer.Relocated(r.x.req.ID, at.ID == c.to.ID, at.ID)
 		r.x.endpoint = at.ID
+		r.x.g.flights.End(r.p.flight)
 		r.p.endpoint = at
+		r.x.takeOff(r.p)
 		r.x.delivered.Runners++
 		r.x.release(r.run.reads(at, next.Body))
 		return next
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/dragonflyrail/dragonflyrail/internal/core/outcome"
@@ -101,13 +102,14 @@
 func (x *exchange) serve(ctx context.Context) *Refusal {
 	x.g.budgets.pool(x.pool).FirstTry()
 	for {
-		p, refusal := x.place(ctx)
+		p, refusal := x.placeUnlessCondemned(ctx)
 		if refusal != nil {
 			return x.lastWord(refusal)
 		}
 		fate := x.attempt(ctx, p)
 		x.ledger.Add(fate, x.begun)
 		if fate == stream.FateDone {
+			x.completed()
 			x.finish(outcome.Done, x.reason)
 			return nil
 		}
@@ -119,6 +121,30 @@
 	}
 }
 
+// placeUnlessCondemned chooses an endpoint for the next attempt. The request may
+// have waited for its place while it was found out.
+func (x *exchange) placeUnlessCondemned(ctx context.Context) (*placement, *Refusal) {
+	if refusal := x.condemned(); refusal != nil {
+		return nil, refusal
+	}
+	p, refusal := x.place(ctx)
+	if refusal != nil {
+		return nil, refusal
+	}
+	if refusal := x.condemned(); refusal != nil {
+		x.giveBack(p)
+		return nil, refusal
+	}
+	return p, nil
+}
+
+// completed notes that the request outlived its run, and the endpoint with it.
+func (x *exchange) completed() {
+	if x.status < http.StatusInternalServerError {
+		x.g.Quarantine.Completed(x.g.Clock(), x.fingerprint())
+	}
+}
+
 // lastWord passes on an endpoint's own failure where nothing better came: it
 // tells the caller more than a failure of ours.
 func (x *exchange) lastWord(refusal *Refusal) *Refusal {
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -17,9 +17,11 @@
 	"github.com/phuslu/log"
 
 	"github.com/dragonflyrail/dragonflyrail/internal/core/breaker"
+	"github.com/dragonflyrail/dragonflyrail/internal/core/quarantine"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/record"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/route"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/routing"
+	"github.com/dragonflyrail/dragonflyrail/internal/core/spread/node"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 	"github.com/dragonflyrail/dragonflyrail/internal/scheduling"
 	"github.com/dragonflyrail/dragonflyrail/internal/testkit/fakes"
@@ -33,6 +35,9 @@
 	// copies answers copies.
 	copies func(from port.Endpoint, to port.Endpoint, stop bool) (port.Copy, error)
 	sent   []port.Exchange
+	// presence is what a look at an endpoint shows, in place of serving.
+	presence map[string]port.Presence
+	looks    int
 	// released lists the copies that were freed, each as runner/handle.
 	released []string
 }
@@ -79,6 +84,16 @@
 	return f(from, to, stop)
 }
 
+func (e *endpoints) Look(_ context.Context, at port.Endpoint, _ string) port.Presence {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.looks++
+	if p, set := e.presence[at.ID]; set {
+		return p
+	}
+	return port.PresenceServing
+}
+
 func (e *endpoints) Release(_ context.Context, at port.Endpoint, handle string) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -231,9 +246,10 @@
 // bench is a gateway over fakes.
 type bench struct {
 	*Gateway
-	world *endpoints
-	view  *view
-	sink  *fakes.Decisions
+	quarantine *quarantine.Register
+	world      *endpoints
+	view       *view
+	sink       *fakes.Decisions
 }
 
 func testTable(version uint64) *route.Table {
@@ -273,6 +289,8 @@
 		world: &endpoints{on: map[string]func(*port.Exchange) (*port.Answer, error){}},
 		sink:  &fakes.Decisions{},
 		view:  &view{changed: make(chan struct{}), records: []port.Record{recordOf(testTable(1))}},
+
+		quarantine: quarantine.NewRegister(node.New(), func(quarantine.Change) {}),
 	}
 	for i := range 3 {
 		b.view.endpoints = append(b.view.endpoints,
@@ -288,7 +306,8 @@
 		Drain:   DrainOptions{TakeGenerations: time.Hour, TakeCalls: time.Hour, End: 2 * time.Hour},
 	}, Ports{
 		Endpoints: b.world, Scheduler: scheduler, Placer: placer, View: b.view, Announcer: b.view,
-		Sink: b.sink, Policy: record.Policy,
+		Quarantine: b.quarantine,
+		Sink:       b.sink, Policy: record.Policy,
 	})
 	b.apply()
 	return b
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/dragonflyrail/dragonflyrail/internal/core/balance"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/breaker"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/membership"
+	"github.com/dragonflyrail/dragonflyrail/internal/core/quarantine"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/route"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
@@ -56,7 +57,9 @@
 	Placer    Placer
 	View      View
 	Announcer Announcer
-	Sink      port.DecisionSink
+	// Quarantine keeps requests from endpoints that they would crash.
+	Quarantine Quarantine
+	Sink       port.DecisionSink
 	// Freshness is how long ago the platform last answered any daemon, as far
 	// as this one knows; negative for never. It may be nil.
 	Freshness func() time.Duration
@@ -102,8 +105,10 @@
 	metrics  *instruments
 	departed membership.Departures
 	runs     runs
-	index    atomic.Pointer[route.Index]
-	known    known
+	// flights are the attempts under way.
+	flights *quarantine.Flights
+	index   atomic.Pointer[route.Index]
+	known   known
 	// endpointChanges yields the endpoints that the view changed.
 	endpointChanges func() []port.Endpoint
 	applying        sync.Mutex
@@ -125,6 +130,7 @@
 		breakers: breaker.NewSet(o.Breaker),
 		balancer: balance.New(balance.Options{Draw: draw, ReportMaxAge: o.ReportMaxAge}),
 		metrics:  newInstruments(p.Metrics),
+		flights:  quarantine.NewFlights(),
 	}
 	g.o.Store(&o)
 	g.budgets = newBudgets(g.options, g.daemons)
@@ -160,6 +166,7 @@
 			return
 		case <-ticker.C:
 			g.Scheduler.Tick(g.Clock())
+			g.flights.Tick(g.Clock())
 		}
 	}
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -28,6 +28,7 @@
 	copies     gometrics.Histogram
 	moves      gometrics.Counter
 	panics     gometrics.Counter
+	crashes    gometrics.Counter
 }
 
 func newInstruments(r gometrics.Registry) *instruments {
@@ -49,6 +50,7 @@
 		copies:     histogram("run_copy_us"),
 		moves:      counter("runs_moved_total"),
 		panics:     counter("panics_total"),
+		crashes:    counter("endpoint_crashes_total"),
 	}
 }
 
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/dragonflyrail/dragonflyrail/internal/core/quarantine"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/routing"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
@@ -19,6 +20,8 @@
 	generation bool
 	// tokens are those seen of the answer.
 	tokens int
+	// flight is the attempt while it is under way.
+	flight *quarantine.Flight
 }
 
 // blockTokens is the part of a prompt that one hash stands for, where shared
@@ -140,15 +143,26 @@
 // begin tells the breakers and the balancer that an attempt begins.
 func (x *exchange) beginAttempt(p *placement) {
 	x.sending = p
+	x.takeOff(p)
 	if !p.generation {
 		x.g.breakers.Begin(x.g.Clock(), p.endpoint.ID)
 	}
 }
 
+// giveBack ends an attempt that was placed and not begun.
+func (x *exchange) giveBack(p *placement) {
+	if p.generation {
+		x.g.Placer.Finished(x.req.ID, 0, port.FinishCancelled)
+		return
+	}
+	x.g.balancer.End(p.endpoint.ID)
+}
+
 // endAttempt tells those who placed the attempt how it ended.
 func (x *exchange) endAttempt(p *placement, kind port.FinishKind) {
 	g := x.g
 	x.sending = nil
+	x.land(p)
 	if p.generation {
 		g.Placer.Finished(x.req.ID, p.tokens, kind)
 		return
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -19,11 +19,13 @@
 	CauseUnknownModel   Cause = "unknown_model"
 	CauseOverloaded     Cause = "overloaded"
 	CauseEndpointFailed Cause = "endpoint_failed"
-	CauseTimeout        Cause = "timeout"
-	CauseStopping       Cause = "daemon_stopping"
-	CauseTooManyOpen    Cause = "too_many_open_requests"
-	CauseCallerGone     Cause = "caller_gone"
-	CauseInternal       Cause = "internal_error"
+	// CauseQuarantined: endpoints crash whenever they run the request.
+	CauseQuarantined Cause = "crashes_endpoints"
+	CauseTimeout     Cause = "timeout"
+	CauseStopping    Cause = "daemon_stopping"
+	CauseTooManyOpen Cause = "too_many_open_requests"
+	CauseCallerGone  Cause = "caller_gone"
+	CauseInternal    Cause = "internal_error"
 )
 
 // Refusal is an honest answer in place of a whole one.
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -17,6 +17,7 @@
 
 	"github.com/dragonflyrail/dragonflyrail/internal/adapter/grpcpeer"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/membership"
+	"github.com/dragonflyrail/dragonflyrail/internal/core/quarantine"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/record"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/spread/node"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/watchduty"
@@ -180,6 +181,7 @@
 	listed       listedKinds
 	judging      judging
 	probes       probeMemory
+	quarantine   *quarantine.Register
 	duty         *watchduty.Duty
 	// lastRole is the role decided last, told the news that links were woken for.
 	lastRole atomic.Int32
@@ -220,6 +222,7 @@
 	k.bytesSent = gometrics.GetOrRegisterCounter("keeper_links_sent_bytes_total", o.Registry)
 	k.bytesReceived = gometrics.GetOrRegisterCounter("keeper_links_received_bytes_total", o.Registry)
 	k.node.SetListener(k)
+	k.quarantine = quarantine.NewRegister(k.node, k.noteQuarantine)
 	k.duty = watchduty.New(time.Now(), o.FallbackAfter)
 	k.SetSeeds(o.Keepers)
 	k.introduce()
@@ -232,6 +235,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return k.linkForever(ctx) })
 	group.Go(func() error { return k.judgeForever(ctx) })
+	group.Go(func() error { return k.quarantineForever(ctx) })
 	if k.options.Endpoints != nil {
 		group.Go(func() error { return k.watchEndpointsForever(ctx) })
 	} else {
--- a/internal/port/exchange.go
+++ b/internal/port/exchange.go
@@ -91,6 +91,21 @@
 	Events int
 }
 
+// Presence is what a look at an endpoint shows.
+type Presence int
+
+// The presences.
+const (
+	// PresenceUnknown: no answer in time, which may be the network's fault.
+	PresenceUnknown Presence = iota
+	// PresenceServing: the endpoint itself answers.
+	PresenceServing
+	// PresenceSilent: connections are taken and end without an answer.
+	PresenceSilent
+	// PresenceGone: nothing listens at its address, or another endpoint does.
+	PresenceGone
+)
+
 // Exchanger reaches the endpoints of routes. Its errors are ErrNotSent,
 // ErrRefused, ErrMisdirected, ErrForeignAnswer, ErrEndpointLost and, for
 // copies, ErrNoGeneration and ErrNoRoom.
@@ -102,6 +117,9 @@
 	// sends what is new. With stop the run ends first, and only its
 	// continuation at either engine goes on.
 	Copy(ctx context.Context, from Endpoint, requestID string, to Endpoint, stop bool) (Copy, error)
+	// Look finds out over a new connection whether an endpoint serves; path is
+	// that of its health check.
+	Look(ctx context.Context, e Endpoint, path string) Presence
 	// Release frees a copy that will not be used.
 	Release(ctx context.Context, e Endpoint, handle string) error
 }
--- a/internal/port/explain.go
+++ b/internal/port/explain.go
@@ -21,8 +21,10 @@
 	Outcome  string `json:"outcome,omitempty"`
 	// Fingerprint tells a request that is sent again, see package quarantine. It
 	// is set where an attempt ended without a whole answer.
-	Fingerprint string           `json:"fingerprint,omitempty"`
-	Candidates  []CandidateScore `json:"candidates,omitempty"`
+	Fingerprint string `json:"fingerprint,omitempty"`
+	// Crashes counts the endpoints that crashed while the request ran.
+	Crashes    int              `json:"crashes,omitempty"`
+	Candidates []CandidateScore `json:"candidates,omitempty"`
 	// ConfigurationVersion is the version the decision rested on.
 	ConfigurationVersion uint64 `json:"configuration_version,omitempty"`
 	// Revision is that of the platform's registry which it rested on.
