Requests that crash endpoints are held by the store, and released by operators there

What callers would see: after the loss of all daemons a request that had been found out crashes three runners again, and callers lose what runs there with it.

Cause: what daemons tell each other of such requests lies in their memory alone.

Change: a record of a kind of its own, request-quarantines/main, at most 256 requests with their crashes, written by the keeper that reads the store for all where it differs from what is condemned, and taken in by each daemon. Operators see it with dragonflyctl and release a request there; what crashed before the release is forgotten, what crashes after it counts.

--- a/internal/core/quarantine/register.go
+++ b/internal/core/quarantine/register.go
@@ -109,9 +109,16 @@
 	r.clear(now, f, "it ran to its end")
 }
 
-// Release clears a request by an operator's order.
-func (r *Register) Release(now time.Time, f Fingerprint) {
-	r.clear(now, f, "released by an operator")
+// Release clears requests by an operator's order, of the crashes that he has
+// seen.
+func (r *Register) Release(now time.Time, released []Suspect) {
+	for _, s := range released {
+		known, held := r.get(s.Fingerprint)
+		unseen := func(c CrashID) bool { return !slices.Contains(s.Crashes, c) }
+		if held && !slices.ContainsFunc(known.Crashes, unseen) {
+			r.clear(now, s.Fingerprint, "released by an operator")
+		}
+	}
 }
 
 func (r *Register) clear(now time.Time, f Fingerprint, reason string) {
--- a/internal/core/record/convert.go
+++ b/internal/core/record/convert.go
@@ -63,6 +63,11 @@
 		v1Top: []string{"organisation", "priority", "share", "tokens_per_second", "concurrency", "key_sha256"},
 		v2Top: []string{"organisation", "priority", "share", "limits", "keys"},
 	},
+	port.ObjectRequestQuarantine: {
+		moves: []move{{v1: "requests", v2: "requests"}},
+		v1Top: []string{"requests"},
+		v2Top: []string{"requests"},
+	},
 	port.ObjectModelDeployment: {
 		moves: []move{
 			{v1: "model", v2: "model"},
--- a/internal/core/record/document.go
+++ b/internal/core/record/document.go
@@ -85,7 +85,9 @@
 
 // Kinds lists the kinds of record, sorted.
 func Kinds() []string {
-	return []string{port.ObjectModelDeployment, port.ObjectOrganisationPriority, port.ObjectRoutingConfiguration}
+	return []string{
+		port.ObjectModelDeployment, port.ObjectOrganisationPriority, port.ObjectRequestQuarantine, port.ObjectRoutingConfiguration,
+	}
 }
 
 // KnownKind reports whether operators write records of the kind.
--- /dev/null
+++ b/internal/core/record/quarantine.go
@@ -0,0 +1,77 @@
+package record
+
+import (
+	"encoding/binary"
+	"encoding/hex"
+	"encoding/json"
+	"slices"
+
+	"github.com/dragonflyrail/dragonflyrail/internal/core/quarantine"
+	"github.com/dragonflyrail/dragonflyrail/internal/port"
+)
+
+// QuarantineName is the name of the one quarantine that there is.
+const QuarantineName = "main"
+
+// QuarantineDocument is the record of condemned requests: of more than it holds,
+// the first ones.
+func QuarantineDocument(condemned []quarantine.Suspect) json.RawMessage {
+	spec := RequestQuarantine{Requests: []QuarantinedRequest{}}
+	for _, s := range condemned[:min(len(condemned), MaxQuarantinedRequests)] {
+		r := QuarantinedRequest{Fingerprint: s.Fingerprint.String()}
+		for _, c := range s.Crashes {
+			r.Crashes = append(r.Crashes, hex.EncodeToString(binary.BigEndian.AppendUint64(nil, uint64(c))))
+		}
+		spec.Requests = append(spec.Requests, r)
+	}
+	raw, err := json.Marshal(struct {
+		SchemaVersion int               `json:"schema_version"`
+		Kind          string            `json:"kind"`
+		Name          string            `json:"name"`
+		Spec          RequestQuarantine `json:"spec"`
+	}{LatestSchema, port.ObjectRequestQuarantine, QuarantineName, spec})
+	if err != nil {
+		// Only strings are in it.
+		panic(err)
+	}
+	return raw
+}
+
+// HoldsQuarantine reports whether a record of condemned requests is up to date.
+func HoldsQuarantine(r port.Record, condemned []quarantine.Suspect) bool {
+	held, released, err := Quarantined(r)
+	return err == nil && len(released) == 0 &&
+		slices.EqualFunc(held, condemned[:min(len(condemned), MaxQuarantinedRequests)], func(a, b quarantine.Suspect) bool {
+			return a.Fingerprint == b.Fingerprint && slices.Equal(a.Crashes, b.Crashes)
+		})
+}
+
+// Quarantined returns what a record of condemned requests holds: those that are
+// to be held back, and those that an operator has released.
+func Quarantined(r port.Record) (held, released []quarantine.Suspect, err error) {
+	var spec RequestQuarantine
+	if err := decodeLatest(r, &spec); err != nil {
+		return nil, nil, err
+	}
+	for _, q := range spec.Requests {
+		s := quarantine.Suspect{}
+		if _, err := hex.Decode(s.Fingerprint[:], []byte(q.Fingerprint)); err != nil {
+			return nil, nil, &FieldError{Field: "spec.requests.fingerprint", Problem: err.Error()}
+		}
+		var crashes []quarantine.CrashID
+		for _, text := range q.Crashes {
+			raw, err := hex.DecodeString(text)
+			if err != nil {
+				return nil, nil, &FieldError{Field: "spec.requests.crashes", Problem: err.Error()}
+			}
+			crashes = append(crashes, quarantine.CrashID(binary.BigEndian.Uint64(raw)))
+		}
+		s.Crashes = quarantine.Union(crashes, nil)
+		if q.Released {
+			released = append(released, s)
+			continue
+		}
+		held = append(held, s)
+	}
+	return held, released, nil
+}
--- a/internal/core/record/schema.go
+++ b/internal/core/record/schema.go
@@ -124,6 +124,27 @@
 	Role     string   `json:"role" validate:"max=64"`
 }
 
+// MaxQuarantinedRequests bounds the requests of one quarantine.
+const MaxQuarantinedRequests = 256
+
+// RequestQuarantine lists the requests that are not sent to endpoints, as these
+// crash whenever they run one of them. The system keeps it; operators release
+// requests.
+type RequestQuarantine struct {
+	Requests []QuarantinedRequest `json:"requests" validate:"max=256,dive"`
+}
+
+// QuarantinedRequest is one of them.
+type QuarantinedRequest struct {
+	// Fingerprint tells the request, as the log names it.
+	Fingerprint string `json:"fingerprint" validate:"len=32,hexadecimal"`
+	// Crashes name the endpoints that have crashed while it ran.
+	Crashes []string `json:"crashes" validate:"max=8,dive,len=16,hexadecimal"`
+	// Released: an operator wants it sent again. It counts for the crashes that
+	// are listed; others that follow are held against it.
+	Released bool `json:"released,omitempty"`
+}
+
 // typed returns an empty struct of the document's schema.
 func typed(kind string, schemaVersion int) any {
 	v1 := schemaVersion == SchemaV1
@@ -138,6 +159,8 @@
 			return &organisationV1{}
 		}
 		return &OrganisationPriority{}
+	case port.ObjectRequestQuarantine:
+		return &RequestQuarantine{}
 	case port.ObjectModelDeployment:
 		if v1 {
 			return &deploymentV1{}
--- a/internal/ctl/records.go
+++ b/internal/ctl/records.go
@@ -15,7 +15,9 @@
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
 
-var kinds = []string{port.ObjectModelDeployment, port.ObjectOrganisationPriority, port.ObjectRoutingConfiguration}
+var kinds = []string{
+	port.ObjectModelDeployment, port.ObjectOrganisationPriority, port.ObjectRequestQuarantine, port.ObjectRoutingConfiguration,
+}
 
 // versioned is a record as keepers answer it.
 type versioned struct {
--- a/internal/port/platform.go
+++ b/internal/port/platform.go
@@ -60,6 +60,7 @@
 	ObjectRoutingConfiguration = "routing-configurations"
 	ObjectOrganisationPriority = "organisation-priorities"
 	ObjectModelDeployment      = "model-deployments"
+	ObjectRequestQuarantine    = "request-quarantines"
 	ObjectAudit                = "audit"
 	ObjectClaims               = "claims"
 	ObjectLease                = "leases"
--- a/test/crashing_test.go
+++ b/test/crashing_test.go
@@ -6,12 +6,15 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/dragonflyrail/dragonflyrail/internal/testkit/procs"
 	"github.com/dragonflyrail/dragonflyrail/platform/standin"
 	"github.com/dragonflyrail/dragonflyrail/platform/testfleet"
 )
@@ -52,6 +55,77 @@
 	background.Wait()
 }
 
+// All daemons are killed at once after they have learned of a request that
+// crashes runners: those that start in their place know it from the store.
+func TestCrashingRequestIsKnownAfterTheLossOfAllDaemons(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, func(l *testfleet.Layout) { l.Engines = 6 })
+	ctx, stop := context.WithCancel(bounded(t))
+	defer stop()
+	var background sync.WaitGroup
+	background.Go(func() { f.Respawn(ctx, time.Second) })
+	f.crashes(testfleet.Generation, 8)
+	procs.Until(t, "the store has the request", func() bool {
+		out, err := f.Ctl(bounded(t), f.Daemons[0], "get", "request-quarantine", "main")
+		return err == nil && strings.Contains(string(out), "fingerprint")
+	})
+	for _, d := range f.Daemons {
+		d.Kill()
+	}
+	for _, d := range f.Daemons {
+		if err := f.StartDaemon(d); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, d := range f.Daemons {
+		f.serves(d)
+		procs.Until(t, d.ID+" knows the request", func() bool {
+			return bytes.Contains(d.Log(), []byte(`"verdict":"quarantine"`))
+		})
+	}
+	before := len(f.runsOf(crashing))
+	f.crashes(testfleet.Generation, 3)
+	if after := len(f.runsOf(crashing)); after != before {
+		t.Errorf("it ran %d times more", after-before)
+	}
+	stop()
+	background.Wait()
+}
+
+// An operator releases a request that was taken for one that crashes runners: it
+// is sent again, and held back again once it has crashed as many as before.
+func TestOperatorReleasesARequest(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, func(l *testfleet.Layout) { l.Engines = 6 })
+	ctx, stop := context.WithCancel(bounded(t))
+	defer stop()
+	var background sync.WaitGroup
+	background.Go(func() { f.Respawn(ctx, time.Second) })
+	f.crashes(testfleet.Generation, 8)
+	var held []byte
+	procs.Until(t, "the store has the request", func() bool {
+		out, err := f.Ctl(bounded(t), f.Daemons[0], "--output", "json", "get", "request-quarantine", "main")
+		held = out
+		return err == nil && strings.Contains(string(out), "fingerprint")
+	})
+	before := len(f.runsOf(crashing))
+	file := filepath.Join(t.TempDir(), "release.json")
+	released := bytes.Replace(held, []byte(`"fingerprint"`), []byte(`"released": true, "fingerprint"`), 1)
+	if err := os.WriteFile(file, released, 0o644); err != nil {
+		t.Fatal(err)
+	}
+	f.tells("request-quarantines", "apply", "--file", file)
+	for _, d := range f.Daemons {
+		procs.Until(t, d.ID+" has released it", func() bool { return bytes.Contains(d.Log(), []byte(`"verdict":"release"`)) })
+	}
+	f.crashes(testfleet.Generation, 8)
+	if again := len(f.runsOf(crashing)) - before; again < crashesToLearn || again > crashesToLearn+runsAfterwards {
+		t.Errorf("it ran %d times after it was released", again)
+	}
+	stop()
+	background.Wait()
+}
+
 // crashing is what the request that crashes runners begins its ids with.
 const crashing = "crashing-"
 
