Tests of the quarantine that fail without its safeguards

Cause: of seventeen safeguards taken out once, five were not missed by any test: the look before a place is asked for, the one after a wait for it, what is left out of the talk of a request seen to run to its end, passing news on at once, and refusing what others are about to forget.

Change: TestCondemnedRequestWaitsForNoPlace, TestRequestFoundOutWhileItWaitsIsNotSent, TestNewsOfACrashIsPassedOnAtOnce, and more in the tests of forgetting and of requests that run to their end.

--- a/internal/core/quarantine/register_test.go
+++ b/internal/core/quarantine/register_test.go
@@ -28,6 +28,7 @@
 	links     [][2]*node.Link
 	changes   [][]quarantine.Change
 	now       time.Time
+	transit   time.Duration
 	crashes   int
 }
 
@@ -54,6 +55,11 @@
 		m.Suspects.Entries = slices.DeleteFunc(m.Suspects.Entries, func(s quarantine.Suspect) bool {
 			return !quarantine.Acceptable(d.now.Sub(s.Heard))
 		})
+		for i := range m.Suspects.Entries {
+			// The way of a message is no part of the age that it tells.
+			s := &m.Suspects.Entries[i]
+			s.Heard = s.Heard.Add(min(d.transit, d.now.Sub(s.Heard)))
+		}
 		ends[1-at].Receive(&m)
 	}
 	d.registers[link].Refresh(d.now)
@@ -129,6 +135,11 @@
 			t.Errorf("daemon %d refuses it", at)
 		}
 	}
+	before := d.nodes[2].Suspects().Digest()
+	d.crash(2, repeated)
+	if d.nodes[2].Suspects().Digest() != before {
+		t.Error("the daemon that saw it run to its end tells of it at each crash")
+	}
 }
 
 // A request is found harmless after it was held to be fatal: its next run to the
@@ -154,19 +165,37 @@
 	}
 }
 
+// News of a crash goes from daemon to daemon at once, and doesn't wait for them to
+// compare what they hold.
+func TestNewsOfACrashIsPassedOnAtOnce(t *testing.T) {
+	d := newDaemons(4)
+	d.settle()
+	for range 3 {
+		d.crash(0, requestOf(1))
+	}
+	for link := range d.links {
+		d.pass(link)
+	}
+	if !d.condemned(3, requestOf(1)) {
+		t.Fatal("the last daemon has not heard")
+	}
+}
+
 // What is remembered is bounded in time: a request that nobody sends any more is
 // forgotten by all, and no daemon reminds another of it; one that is still sent
 // stays refused.
 func TestSuspectsAreForgottenInTime(t *testing.T) {
 	d := newDaemons(3)
+	d.transit = 20 * time.Second
 	old, sent := requestOf(1), requestOf(2)
 	for range 3 {
 		d.crash(0, old)
 		d.crash(1, sent)
 	}
+	d.now = d.now.Add(time.Minute)
 	d.settle()
-	const step = time.Minute
-	for end := d.now.Add(quarantine.Memory + 2*step); d.now.Before(end); d.now = d.now.Add(step) {
+	const step = 10 * time.Second
+	for end := d.now.Add(quarantine.Memory + 9*step); d.now.Before(end); d.now = d.now.Add(step) {
 		for at := range 3 {
 			d.registers[at].Tick(d.now.Add(time.Duration(at) * time.Second))
 		}
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -179,3 +180,49 @@
 		t.Fatal(refusal)
 	}
 }
+
+// condemningPlacer places a request once it has been found to be fatal.
+type condemningPlacer struct {
+	Placer
+	b        *bench
+	finished int
+}
+
+func (p *condemningPlacer) Place(ctx context.Context, r *port.GenerationRequest, held func(*port.Decision)) port.Decision {
+	p.b.condemn("/stream/fatal")
+	return p.Placer.Place(ctx, r, held)
+}
+
+func (p *condemningPlacer) Finished(id string, tokens int, kind port.FinishKind) {
+	p.finished++
+	p.Placer.Finished(id, tokens, kind)
+}
+
+// A request waits for a place while endpoints crash under others of its kind: it
+// isn't sent to the place that it gets, and the place is given back.
+func TestRequestFoundOutWhileItWaitsIsNotSent(t *testing.T) {
+	b := newBench(t)
+	b.everywhere("e", reply(200, "fine"))
+	placer := &condemningPlacer{Placer: b.Placer, b: b}
+	b.Placer = placer
+	refusal := b.ask(t, "/stream/fatal", &caller{})
+	if refusal == nil || refusal.Cause != CauseQuarantined || refusal.Outcome != outcome.NotRun {
+		t.Fatalf("%+v", refusal)
+	}
+	if len(b.world.arrivals()) != 0 || placer.finished != 1 {
+		t.Fatalf("sent to %v, place given back %d times", b.world.arrivals(), placer.finished)
+	}
+}
+
+// A request that will not be sent is refused at once, without a place among
+// those that wait.
+func TestCondemnedRequestWaitsForNoPlace(t *testing.T) {
+	b := newBench(t)
+	b.condemn("/stream/fatal")
+	b.ask(t, "/stream/fatal", &caller{})
+	for _, d := range b.sink.All() {
+		if d.Subject == subjectRequest && d.Verdict != verdictFinish {
+			t.Errorf("%s: %s", d.Verdict, d.Reason)
+		}
+	}
+}
