The watch over crashed endpoints is a package of its own

Cause: routers of the product's own platform send requests on and on as well, and what finds out that an endpoint has ended lay in the gateway.

Change: internal/crashwatch holds it; gateway and keeper use it.

--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -143,7 +143,7 @@
 // looksEnd waits until nobody looks at an endpoint any more.
 func (b *bench) looksEnd(t *testing.T) {
 	t.Helper()
-	eventually.True(t, "the looks have ended", func() bool { return b.flights.Looking() == 0 })
+	eventually.True(t, "the looks have ended", func() bool { return b.crashes.Looking() == 0 })
 }
 
 // A repeatable request has crashed an endpoint in this very attempt, and others
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -137,9 +137,9 @@
 		r.x.g.metrics.moves.Inc(1)
 		r.x.g.Placer.Relocated(r.x.req.ID, at.ID == c.to.ID, at.ID)
 		r.x.endpoint = at.ID
-		r.x.g.flights.End(r.p.flight)
+		r.x.g.crashes.End(r.p.watched, false)
 		r.p.endpoint = at
-		r.x.takeOff(r.p)
+		r.p.watched = r.x.g.crashes.Begin(at, r.x.fingerprint())
 		r.x.delivered.Runners++
 		r.x.release(r.run.reads(at, next.Body))
 		return next
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -216,15 +216,6 @@
 	return x.record(verdictFinish, reason, string(o), nil)
 }
 
-// fingerprint is worked out when first asked for.
-func (x *exchange) fingerprint() quarantine.Fingerprint {
-	if x.print == nil {
-		f := quarantine.FingerprintOf(x.req.Pass.Organisation, x.req.Method, x.req.Host, x.req.Target, x.req.Body)
-		x.print = &f
-	}
-	return *x.print
-}
-
 // record writes the line of one decision on this request.
 func (x *exchange) record(verdict, reason, result string, candidates []port.CandidateScore) string {
 	d := &port.DecisionRecord{
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,8 +11,8 @@
 	"github.com/dragonflyrail/dragonflyrail/internal/core/balance"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/breaker"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/membership"
-	"github.com/dragonflyrail/dragonflyrail/internal/core/quarantine"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/route"
+	"github.com/dragonflyrail/dragonflyrail/internal/crashwatch"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
 
@@ -58,7 +58,7 @@
 	View      View
 	Announcer Announcer
 	// Quarantine keeps requests from endpoints that they would crash.
-	Quarantine Quarantine
+	Quarantine crashwatch.Quarantine
 	Sink       port.DecisionSink
 	// Freshness is how long ago the platform last answered any daemon, as far
 	// as this one knows; negative for never. It may be nil.
@@ -105,10 +105,9 @@
 	metrics  *instruments
 	departed membership.Departures
 	runs     runs
-	// flights are the attempts under way.
-	flights *quarantine.Flights
-	index   atomic.Pointer[route.Index]
-	known   known
+	crashes  *crashwatch.Watch
+	index    atomic.Pointer[route.Index]
+	known    known
 	// endpointChanges yields the endpoints that the view changed.
 	endpointChanges func() []port.Endpoint
 	applying        sync.Mutex
@@ -130,9 +129,9 @@
 		breakers: breaker.NewSet(o.Breaker),
 		balancer: balance.New(balance.Options{Draw: draw, ReportMaxAge: o.ReportMaxAge}),
 		metrics:  newInstruments(p.Metrics),
-		flights:  quarantine.NewFlights(),
 	}
 	g.o.Store(&o)
+	g.crashes = g.watchCrashes()
 	g.budgets = newBudgets(g.options, g.daemons)
 	g.endpointChanges = p.View.FollowEndpoints()
 	g.life.init()
@@ -166,7 +165,7 @@
 			return
 		case <-ticker.C:
 			g.Scheduler.Tick(g.Clock())
-			g.flights.Tick(g.Clock())
+			g.crashes.Tick()
 		}
 	}
 }
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -8,8 +8,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/dragonflyrail/dragonflyrail/internal/core/quarantine"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/routing"
+	"github.com/dragonflyrail/dragonflyrail/internal/crashwatch"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
 
@@ -20,8 +20,8 @@
 	generation bool
 	// tokens are those seen of the answer.
 	tokens int
-	// flight is the attempt while it is under way.
-	flight *quarantine.Flight
+	// watched is the attempt while it is under way.
+	watched *crashwatch.Attempt
 }
 
 // blockTokens is the part of a prompt that one hash stands for, where shared
@@ -143,7 +143,7 @@
 // begin tells the breakers and the balancer that an attempt begins.
 func (x *exchange) beginAttempt(p *placement) {
 	x.sending = p
-	x.takeOff(p)
+	p.watched = x.g.crashes.Begin(p.endpoint, x.fingerprint())
 	if !p.generation {
 		x.g.breakers.Begin(x.g.Clock(), p.endpoint.ID)
 	}
@@ -162,7 +162,7 @@
 func (x *exchange) endAttempt(p *placement, kind port.FinishKind) {
 	g := x.g
 	x.sending = nil
-	x.land(p)
+	g.crashes.End(p.watched, x.lost)
 	if p.generation {
 		g.Placer.Finished(x.req.ID, p.tokens, kind)
 		return
--- a/internal/keeper/quarantine.go
+++ b/internal/keeper/quarantine.go
@@ -8,14 +8,14 @@
 
 	"github.com/dragonflyrail/dragonflyrail/internal/core/quarantine"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/record"
+	"github.com/dragonflyrail/dragonflyrail/internal/crashwatch"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
 
 // Times of keeping a quarantine.
 const (
-	// quarantineTick is the time between two looks at what is too old to be
-	// remembered, and at whether the platform holds what is condemned.
-	quarantineTick = time.Second
+	// quarantineWrites is the least time between two writes.
+	quarantineWrites = time.Second
 	// quarantineRetryMax bounds the pause after writes that failed.
 	quarantineRetryMax = 30 * time.Second
 )
@@ -28,12 +28,12 @@
 // all would else learn of each by as many crashes again.
 func (k *Keeper) quarantineForever(ctx context.Context) error {
 	var group errgroup.Group
-	group.Go(func() error { return k.tickQuarantine(ctx) })
+	group.Go(func() error { crashwatch.Keep(ctx, k.node, k.quarantine); return nil })
+	group.Go(func() error { return k.writeQuarantine(ctx) })
 	taken := uint64(0)
 	for ctx.Err() == nil {
 		changed := k.node.Changed()
 		taken = k.takeQuarantine(time.Now(), taken)
-		k.quarantine.Refresh(time.Now())
 		select {
 		case <-ctx.Done():
 		case <-changed:
@@ -63,15 +63,13 @@
 	return r.Version
 }
 
-func (k *Keeper) tickQuarantine(ctx context.Context) error {
+func (k *Keeper) writeQuarantine(ctx context.Context) error {
 	w := quarantineWriter{keeper: k}
 	for {
-		if err := pause(ctx, quarantineTick); err != nil {
+		if err := pause(ctx, quarantineWrites); err != nil {
 			return err
 		}
-		now := time.Now()
-		k.quarantine.Tick(now)
-		w.write(ctx, now)
+		w.write(ctx, time.Now())
 	}
 }
 
@@ -106,7 +104,7 @@
 		w.retry = 0
 		return
 	}
-	w.retry = min(max(quarantineTick, 2*w.retry), quarantineRetryMax)
+	w.retry = min(max(quarantineWrites, 2*w.retry), quarantineRetryMax)
 	w.next = now.Add(w.retry)
 }
 
