A router's breaker opens on calls that are lost

What callers saw: with one endpoint of two losing each call, half of all calls still went to it first; those that may not be repeated were lost there.

Cause: a lost call was judged by its own context, which is cancelled as soon as the call has ended, so that no loss ever counted: it was taken for a caller who had gone.

Ruled out: the breaker itself (its tests hold); the gateway, which judges by the caller's context.

--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -248,8 +248,8 @@
 	began := r.Clock()
 	r.breakers.Begin(began, e.ID)
 	defer r.balancer.End(e.ID)
-	ctx, cancel := context.WithTimeout(ctx, r.o.ServiceTimeout)
-	reply, err := r.Services.Call(ctx, e, c.req)
+	bounded, cancel := context.WithTimeout(ctx, r.o.ServiceTimeout)
+	reply, err := r.Services.Call(bounded, e, c.req)
 	if err == nil {
 		err = reply.fill(cancel)
 	} else {
@@ -257,7 +257,7 @@
 	}
 	observe(r.metrics.services, r.Clock().Sub(began))
 	if err != nil {
-		return nil, c.lost(ctx, e, err)
+		return nil, c.lost(ctx, bounded, e, err)
 	}
 	r.breakers.Success(e.ID)
 	if c.ledger.Idempotent && retryElsewhere(reply.Status) {
@@ -267,8 +267,12 @@
 	return reply, stream.FateDone
 }
 
-func (c *call) lost(ctx context.Context, e port.Endpoint, err error) stream.Fate {
-	if ctx.Err() == nil {
+// lost judges a call without a whole reply. The caller's context tells whether he
+// has gone; the call's own has ended by now, and tells only whether its time was
+// over.
+func (c *call) lost(caller, bounded context.Context, e port.Endpoint, err error) stream.Fate {
+	overdue := errors.Is(bounded.Err(), context.DeadlineExceeded)
+	if caller.Err() == nil && !overdue {
 		c.r.breakers.Failure(c.r.Clock(), e.ID)
 	}
 	if errors.Is(err, port.ErrNotSent) {
@@ -276,7 +280,7 @@
 		return stream.FateNotSent
 	}
 	c.reason = "the endpoint gave no whole reply"
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	if overdue {
 		c.cause = CauseServiceTimeout
 		c.reason = "the endpoint gave no whole reply in time"
 	}
--- a/internal/router/service_test.go
+++ b/internal/router/service_test.go
@@ -350,3 +350,25 @@
 		t.Fatal(refusal)
 	}
 }
+
+// An endpoint loses each call: its breaker opens, and calls that come later go
+// elsewhere at the first try.
+func TestBreakerOpensOnLostCalls(t *testing.T) {
+	b := newBench(testOptions("r1"), serviceEndpoint("s1"), serviceEndpoint("s2"))
+	b.services.reply["s1"] = func() (*ServiceReply, error) { return nil, port.ErrEndpointLost }
+	b.services.reply["s2"] = okReply("fine")
+	const calls = 100
+	for range calls {
+		// Whatever becomes of it, it counts where it went.
+		_, _ = b.call(http.MethodGet, "", false)
+	}
+	lost := 0
+	for _, id := range b.services.calls {
+		if id == "s1" {
+			lost++
+		}
+	}
+	if lost > testOptions("").Breaker.Failures {
+		t.Fatalf("%d of %d calls went to the endpoint that loses them", lost, calls)
+	}
+}
