Routers of the product's own platform don't send requests on that crash endpoints

A router sends a repeatable prompt to up to three engines in one attempt, and each attempt is judged by itself.

Change: routers watch their attempts and refuse as gateways do; they share what keepers relay. Whether an endpoint serves is judged in one place, adapter/oncehttp. The stand-in engine ends under a marked prompt.

--- a/cmd/dragonfly-router/assemble.go
+++ b/cmd/dragonfly-router/assemble.go
@@ -45,8 +45,7 @@
 	registry := gometrics.NewRegistry()
 	store := decisions.New(logger, s.RememberDecisions)
 	sys := newSystem(s, logger)
-	ports := sys.ports()
-	ports.Sink = store
+	ports := sys.ports(store)
 	ports.Metrics = registry
 	ports.Engine = httpengine.New(httpengine.Options{
 		DialTimeout: s.ConnectTimeout, CallTimeout: s.OpenTimeout, OpenTimeout: s.OpenTimeout,
--- a/cmd/dragonfly-router/system.go
+++ b/cmd/dragonfly-router/system.go
@@ -13,8 +13,10 @@
 	peerv1 "github.com/dragonflyrail/dragonflyrail/api/peer/v1"
 	"github.com/dragonflyrail/dragonflyrail/internal/adapter/grpcclaim"
 	"github.com/dragonflyrail/dragonflyrail/internal/adapter/grpcpeer"
+	"github.com/dragonflyrail/dragonflyrail/internal/core/quarantine"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/record"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/routing"
+	"github.com/dragonflyrail/dragonflyrail/internal/crashwatch"
 	"github.com/dragonflyrail/dragonflyrail/internal/fleet"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 	"github.com/dragonflyrail/dragonflyrail/internal/router"
@@ -34,6 +36,8 @@
 	claims    *grpcclaim.Client
 	server    *grpc.Server
 	keys      atomic.Pointer[record.Keys]
+	// quarantine is joined with the decisions' sink once that is there.
+	quarantine *quarantine.Register
 }
 
 func newSystem(s *routerSettings, logger *log.Logger) *system {
@@ -54,8 +58,15 @@
 }
 
 // ports are the router's ports that lead to the other daemons.
-func (s *system) ports() router.Ports {
+func (s *system) ports(sink port.DecisionSink) router.Ports {
+	s.quarantine = quarantine.NewRegister(s.view, func(c quarantine.Change) {
+		sink.Record(&port.DecisionRecord{
+			Time: time.Now(), Subject: "fingerprint", SubjectID: c.Fingerprint.String(), Verdict: string(c.Verdict),
+			Reason: c.Reason, Crashes: c.Crashes,
+		})
+	})
 	return router.Ports{
+		Sink: sink, Quarantine: s.quarantine,
 		View: s.view, Scheduler: s.scheduler, Claimer: s.claims, Peers: peers{},
 		Announcer: s.view, Observer: s.view, Policy: s.policy,
 		KeyRetention: s.claims.Retention,
@@ -100,6 +111,7 @@
 
 // run keeps the view current until the context ends.
 func (s *system) run(ctx context.Context) {
+	go crashwatch.Keep(ctx, s.view, s.quarantine)
 	if err := s.view.Run(ctx); err != nil && !errors.Is(err, context.Canceled) {
 		s.logger.Error().Err(err).Str("event", "view_failed").Msg("")
 	}
--- a/cmd/dragonfly-standin/commands.go
+++ b/cmd/dragonfly-standin/commands.go
@@ -102,6 +102,7 @@
 		Retention: c.Retention, WeightsURL: c.Weights, Seed: c.Seed,
 		// A reclaimed engine ends without a word to its streams.
 		Reclaimed: func() { os.Exit(daemon.ExitOK) },
+		Crashed:   func() { os.Exit(exitCrashed) },
 	}
 	for model, version := range c.Models {
 		o.Models = append(o.Models, port.ModelVersion{Model: model, Version: version})
--- a/internal/adapter/grpcpeer/view.go
+++ b/internal/adapter/grpcpeer/view.go
@@ -14,6 +14,8 @@
 
 	peerv1 "github.com/dragonflyrail/dragonflyrail/api/peer/v1"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/membership"
+	"github.com/dragonflyrail/dragonflyrail/internal/core/quarantine"
+	"github.com/dragonflyrail/dragonflyrail/internal/core/spread"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/spread/node"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
@@ -225,6 +227,12 @@
 	return update
 }
 
+// Suspects returns the requests under which endpoints have crashed.
+func (v *View) Suspects() *spread.Table[quarantine.Suspect] { return v.node.Suspects() }
+
+// PutSuspect passes on what is known of a request.
+func (v *View) PutSuspect(s quarantine.Suspect) bool { return v.node.PutSuspect(s) }
+
 // Records returns the record set in force, without deleted ones.
 func (v *View) Records() []port.Record { return LiveRecords(v.node) }
 
--- a/internal/adapter/httpengine/httpengine.go
+++ b/internal/adapter/httpengine/httpengine.go
@@ -102,6 +102,12 @@
 	return report, err
 }
 
+// Look finds out whether an engine serves.
+func (e *Engine) Look(ctx context.Context, ep port.Endpoint) port.Presence {
+	report, err := e.Load(ctx, ep)
+	return oncehttp.PresenceOfReport(ep, &report, err)
+}
+
 func generationPath(generation string) string {
 	return "/v1/generations/" + url.PathEscape(generation)
 }
--- a/internal/adapter/httpservice/httpservice.go
+++ b/internal/adapter/httpservice/httpservice.go
@@ -85,6 +85,12 @@
 	}, nil
 }
 
+// Look finds out whether an endpoint serves.
+func (c *Caller) Look(ctx context.Context, e port.Endpoint) port.Presence {
+	report, err := c.Load(ctx, e)
+	return oncehttp.PresenceOfReport(e, &report, err)
+}
+
 // Load reads an endpoint's load report.
 func (c *Caller) Load(ctx context.Context, e port.Endpoint) (port.LoadReport, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.o.LoadTimeout)
--- a/internal/port/engine.go
+++ b/internal/port/engine.go
@@ -68,6 +68,8 @@
 	Cancel(ctx context.Context, e Endpoint, generation string) (GenerationStatus, error)
 	Status(ctx context.Context, e Endpoint, generation string) (GenerationStatus, error)
 	Load(ctx context.Context, e Endpoint) (LoadReport, error)
+	// Look finds out whether an engine serves.
+	Look(ctx context.Context, e Endpoint) Presence
 }
 
 // OrderKind is what an order asks of a runner.
--- a/internal/router/fake_test.go
+++ b/internal/router/fake_test.go
@@ -10,7 +10,9 @@
 	"time"
 
 	"github.com/dragonflyrail/dragonflyrail/internal/core/breaker"
+	"github.com/dragonflyrail/dragonflyrail/internal/core/quarantine"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/routing"
+	"github.com/dragonflyrail/dragonflyrail/internal/core/spread/node"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/stream"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 	"github.com/dragonflyrail/dragonflyrail/internal/testkit/fakes"
@@ -92,6 +94,8 @@
 	reports   int
 	// unserved: no endpoint serves the model.
 	unserved bool
+	// onSubmit runs before each answer.
+	onSubmit func()
 }
 
 // fakeVersion is the routing configuration behind every placement.
@@ -100,6 +104,9 @@
 func (s *scheduler) Submit(_ time.Time, r *port.GenerationRequest) port.Decision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.onSubmit != nil {
+		s.onSubmit()
+	}
 	if s.holds > 0 {
 		s.holds--
 		return port.Decision{Verdict: port.VerdictHold, Reason: "full"}
@@ -193,6 +200,7 @@
 	mu    sync.Mutex
 	reply map[string]func() (*ServiceReply, error)
 	calls []string
+	gone  bool
 }
 
 func (s *services) Call(_ context.Context, e port.Endpoint, _ *ServiceRequest) (*ServiceReply, error) {
@@ -206,6 +214,15 @@
 	return port.LoadReport{}, port.ErrEndpointLost
 }
 
+func (s *services) Look(context.Context, port.Endpoint) port.Presence {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.gone {
+		return port.PresenceGone
+	}
+	return port.PresenceServing
+}
+
 func (s *services) count() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -233,6 +250,8 @@
 	claimer   *fakes.Claims
 	services  *services
 	sink      *fakes.Decisions
+
+	quarantine *quarantine.Register
 }
 
 func runner(id string) port.Endpoint {
@@ -269,8 +288,10 @@
 		claimer:  fakes.NewClaims(),
 		services: &services{reply: make(map[string]func() (*ServiceReply, error))}, sink: &fakes.Decisions{},
 	}
+	b.quarantine = quarantine.NewRegister(node.New(), func(quarantine.Change) {})
 	b.Router = New(o, Ports{
-		Engine: b.engine, Services: b.services, Scheduler: b.scheduler, View: b.view, Claimer: b.claimer,
+		Quarantine: b.quarantine,
+		Engine:     b.engine, Services: b.services, Scheduler: b.scheduler, View: b.view, Claimer: b.claimer,
 		Peers: peerRouters{}, Announcer: b.view, Sink: b.sink,
 		Policy: func([]port.Record) port.Policy { return port.Policy{} },
 	})
--- a/internal/router/generate.go
+++ b/internal/router/generate.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/dragonflyrail/dragonflyrail/internal/core/outcome"
+	"github.com/dragonflyrail/dragonflyrail/internal/core/quarantine"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/routing"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/stream"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
@@ -39,6 +40,7 @@
 	ask      port.GenerationRequest
 	ledger   outcome.Ledger
 	status   RequestStatus
+	print    quarantine.Fingerprint
 	last     attemptResult
 	machine  *stream.Machine
 	token    string
@@ -76,7 +78,7 @@
 
 func (r *Router) newGeneration(req *GenerationRequest, answer Answer) *generation {
 	now := r.Clock()
-	g := &generation{r: r, req: req, answer: answer}
+	g := &generation{r: r, req: req, answer: answer, print: req.crashPrint()}
 	g.ledger.Idempotent = !req.NonIdempotent
 	g.status = RequestStatus{RequestID: req.RequestID, State: RequestHeld, Organisation: req.Organisation}
 	g.ask = port.GenerationRequest{
@@ -93,12 +95,13 @@
 // tried.
 func (g *generation) serve(ctx context.Context) *Refusal {
 	for {
-		decision, refusal := g.place(ctx)
+		decision, refusal := g.placeUnlessCondemned(ctx)
 		if refusal != nil {
 			return g.refused(refusal)
 		}
 		g.attempt(ctx, &decision)
 		if g.last.fate == stream.FateDone {
+			g.r.Quarantine.Completed(g.r.Clock(), g.print)
 			g.finish(outcome.Done, g.last.reason)
 			return nil
 		}
@@ -109,6 +112,23 @@
 	}
 }
 
+// placeUnlessCondemned asks for a place. The request may have waited for it while
+// it was found out.
+func (g *generation) placeUnlessCondemned(ctx context.Context) (port.Decision, *Refusal) {
+	if refusal := g.r.condemned(g.print); refusal != nil {
+		return port.Decision{}, refusal
+	}
+	d, refusal := g.place(ctx)
+	if refusal != nil {
+		return d, refusal
+	}
+	if refusal := g.r.condemned(g.print); refusal != nil {
+		g.r.Scheduler.Finished(g.r.Clock(), g.req.RequestID, 0, port.FinishCancelled)
+		return d, refusal
+	}
+	return d, nil
+}
+
 // place asks the scheduler until it places or refuses.
 func (g *generation) place(ctx context.Context) (port.Decision, *Refusal) {
 	r := g.r
@@ -195,7 +215,9 @@
 			MaxTokens: g.req.MaxTokens, Priority: d.Priority, User: g.req.User,
 		},
 	}
+	watched := r.crashes.Begin(d.Endpoint, g.print)
 	g.last = a.run(ctx)
+	r.crashes.End(watched, ctx.Err() == nil && mayHaveCrashed(g.last.fate))
 	g.ledger.Add(g.last.fate, g.machine.Delivered())
 	if g.last.cancelPending {
 		r.cancels.add(d.Endpoint, id)
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -31,6 +31,7 @@
 	claims     gometrics.Histogram
 	services   gometrics.Histogram
 	retries    gometrics.Counter
+	crashes    gometrics.Counter
 }
 
 func newInstruments(r gometrics.Registry) *instruments {
@@ -51,6 +52,7 @@
 		claims:     registered(r, "claim_wait_us"),
 		services:   registered(r, "service_call_us"),
 		retries:    counter("service_retries_total"),
+		crashes:    counter("endpoint_crashes_total"),
 	}
 }
 
--- a/internal/router/refusal.go
+++ b/internal/router/refusal.go
@@ -17,6 +17,8 @@
 	// CauseUnknownModel: no endpoint that is known serves the model.
 	CauseUnknownModel   Cause = "unknown_model"
 	CauseEndpointFailed Cause = "endpoint_failed"
+	// CauseQuarantined: endpoints crash whenever they run the request.
+	CauseQuarantined    Cause = "crashes_endpoints"
 	CauseRejected       Cause = "rejected_by_engine"
 	CauseRetriesSpent   Cause = "retry_budget_spent"
 	CauseStopping       Cause = "router_stopping"
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -12,6 +12,7 @@
 	"github.com/dragonflyrail/dragonflyrail/internal/core/breaker"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/membership"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/stream"
+	"github.com/dragonflyrail/dragonflyrail/internal/crashwatch"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
 
@@ -28,6 +29,8 @@
 type Services interface {
 	Call(ctx context.Context, e port.Endpoint, r *ServiceRequest) (*ServiceReply, error)
 	Load(ctx context.Context, e port.Endpoint) (port.LoadReport, error)
+	// Look finds out whether an endpoint serves.
+	Look(ctx context.Context, e port.Endpoint) port.Presence
 }
 
 // Peers asks other routers.
@@ -56,6 +59,8 @@
 	Claimer   port.Claimer
 	Peers     Peers
 	Announcer Announcer
+	// Quarantine keeps requests from endpoints that they would crash.
+	Quarantine crashwatch.Quarantine
 	// Observer may be nil.
 	Observer Observer
 	Sink     port.DecisionSink
@@ -133,6 +138,7 @@
 	metrics  *instruments
 	departed membership.Departures
 	takers   atomic.Pointer[takers]
+	crashes  *crashwatch.Watch
 	applying sync.Mutex
 
 	life lifecycle
@@ -156,6 +162,7 @@
 		balancer: balance.New(balance.Options{Draw: draw, ReportMaxAge: 10 * o.LoadStale}),
 		metrics:  newInstruments(p.Metrics),
 	}
+	r.crashes = r.watchCrashes()
 	r.cancels = newCancels(r)
 	r.loads = newLoads(r)
 	r.takers.Store(&takers{})
@@ -185,6 +192,7 @@
 			return
 		case <-ticker.C:
 			r.Scheduler.Tick(r.Clock())
+			r.crashes.Tick()
 		}
 	}
 }
--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/dragonflyrail/dragonflyrail/internal/core/outcome"
+	"github.com/dragonflyrail/dragonflyrail/internal/core/quarantine"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/stream"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
@@ -86,6 +87,7 @@
 	ledger  outcome.Ledger
 	status  RequestStatus
 	tried   map[string]bool
+	print   quarantine.Fingerprint
 	attempt int
 	reason  string
 	cause   Cause
@@ -101,7 +103,7 @@
 	defer r.life.leave()
 	r.metrics.open.Inc(1)
 	defer r.metrics.open.Dec(1)
-	c := &call{r: r, req: req, tried: make(map[string]bool)}
+	c := &call{r: r, req: req, tried: make(map[string]bool), print: req.crashPrint()}
 	c.ledger.Idempotent = req.idempotent()
 	c.status = RequestStatus{RequestID: req.RequestID, State: RequestHeld, Organisation: req.Organisation}
 	r.requests.put(c.status)
@@ -162,6 +164,9 @@
 // serve tries endpoints until one replies or nothing more may be tried.
 func (c *call) serve(ctx context.Context) (*ServiceReply, *Refusal) {
 	for {
+		if refusal := c.r.condemned(c.print); refusal != nil {
+			return nil, c.refused(refusal)
+		}
 		endpoint, ok := c.choose()
 		if !ok {
 			return nil, c.refused(c.noEndpoint())
@@ -169,6 +174,7 @@
 		reply, fate := c.once(ctx, endpoint)
 		c.ledger.Add(fate, false)
 		if fate == stream.FateDone {
+			c.completed(reply)
 			c.finish(outcome.Done, http.StatusText(reply.Status))
 			return reply, nil
 		}
@@ -182,6 +188,13 @@
 	}
 }
 
+// completed notes that the call outlived its run, and the endpoint with it.
+func (c *call) completed(reply *ServiceReply) {
+	if reply.Status < http.StatusInternalServerError {
+		c.r.Quarantine.Completed(c.r.Clock(), c.print)
+	}
+}
+
 // lastWord passes on an endpoint's own error where nothing better came.
 func (c *call) lastWord(reply *ServiceReply, refusal *Refusal) (*ServiceReply, *Refusal) {
 	if reply == nil {
@@ -249,6 +262,7 @@
 	r.breakers.Begin(began, e.ID)
 	defer r.balancer.End(e.ID)
 	bounded, cancel := context.WithTimeout(ctx, r.o.ServiceTimeout)
+	watched := r.crashes.Begin(e, c.print)
 	reply, err := r.Services.Call(bounded, e, c.req)
 	if err == nil {
 		err = reply.fill(cancel)
@@ -256,6 +270,7 @@
 		cancel()
 	}
 	observe(r.metrics.services, r.Clock().Sub(began))
+	r.crashes.End(watched, err != nil && ctx.Err() == nil && !errors.Is(err, port.ErrNotSent))
 	if err != nil {
 		return nil, c.lost(ctx, bounded, e, err)
 	}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -49,6 +50,22 @@
 	// Reclaimed is called when the notice of a reclaim is over; the process
 	// is expected to end.
 	Reclaimed func()
+	// Crashed ends the process, as a prompt that holds CrashMark does once it
+	// runs; nil for an engine that outlives such prompts.
+	Crashed func()
+}
+
+// CrashMark in a prompt crashes the engine that runs it.
+const CrashMark = "[[crash]]"
+
+// crashAfter is how long such a prompt runs before.
+const crashAfter = 50 * time.Millisecond
+
+// crash ends the process where the prompt does that.
+func (e *Engine) crash(prompt string) {
+	if e.options.Crashed != nil && strings.Contains(prompt, CrashMark) {
+		time.AfterFunc(crashAfter, e.options.Crashed)
+	}
 }
 
 // Stats count since the start; Held is a gauge.
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -76,6 +76,7 @@
 	case err != nil:
 		e.refuseStart(w, "full")
 	default:
+		e.crash(body.Prompt)
 		e.stream(w, r, g, 0, true)
 	}
 }
--- a/internal/testkit/fakes/engine.go
+++ b/internal/testkit/fakes/engine.go
@@ -54,6 +54,8 @@
 	// Report answers Load, unless LoadFails.
 	Report    port.LoadReport
 	LoadFails bool
+	// Gone: nothing listens at any address.
+	Gone bool
 
 	asked   int
 	starts  []port.GenerationStart
@@ -124,6 +126,16 @@
 	return r, nil
 }
 
+// Look shows an engine that serves, unless Gone.
+func (e *Engine) Look(context.Context, port.Endpoint) port.Presence {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.Gone {
+		return port.PresenceGone
+	}
+	return port.PresenceServing
+}
+
 // LoadsAsked counts the calls of Load.
 func (e *Engine) LoadsAsked() int {
 	e.mu.Lock()
--- a/test/crashing_test.go
+++ b/test/crashing_test.go
@@ -14,6 +14,9 @@
 	"testing"
 	"time"
 
+	"github.com/dragonflyrail/dragonflyrail/internal/adapter/problem"
+	"github.com/dragonflyrail/dragonflyrail/internal/caller"
+	"github.com/dragonflyrail/dragonflyrail/internal/standin/engine"
 	"github.com/dragonflyrail/dragonflyrail/internal/testkit/procs"
 	"github.com/dragonflyrail/dragonflyrail/platform/standin"
 	"github.com/dragonflyrail/dragonflyrail/platform/testfleet"
@@ -222,3 +225,42 @@
 		}
 	}
 }
+
+// On the product's own platform, too, engines don't end one after the other
+// under one prompt, whichever router it comes to.
+func TestPromptThatCrashesEnginesIsNotSentOnAndOn(t *testing.T) {
+	t.Parallel()
+	s := procs.StartDemo(t, nil)
+	c := s.Caller(procs.DemoOrganisation)
+	crashes := 0
+	const times = 6
+	for i := range times {
+		router := s.Routers[i%len(s.Routers)]
+		// What becomes of it is the engines' to tell.
+		_, _ = c.Stream(bounded(t), []string{router.Address}, caller.Completion{
+			Model: procs.DemoModel, Prompt: engine.CrashMark,
+		})
+		for _, e := range s.Engines {
+			select {
+			case <-e.Exited():
+				crashes++
+				if err := s.Restart(bounded(t), e); err != nil {
+					t.Fatal(err)
+				}
+			case <-time.After(100 * time.Millisecond):
+			}
+		}
+	}
+	if crashes < crashesToLearn || crashes > crashesToLearn+runsAfterwards {
+		t.Errorf("%d engines ended", crashes)
+	}
+	for _, router := range s.Routers {
+		answer, err := c.Stream(bounded(t), []string{router.Address}, caller.Completion{
+			Model: procs.DemoModel, Prompt: engine.CrashMark,
+		})
+		if err != nil || answer.Problem == nil || answer.Problem.Reason != "crashes_endpoints" || answer.Problem.Outcome != problem.OutcomeNotRun {
+			t.Errorf("%s: %+v, %v", router.ID, answer, err)
+		}
+		serves(t, s, router)
+	}
+}
