A coordinator hears that an attempt has failed before it is asked for the next place

Cause: a daemon queues the end of a run for the coordinator's next message, every 20 ms, and asked for the next place 3 ms later. The coordinator held the request for placed and named the same runner again ('already_placed').

Ruled out: the list of endpoints that were tried, which the coordinator doesn't look at for a request that it counts; its breaker, which hears of the failure by the same message.

Change: for a further attempt, what is queued for the coordinator is told first, and a message under way is waited for: one round trip, for retries only.

Before: TestNextPlaceIsAskedForAfterTheEndOfTheLastIsTold names the first runner twice at both daemons, and the run is then counted nowhere; after: another runner, counted once. -race clean.

--- a/internal/scheduling/client.go
+++ b/internal/scheduling/client.go
@@ -85,7 +85,9 @@
 	peer    Peer
 	adopted []port.RunningRequest
 	events  []RunEvent
-	sending bool
+	// sending is closed once the message under way has been answered; nil for
+	// none.
+	sending chan struct{}
 }
 
 // NewClient returns a client that falls back to the scheduler of this daemon.
@@ -108,6 +110,9 @@
 		if coordinator.id == c.o.Self {
 			break
 		}
+		if r.Attempt > 1 {
+			c.tellNow(ctx, coordinator)
+		}
 		d, err := c.peer(coordinator).Place(ctx, r, func(d *port.Decision) {
 			d.Coordinator = coordinator.id
 			held(d)
--- a/internal/scheduling/coordinator.go
+++ b/internal/scheduling/coordinator.go
@@ -203,19 +203,54 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for id, p := range c.peers {
-		if p.sending || len(p.adopted)+len(p.events) == 0 {
-			continue
+		if send := c.nextMessage(ctx, daemon{id: id, address: p.address}, p); send != nil {
+			go send()
+		}
+	}
+}
+
+// nextMessage takes what is queued for a coordinator and returns what sends it,
+// nil where there is nothing or a message is under way; c.mu is held.
+func (c *Client) nextMessage(ctx context.Context, d daemon, p *peerState) (send func()) {
+	if p.sending != nil || len(p.adopted)+len(p.events) == 0 {
+		return nil
+	}
+	adopted, events := p.adopted, p.events
+	p.adopted, p.events, p.sending = nil, nil, make(chan struct{})
+	return func() { c.send(ctx, d, p, adopted, events) }
+}
+
+// tellNow tells a coordinator what is queued for it before it is asked for the
+// next place of a request. Else it would hold the request for placed where the
+// last attempt failed, and name that runner again.
+func (c *Client) tellNow(ctx context.Context, d daemon) {
+	for range 2 {
+		c.mu.Lock()
+		p := c.peerLocked(d)
+		send, sending := c.nextMessage(context.WithoutCancel(ctx), d, p), p.sending
+		c.mu.Unlock()
+		switch {
+		case send != nil:
+			send()
+			return
+		case sending == nil:
+			return
+		}
+		select {
+		case <-sending:
+		case <-ctx.Done():
+			return
 		}
-		adopted, events := p.adopted, p.events
-		p.adopted, p.events, p.sending = nil, nil, true
-		go c.send(ctx, daemon{id: id, address: p.address}, p, adopted, events)
 	}
 }
 
 func (c *Client) send(ctx context.Context, d daemon, p *peerState, adopted []port.RunningRequest, events []RunEvent) {
 	err := p.peer.Update(ctx, adopted, events)
 	c.mu.Lock()
-	p.sending = false
+	if p.sending != nil {
+		close(p.sending)
+		p.sending = nil
+	}
 	current := c.peers[d.id] == p
 	c.mu.Unlock()
 	if err != nil && current && ctx.Err() == nil {
--- a/internal/scheduling/scheduling_test.go
+++ b/internal/scheduling/scheduling_test.go
@@ -374,3 +374,30 @@
 		}
 	})
 }
+
+// A run never reached its runner, and the daemon asks for another place at once,
+// ahead of its next message: the pool's coordinator must not place it at that
+// runner again.
+func TestNextPlaceIsAskedForAfterTheEndOfTheLastIsTold(t *testing.T) {
+	f := newFleet("a", "b", "c")
+	coordinator := f.clients["a"].coordinator("pool").id
+	for _, name := range f.names {
+		if name == coordinator {
+			continue
+		}
+		r := ask(f.clock.Now(), "r-"+name, 1000)
+		first := f.clients[name].Place(t.Context(), r, nobody)
+		f.clients[name].Finished(r.RequestID, 0, port.FinishNotStarted)
+		r.Attempt, r.Excluded = 2, []string{first.Endpoint.ID}
+		next := f.clients[name].Place(t.Context(), r, nobody)
+		if next.Verdict != port.VerdictPlace || next.Endpoint.ID == first.Endpoint.ID {
+			t.Errorf("%s: first %s, then %s %s: %s", name, first.Endpoint.ID, next.Verdict, next.Endpoint.ID, next.Reason)
+		}
+		f.settle()
+		if held := f.schedulers[coordinator].Held(); held != 1 {
+			t.Errorf("%s: %d runs are counted", name, held)
+		}
+		f.clients[name].Finished(r.RequestID, 1, port.FinishDone)
+		f.settle()
+	}
+}
