--- a/internal/tools/soak/main.go
+++ b/internal/tools/soak/main.go
@@ -28,6 +28,7 @@
 	Plain   int           `long:"plain" default:"3" description:"runners of a plain service"`
 	Routes  int           `long:"routes" default:"0" description:"routes of the configuration that nobody asks for"`
 	Restore bool          `long:"restores" description:"have the store come back from copies, too"`
+	Crashes bool          `long:"crashes" description:"have a request crash the runners that run it"`
 	BinDir  string        `long:"bin" default:"bin" description:"directory of the binaries"`
 	Logs    string        `long:"logs" default:"soak-logs" description:"where the logs of a seed that failed are kept"`
 	Keep    bool          `long:"keep-logs" description:"keep the logs of seeds that held as well"`
@@ -75,7 +76,7 @@
 	}
 	l := testfleet.SmallLayout(o.BinDir, ".", dir)
 	l.Daemons, l.Engines, l.Plain = o.Daemons, o.Engines, o.Plain
-	report, err := soak.Run(ctx, soak.Options{Seed: seed, Length: o.Length, Layout: l, Routes: o.Routes, Restores: o.Restore, Log: func(format string, args ...any) {
+	report, err := soak.Run(ctx, soak.Options{Seed: seed, Length: o.Length, Layout: l, Routes: o.Routes, Restores: o.Restore, Crashes: o.Crashes, Log: func(format string, args ...any) {
 		if o.Verbose {
 			fmt.Printf(format+"\n", args...)
 		}
