--- a/internal/adapter/httpadmin/httpadmin.go
+++ b/internal/adapter/httpadmin/httpadmin.go
@@ -46,6 +46,7 @@
 	"requests":       "request",
 	"endpoints":      "endpoint",
 	"configurations": "configuration",
+	"fingerprints":   "fingerprint",
 }
 
 // New returns the handler of the admin listener. Only /healthz and /readyz
@@ -106,7 +107,7 @@
 	subject, known := subjects[r.PathValue("subject")]
 	if !known {
 		problem.Write(w, &problem.Problem{
-			Status: http.StatusNotFound, Title: "explanations are kept for requests, endpoints and configurations",
+			Status: http.StatusNotFound, Title: "explanations are kept for requests, endpoints, configurations and fingerprints",
 			Reason: "unknown_subject", Outcome: problem.OutcomeNotRun, Field: "subject",
 		})
 		return
--- /dev/null
+++ b/internal/core/quarantine/bench_test.go
@@ -0,0 +1,74 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/dragonflyrail/dragonflyrail/internal/core/quarantine"
+)
+
+// What a request costs that is sent whatever is remembered: its fingerprint, the
+// look whether it is condemned, and the note that it ran to its end.
+func BenchmarkRequest(b *testing.B) {
+	d := newDaemons(1)
+	for range 3 {
+		d.crash(0, requestOf(1))
+	}
+	r, now := d.registers[0], time.Now()
+	for _, size := range []int{0, 1 << 10, 16 << 10} {
+		body := make([]byte, size)
+		b.Run(fmt.Sprint(size, " bytes"), func(b *testing.B) {
+			for b.Loop() {
+				f := quarantine.FingerprintOf("org", "POST", "host", "/path", body)
+				r.Condemned(now, f)
+				r.Completed(now, f)
+			}
+		})
+	}
+}
+
+// A verdict with as many suspects as are remembered.
+func BenchmarkJudge(b *testing.B) {
+	d := newDaemons(1)
+	d.lose(4096)
+	var all []quarantine.Suspect
+	for s := range d.nodes[0].Suspects().All() {
+		all = append(all, s)
+	}
+	for b.Loop() {
+		quarantine.Judge(all)
+	}
+}
+
+func BenchmarkMemory(b *testing.B) {
+	for _, n := range []int{512, 4096} {
+		b.Run(fmt.Sprint(n, " suspects"), func(b *testing.B) {
+			for b.Loop() {
+				var before, after runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				d := newDaemons(1)
+				d.lose(n)
+				d.changes = nil
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(n), "B/suspect")
+				runtime.KeepAlive(d)
+			}
+		})
+	}
+}
+
+// lose has endpoints end with so many requests, 24 at each.
+func (d *daemons) lose(requests int) {
+	const slots = 24
+	for n := 0; n < requests; n += slots {
+		var ran []fingerprint
+		for i := range min(slots, requests-n) {
+			ran = append(ran, requestOf(1000+n+i))
+		}
+		d.crash(0, ran...)
+	}
+}
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -233,7 +233,7 @@
 	if got := kind.Complete("mod"); len(got) != 1 || got[0].Item != port.ObjectModelDeployment {
 		t.Errorf("kinds: %v", got)
 	}
-	if got := subject.Complete(""); len(got) != 3 {
+	if got := subject.Complete(""); len(got) != len(subjectPaths) {
 		t.Errorf("subjects: %v", got)
 	}
 }
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -44,6 +44,7 @@
 	if !condemned {
 		return nil
 	}
+	x.quarantined = true
 	return &Refusal{
 		Cause: CauseQuarantined, RetryAfter: left,
 		Detail: "endpoints crash whenever they run this request; it is not sent to any other",
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -79,6 +80,9 @@
 		if arrivals := b.world.arrivals(); len(arrivals) != 0 {
 			t.Errorf("%s was sent to %v", path, arrivals)
 		}
+		if got := b.fingerprint(fmt.Sprint("r", requestNumber)); got != fingerprintOf(path).String() {
+			t.Errorf("%s: the refusal's line names fingerprint %q", path, got)
+		}
 		if refusal := b.ask(t, path+"not", &caller{}); refusal != nil {
 			t.Errorf("another request: %+v", refusal)
 		}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -47,6 +47,8 @@
 	kept *buffered
 	// lost: the connection to the endpoint of the last attempt broke off.
 	lost bool
+	// quarantined: the request is not sent, as endpoints crash under it.
+	quarantined bool
 	// print is read through fingerprint.
 	print *quarantine.Fingerprint
 }
@@ -226,7 +228,7 @@
 	if verdict == verdictFinish {
 		d.Delivered = x.delivered
 	}
-	if x.lost {
+	if x.lost || x.quarantined {
 		d.Fingerprint = x.fingerprint().String()
 	}
 	x.decision = x.g.decide(d)
--- a/internal/router/crashes.go
+++ b/internal/router/crashes.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strconv"
 
+	"github.com/dragonflyrail/dragonflyrail/internal/core/outcome"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/quarantine"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/stream"
 	"github.com/dragonflyrail/dragonflyrail/internal/crashwatch"
@@ -58,6 +59,15 @@
 	}
 }
 
+// nameUnlessDone is the fingerprint as the line of a request's end names it: the
+// same one on two lines tells that they were of one request.
+func nameUnlessDone(o outcome.Outcome, f quarantine.Fingerprint) string {
+	if o == outcome.Done {
+		return ""
+	}
+	return f.String()
+}
+
 // mayHaveCrashed reports whether an attempt that ended so may have lost its
 // endpoint.
 func mayHaveCrashed(f stream.Fate) bool { return f == stream.FateUnknown || f == stream.FateRan }
--- a/internal/router/generate.go
+++ b/internal/router/generate.go
@@ -324,5 +324,6 @@
 		Subject: subjectRequest, SubjectID: g.req.RequestID, Organisation: g.req.Organisation,
 		Model: g.req.Model, Verdict: verdictFinish, Reason: reason, Endpoint: g.status.Endpoint,
 		Attempt: g.status.Attempts, Outcome: string(o), ConfigurationVersion: g.version,
+		Fingerprint: nameUnlessDone(o, g.print),
 	})
 }
--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -382,6 +382,6 @@
 	return c.r.decide(&port.DecisionRecord{
 		Subject: subjectRequest, SubjectID: c.req.RequestID, Organisation: c.req.Organisation,
 		Verdict: verdictFinish, Reason: reason, Endpoint: c.status.Endpoint,
-		Attempt: c.status.Attempts, Outcome: string(o),
+		Attempt: c.status.Attempts, Outcome: string(o), Fingerprint: nameUnlessDone(o, c.print),
 	})
 }
--- a/test/crashing_test.go
+++ b/test/crashing_test.go
@@ -72,6 +72,7 @@
 		out, err := f.Ctl(bounded(t), f.Daemons[0], "get", "request-quarantine", "main")
 		return err == nil && strings.Contains(string(out), "fingerprint")
 	})
+	f.explainsARefusal(t)
 	for _, d := range f.Daemons {
 		d.Kill()
 	}
@@ -95,6 +96,35 @@
 	background.Wait()
 }
 
+// explainsARefusal: from the id of a refused request an operator finds its
+// fingerprint, and from that which endpoints crashed under it.
+func (f *fleetTest) explainsARefusal(t *testing.T) {
+	t.Helper()
+	r := &testfleet.Request{ID: "refused", Kind: testfleet.Generation, Events: 3, Path: "/stream/fatal", Body: standin.CrashMark}
+	if a := f.caller.Ask(bounded(t), f.Daemons[0].Callers, r); !a.NotRun || a.RetryAfter <= 0 {
+		t.Fatalf("%d, Retry-After %v, %v", a.Status, a.RetryAfter, a.Err)
+	}
+	out, err := f.Ctl(bounded(t), f.Daemons[0], "--output", "json", "why", "request", r.ID)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var x struct {
+		Decisions []struct {
+			Reason      string `json:"reason"`
+			Fingerprint string `json:"fingerprint"`
+		} `json:"decisions"`
+	}
+	if err := json.Unmarshal(out, &x); err != nil || len(x.Decisions) == 0 {
+		t.Fatalf("%v:\n%s", err, out)
+	}
+	last := x.Decisions[len(x.Decisions)-1]
+	if !strings.HasPrefix(last.Reason, "crashes_endpoints") || last.Fingerprint == "" {
+		t.Fatalf("refused for %q, fingerprint %q", last.Reason, last.Fingerprint)
+	}
+	f.tells("suspect", "why", "fingerprint", last.Fingerprint)
+	f.tells("quarantine", "why", "fingerprint", last.Fingerprint)
+}
+
 // An operator releases a request that was taken for one that crashes runners: it
 // is sent again, and held back again once it has crashed as many as before.
 func TestOperatorReleasesARequest(t *testing.T) {
