Endpoints' rate limits are heard, spread and logged; no decision changes

What was missing: no line of any daemon told which answers named a limit, so the hypotheses on the limited runner (nobody reads it, each daemon keeps to it alone, repeats, it comes late) could not be told apart.

It rides with the endpoint's entry to all daemons, under a counter of its own: the newer wins, of two of one age the stricter, and a new incarnation starts without. Every daemon logs the change of its belief: subject endpoint, verdict "limit", the value.

Placing, refusing and what callers get are as before.

--- a/cmd/dragonfly-entry/assemble.go
+++ b/cmd/dragonfly-entry/assemble.go
@@ -80,7 +80,7 @@
 		Endpoints: runners,
 		Scheduler: scheduler, Placer: a.placer,
 		Freshness: func() time.Duration { return a.keeper.PlatformAge(time.Now()) },
-		View:      a.keeper, Quarantine: a.keeper.Quarantine(), Announcer: a.keeper, Sink: store, Policy: record.Policy, Metrics: registry,
+		View:      a.keeper, Quarantine: a.keeper.Quarantine(), Limits: a.keeper, Announcer: a.keeper, Sink: store, Policy: record.Policy, Metrics: registry,
 	})
 	a.callers = httpserver.New(&platform.Callers{App: a.gateway, Logger: logger})
 	a.servers = []listening{
--- a/cmd/dragonfly-standin/fleet.go
+++ b/cmd/dragonfly-standin/fleet.go
@@ -42,7 +42,7 @@
 		OnCrash: func() { os.Exit(exitCrashed) },
 	}
 	var kept *standin.Registration
-	return c.serveWith("fleet-runner", r, hooks{
+	return c.serveWith("fleet-runner", standin.SwitchedRunner(r), hooks{
 		background: func(ctx context.Context, l *log.Logger) {
 			r.SetLogger(l)
 			address := c.Advertise
--- a/internal/adapter/grpcpeer/convert.go
+++ b/internal/adapter/grpcpeer/convert.go
@@ -5,6 +5,8 @@
 package grpcpeer
 
 import (
+	"math"
+
 	"google.golang.org/protobuf/proto"
 
 	peerv1 "github.com/dragonflyrail/dragonflyrail/api/peer/v1"
@@ -47,6 +49,7 @@
 		FencesOrders: e.FencesOrders, Models: e.Models,
 		Version: e.Observation, Unreachable: e.Unreachable, Confirmed: e.Confirmed,
 		Revision: uint64(e.Revision), Said: string(e.Said), Slots: uint32(e.Slots),
+		RateLimit: e.RateLimit, LimitChanges: e.LimitChanges,
 	}
 	if e.EntryRevision != e.Revision {
 		out.EntryRevision = proto.Uint64(uint64(e.EntryRevision))
@@ -66,11 +69,20 @@
 			FailureDomain: e.GetFailureDomain(), Incarnation: e.GetIncarnation(),
 			State: port.EndpointState(e.GetState()), FencesOrders: e.GetFencesOrders(), Models: e.GetModels(),
 			Unreachable: e.GetUnreachable(), Revision: revision, Slots: int(e.GetSlots()),
+			RateLimit: rateLimitFromWire(e.GetRateLimit()),
 		},
 		EntryRevision: entry,
 		Said:          port.EndpointState(e.GetSaid()),
-		Observation:   e.GetVersion(), Confirmed: e.GetConfirmed(),
+		Observation:   e.GetVersion(), Confirmed: e.GetConfirmed(), LimitChanges: e.GetLimitChanges(),
+	}
+}
+
+// rateLimitFromWire takes what can't be a rate for none.
+func rateLimitFromWire(perSecond float64) float64 {
+	if perSecond > 0 && !math.IsInf(perSecond, 1) {
+		return perSecond
 	}
+	return 0
 }
 
 func memberToWire(m membership.Member) *peerv1.Member {
--- a/internal/core/membership/endpoint.go
+++ b/internal/core/membership/endpoint.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/dragonflyrail/dragonflyrail/internal/core/spread"
@@ -24,6 +25,9 @@
 	// Observation counts the changes of Unreachable and Models within the
 	// incarnation; the larger is newer.
 	Observation uint64
+	// LimitChanges counts the changes of RateLimit within the incarnation; the
+	// larger is newer.
+	LimitChanges uint64
 }
 
 func endpointRank(s port.EndpointState) int {
@@ -39,8 +43,9 @@
 
 // EndpointOrder is the semilattice of endpoints: the larger incarnation wins
 // whole; within one, the entry of the larger revision, the state of the larger
-// revision and the newer observation win, what the endpoint itself said only
-// grows, and so does the state between listings of one revision.
+// revision, the newer observation and the newer limit win, what the endpoint
+// itself said of its state only grows, and so does the state between listings of
+// one revision.
 type EndpointOrder struct{}
 
 // Key is the endpoint's id.
@@ -67,6 +72,11 @@
 		seen = &b
 	}
 	out.Observation, out.Unreachable, out.Models = seen.Observation, seen.Unreachable, seen.Models
+	limit := &a
+	if compareLimits(&a, &b) < 0 {
+		limit = &b
+	}
+	out.LimitChanges, out.RateLimit = limit.LimitChanges, limit.RateLimit
 	return out
 }
 
@@ -115,6 +125,16 @@
 	)
 }
 
+// compareLimits orders limits by their age. Of two of one age the stricter
+// stands.
+func compareLimits(a, b *Endpoint) int {
+	return cmp.Or(
+		cmp.Compare(a.LimitChanges, b.LimitChanges),
+		compareBools(a.RateLimit > 0, b.RateLimit > 0),
+		cmp.Compare(b.RateLimit, a.RateLimit),
+	)
+}
+
 func compareBools(a, b bool) int {
 	switch {
 	case a == b:
@@ -151,6 +171,10 @@
 	if e.EntryRevision != e.Revision {
 		h.Uint64(uint64(e.EntryRevision))
 	}
+	if e.LimitChanges != 0 {
+		h.Uint64(e.LimitChanges)
+		h.Uint64(math.Float64bits(e.RateLimit))
+	}
 	return h.Sum()
 }
 
@@ -208,8 +232,8 @@
 	if r.Incarnation > known.Incarnation {
 		next.Incarnation = r.Incarnation
 		next.State, next.Said = port.EndpointLive, ""
-		next.Observation = 0
-		next.Unreachable = false
+		next.Observation, next.LimitChanges = 0, 0
+		next.Unreachable, next.RateLimit = false, 0
 	}
 	next.Said = laterState(next.Said, r.State)
 	next.State = laterState(next.State, r.State)
@@ -223,6 +247,17 @@
 	return next
 }
 
+// Limited returns the entry after the endpoint named another limit, in requests
+// a second; zero is none.
+func Limited(known Endpoint, perSecond float64) Endpoint {
+	next := known
+	if next.RateLimit != perSecond {
+		next.LimitChanges++
+		next.RateLimit = perSecond
+	}
+	return next
+}
+
 // Missed returns the entry after enough failed probes in a row.
 func Missed(known Endpoint) Endpoint {
 	next := known
--- a/internal/core/membership/lattice_test.go
+++ b/internal/core/membership/lattice_test.go
@@ -57,6 +57,9 @@
 		Confirmed:   rapid.Bool().Draw(t, "confirmed"),
 		Observation: few[uint64](0, 1, 2).Draw(t, "observation"),
 	}
+	if changes := few[uint64](0, 1, 2).Draw(t, "limit changes"); changes > 0 {
+		e.LimitChanges, e.RateLimit = changes, few(0, 2.5, 4).Draw(t, "limit")
+	}
 	if rapid.Bool().Draw(t, "has model") {
 		e.Models = []string{"m"}
 	}
@@ -182,3 +185,23 @@
 		t.Fatalf("the heartbeat before its silence revived it: %+v", joined)
 	}
 }
+
+// Two daemons take another limit from answers at the same time: all come to hold
+// the stricter one, and the next change goes before both.
+func TestTheStricterOfTwoLimitsOfOneAgeStands(t *testing.T) {
+	known := Listed(port.Endpoint{ID: "e", Incarnation: 1})
+	a, b := Limited(known, 4), Limited(known, 2.5)
+	both := EndpointOrder{}.Join(a, b)
+	if both.RateLimit != 2.5 {
+		t.Fatalf("a limit of %v", both.RateLimit)
+	}
+	if lifted := (EndpointOrder{}).Join(both, Limited(both, 0)); lifted.RateLimit != 0 {
+		t.Fatalf("a limit of %v after it was lifted", lifted.RateLimit)
+	}
+	if relisted := (EndpointOrder{}).Join(both, Listed(port.Endpoint{ID: "e", Incarnation: 1, Revision: 9})); relisted.RateLimit != 2.5 {
+		t.Fatalf("a limit of %v after the registry listed the endpoint again", relisted.RateLimit)
+	}
+	if next := Said(both, &port.LoadReport{EndpointID: "e", Incarnation: 2}); next.RateLimit != 0 {
+		t.Fatalf("the next incarnation has a limit of %v", next.RateLimit)
+	}
+}
--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -75,8 +75,10 @@
 	for _, e := range changed {
 		before, knew := g.known.put(e, now)
 		g.noteEndpoint(before, knew, &e)
+		g.noteLimit(before.RateLimit, &e)
 		if e.State == port.EndpointGone {
 			g.balancer.Forget(e.ID)
+			g.limits.Forget(e.ID)
 		}
 	}
 	g.moveAway()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -31,7 +31,7 @@
 func (x *exchange) attempt(ctx context.Context, p *placement) stream.Fate {
 	x.beginAttempt(p)
 	began := x.g.Clock()
-	answer, err := x.g.Endpoints.Send(ctx, x.outbound(p))
+	answer, err := x.send(ctx, x.outbound(p))
 	if err != nil {
 		return x.failed(ctx, p, err)
 	}
@@ -46,6 +46,15 @@
 	return x.relayBody(ctx, p, answer)
 }
 
+// send sends a request once and takes what the endpoint says of its limit.
+func (x *exchange) send(ctx context.Context, out *port.Exchange) (*port.Answer, error) {
+	answer, err := x.g.Endpoints.Send(ctx, out)
+	if answer != nil {
+		x.g.heardLimit(out.Endpoint, answer.RateLimit)
+	}
+	return answer, err
+}
+
 // engineRank is the urgency that engines are told of every generation. Who goes
 // first is decided where all that wait is known, in the pool's queue. An engine
 // that is told of ranks makes room for a more urgent prompt by preempting a run
--- a/internal/gateway/decide.go
+++ b/internal/gateway/decide.go
@@ -20,6 +20,8 @@
 	verdictCrash = "crash"
 	// verdictRelease: a copy is freed.
 	verdictRelease = "release"
+	// verdictLimit: an endpoint names another limit, or none any more.
+	verdictLimit = "limit"
 )
 
 const subjectRequest = "request"
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -152,7 +152,7 @@
 	out := x.outbound(p)
 	out.Endpoint = at
 	out.Generation.Continue = &port.Continuation{Address: c.from.Address, Handle: c.handle, LastEventID: lastID}
-	a, err := x.g.Endpoints.Send(ctx, out)
+	a, err := x.send(ctx, out)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -241,6 +241,16 @@
 
 func (v *view) SetLeaving() {}
 
+func (v *view) TellLimit(endpoint string, incarnation uint64, perSecond float64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for i := range v.endpoints {
+		if e := &v.endpoints[i]; e.ID == endpoint && e.Incarnation == incarnation {
+			e.RateLimit = perSecond
+		}
+	}
+}
+
 func quiet() *log.Logger { return &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}} }
 
 // bench is a gateway over fakes.
@@ -306,8 +316,8 @@
 		Drain:   DrainOptions{TakeGenerations: time.Hour, TakeCalls: time.Hour, End: 2 * time.Hour},
 	}, Ports{
 		Endpoints: b.world, Scheduler: scheduler, Placer: placer, View: b.view, Announcer: b.view,
-		Quarantine: b.quarantine,
-		Sink:       b.sink, Policy: record.Policy,
+		Quarantine: b.quarantine, Limits: b.view,
+		Sink: b.sink, Policy: record.Policy,
 	})
 	b.apply()
 	return b
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/dragonflyrail/dragonflyrail/internal/core/balance"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/breaker"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/membership"
+	"github.com/dragonflyrail/dragonflyrail/internal/core/ratelimit"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/route"
 	"github.com/dragonflyrail/dragonflyrail/internal/crashwatch"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
@@ -59,6 +60,7 @@
 	Announcer Announcer
 	// Quarantine keeps requests from endpoints that they would crash.
 	Quarantine crashwatch.Quarantine
+	Limits     LimitTeller
 	Sink       port.DecisionSink
 	// Freshness is how long ago the platform last answered any daemon, as far
 	// as this one knows; negative for never. It may be nil.
@@ -106,6 +108,7 @@
 	departed membership.Departures
 	runs     runs
 	crashes  *crashwatch.Watch
+	limits   *ratelimit.Observer
 	index    atomic.Pointer[route.Index]
 	known    known
 	// endpointChanges yields the endpoints that the view changed.
@@ -129,6 +132,7 @@
 		breakers: breaker.NewSet(o.Breaker),
 		balancer: balance.New(balance.Options{Draw: draw, ReportMaxAge: o.ReportMaxAge}),
 		metrics:  newInstruments(p.Metrics),
+		limits:   ratelimit.NewObserver(),
 	}
 	g.o.Store(&o)
 	g.crashes = g.watchCrashes()
--- a/internal/keeper/hosts.go
+++ b/internal/keeper/hosts.go
@@ -70,6 +70,15 @@
 	})
 }
 
+// TellLimit tells all daemons of the requests a second that an endpoint takes
+// from all of them together, zero for no limit.
+func (k *Keeper) TellLimit(endpoint string, incarnation uint64, perSecond float64) {
+	known, ok := k.node.Endpoints.Get(endpoint)
+	if ok && known.Incarnation == incarnation {
+		k.node.PutEndpoint(membership.Limited(known, perSecond))
+	}
+}
+
 func verdictOn(e *membership.Endpoint) string {
 	if e.State == port.EndpointLive && e.Unreachable {
 		return "unreachable"
--- a/internal/port/endpoint.go
+++ b/internal/port/endpoint.go
@@ -49,6 +49,9 @@
 	// Unreachable is set while the keepers' probes fail. Unlike State it is
 	// taken back when they succeed again: a cut link heals.
 	Unreachable bool `json:"unreachable,omitempty"`
+	// RateLimit is the requests a second that the endpoint says it takes from all
+	// daemons together; zero is no limit.
+	RateLimit float64 `json:"rate_limit,omitempty"`
 }
 
 // LoadReport is what an endpoint says of its own load. It is always late.
--- a/internal/port/exchange.go
+++ b/internal/port/exchange.go
@@ -64,6 +64,9 @@
 	Delimited bool
 	// Load is the endpoint's word on its load, nil where it says none.
 	Load *LoadHint
+	// RateLimit is the requests a second that the endpoint takes from all daemons
+	// together, as long as its answers say so; nil where this one says none.
+	RateLimit *float64
 	// Closing: the endpoint closes the connection, as one that leaves does.
 	Closing bool
 }
@@ -110,6 +113,8 @@
 // ErrRefused, ErrMisdirected, ErrForeignAnswer, ErrEndpointLost and, for
 // copies, ErrNoGeneration and ErrNoRoom.
 type Exchanger interface {
+	// Send sends a request once. With ErrRefused it may return an answer, without
+	// a body, for what the endpoint says of itself.
 	Send(ctx context.Context, x *Exchange) (*Answer, error)
 	// Load reads an endpoint's load.
 	Load(ctx context.Context, e Endpoint) (LoadReport, error)
