A runner that names a limit gets no more than that from all daemons together

What callers saw: nothing that stands out. A runner in need that had named 2.6 requests a second got 42 within 4 s, one of 2.9 got 32; 21 and 22 are allowed. Runners that are sent more than they can do fail, and their callers with them.

Cause: nobody read the limit. It was passed on to callers with the answer, and the choice among endpoints knew calls under way and load only. Class: a word of an endpoint on itself that each daemon sees in part, and that only all together can keep to.

Fix: leave to send to an endpoint that names a limit is given in one place, the coordinator that the pool has already: core/ratelimit, the generic cell rate algorithm, at most 1 + rate*(t + 1 s) within any time t. A coordinator that takes over begins without a burst. A daemon that can't reach it keeps to its share of half the limit, so that both together stay within one and a half times; a coordinator asked by such a one answers from its own share.

- Calls: two endpoints are drawn as before.
A limited one is asked for when drawn; refused, the call goes to one without a limit, and it isn't asked for again until the time told.
Where all name limits, a call waits up to half a second, within a third of its time; else it is refused at once, not run, with a time to come back that spreads returning callers over what the endpoints take.
Who returns in time may wait twice as long.
- Generations: the pool's scheduler passes over runners at their limit, and holds where all are (endpoints_at_rate_limit).
Moves of runs keep to it.

Elsewhere: the product's own platform has no such word. A resumed run is sent to where the scheduler took leave for it.

--- a/cmd/dragonfly-entry/assemble.go
+++ b/cmd/dragonfly-entry/assemble.go
@@ -71,11 +71,11 @@
 	scheduler := routing.NewScheduler(routing.Options{RouterID: s.ID, BusyUse: busyUse, UnreadLimit: unreadLimit})
 	pools := scheduling.NewPoolScheduler(scheduler, nil)
 	registry.GetOrRegister("scheduling_runs_held", gometrics.NewFunctionalGauge(func() int64 { return int64(pools.Held()) }))
-	(&grpcpeer.SchedulingService{Scheduler: pools}).Register(a.peers)
 	a.placer = scheduling.NewClient(scheduling.Options{
 		Self: s.ID, Members: a.keeper, Logger: logger,
 		Dial: func(address string) scheduling.Peer { return grpcpeer.DialScheduling(address) },
 	}, pools)
+	(&grpcpeer.SchedulingService{Scheduler: pools, Admitter: a.placer}).Register(a.peers)
 	a.gateway = gateway.New(s.options(), gateway.Ports{
 		Endpoints: runners,
 		Scheduler: scheduler, Placer: a.placer,
--- a/internal/adapter/grpcpeer/scheduling.go
+++ b/internal/adapter/grpcpeer/scheduling.go
@@ -7,9 +7,12 @@
 
 	"github.com/ansel1/merry/v2"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	peerv1 "github.com/dragonflyrail/dragonflyrail/api/peer/v1"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/membership"
+	"github.com/dragonflyrail/dragonflyrail/internal/core/ratelimit"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 	"github.com/dragonflyrail/dragonflyrail/internal/scheduling"
 )
@@ -26,6 +29,12 @@
 type SchedulingService struct {
 	peerv1.UnimplementedSchedulingServer
 	Scheduler *scheduling.PoolScheduler
+	Admitter  Admitter
+}
+
+// Admitter gives leave to send requests by this daemon's own word.
+type Admitter interface {
+	AdmitHere(pool string, asks []ratelimit.Ask, patience time.Duration) ratelimit.Grant
 }
 
 // Register adds the service to a server.
@@ -60,6 +69,15 @@
 	return &peerv1.RunsUpdateReply{}, nil
 }
 
+// Admit gives leave to send one request.
+func (s *SchedulingService) Admit(_ context.Context, r *peerv1.AdmitRequest) (*peerv1.AdmitReply, error) {
+	asks := mapSlice(r.GetEndpoints(), func(e *peerv1.LimitedEndpoint) ratelimit.Ask {
+		return ratelimit.Ask{Endpoint: e.GetId(), PerSecond: rateLimitFromWire(e.GetRateLimit())}
+	})
+	g := s.Admitter.AdmitHere(r.GetPool(), asks, millis(r.GetPatienceMillis()))
+	return &peerv1.AdmitReply{Endpoint: g.Endpoint, WaitMicros: g.Wait.Microseconds()}, nil
+}
+
 // SchedulingPeer is the scheduler at another daemon.
 type SchedulingPeer struct {
 	conn *grpc.ClientConn
@@ -150,6 +168,29 @@
 	return nil
 }
 
+// Admit asks for leave to send one request.
+func (p *SchedulingPeer) Admit(ctx context.Context, pool string, asks []ratelimit.Ask, patience time.Duration) (ratelimit.Grant, error) {
+	if p.err != nil {
+		return ratelimit.Grant{}, p.err
+	}
+	ctx, cancel := context.WithTimeout(ctx, answerWithin)
+	defer cancel()
+	reply, err := peerv1.NewSchedulingClient(p.conn).Admit(ctx, &peerv1.AdmitRequest{
+		Pool: pool,
+		Endpoints: mapSlice(asks, func(a ratelimit.Ask) *peerv1.LimitedEndpoint {
+			return &peerv1.LimitedEndpoint{Id: a.Endpoint, RateLimit: a.PerSecond}
+		}),
+		PatienceMillis: patience.Milliseconds(),
+	})
+	switch {
+	case status.Code(err) == codes.Unimplemented:
+		return ratelimit.Grant{}, scheduling.ErrNotAdmitting
+	case err != nil:
+		return ratelimit.Grant{}, merry.Prepend(ErrPeerLost, err.Error())
+	}
+	return ratelimit.Grant{Endpoint: reply.GetEndpoint(), Wait: time.Duration(reply.GetWaitMicros()) * time.Microsecond}, nil
+}
+
 func millis(v int64) time.Duration { return time.Duration(v) * time.Millisecond }
 
 func generationToWire(r *port.GenerationRequest) *peerv1.Generation {
--- a/internal/adapter/grpcpeer/scheduling_test.go
+++ b/internal/adapter/grpcpeer/scheduling_test.go
@@ -9,6 +9,8 @@
 
 	"google.golang.org/grpc"
 
+	peerv1 "github.com/dragonflyrail/dragonflyrail/api/peer/v1"
+	"github.com/dragonflyrail/dragonflyrail/internal/core/ratelimit"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/routing"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 	"github.com/dragonflyrail/dragonflyrail/internal/scheduling"
@@ -27,17 +29,53 @@
 	s := routing.NewScheduler(routing.Options{RouterID: "r"})
 	s.SetEndpoints(time.Now(), oneRunner())
 	pools := scheduling.NewPoolScheduler(s, nil)
+	return pools, onTheWire(t, (&SchedulingService{Scheduler: pools, Admitter: limiter{ratelimit.NewLimiter()}}).Register)
+}
+
+func onTheWire(t *testing.T, register func(grpc.ServiceRegistrar)) *SchedulingPeer {
+	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	server := grpc.NewServer(ServerOptions()...)
-	(&SchedulingService{Scheduler: pools}).Register(server)
+	register(server)
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(server.Stop)
 	peer := DialScheduling(listener.Addr().String())
 	t.Cleanup(peer.Close)
-	return pools, peer
+	return peer
+}
+
+// limiter admits to any pool.
+type limiter struct{ *ratelimit.Limiter }
+
+func (l limiter) AdmitHere(_ string, asks []ratelimit.Ask, patience time.Duration) ratelimit.Grant {
+	return l.Admit(time.Now(), asks, patience)
+}
+
+// A daemon gets leave for one request at another, and is told when to ask again.
+func TestAdmitsOverTheWire(t *testing.T) {
+	_, peer := schedulerOnTheWire(t)
+	asks := []ratelimit.Ask{{Endpoint: "e", PerSecond: 0.5}}
+	g, err := peer.Admit(t.Context(), "pool", asks, 0)
+	if err != nil || g.Endpoint != "e" || g.Wait != 0 {
+		t.Fatalf("%+v, %v", g, err)
+	}
+	g, err = peer.Admit(t.Context(), "pool", asks, 500*time.Millisecond)
+	if err != nil || g.Endpoint != "" || g.Wait < time.Second || g.Wait > 1500*time.Millisecond {
+		t.Fatalf("%+v, %v", g, err)
+	}
+}
+
+// A daemon of the build before places, and knows nothing of limits.
+func TestDaemonThatAdmitsNothingIsNotTakenForLost(t *testing.T) {
+	peer := onTheWire(t, func(r grpc.ServiceRegistrar) {
+		peerv1.RegisterSchedulingServer(r, peerv1.UnimplementedSchedulingServer{})
+	})
+	if _, err := peer.Admit(t.Context(), "pool", nil, 0); !errors.Is(err, scheduling.ErrNotAdmitting) {
+		t.Fatalf("got %v, want ErrNotAdmitting", err)
+	}
 }
 
 func generation(id string, prompt int) *port.GenerationRequest {
@@ -128,4 +166,7 @@
 	if _, err := peer.Relocate(t.Context(), &run, port.Relocation{}); !errors.Is(err, ErrPeerLost) {
 		t.Fatalf("got %v, want ErrPeerLost", err)
 	}
+	if _, err := peer.Admit(t.Context(), "pool", nil, 0); !errors.Is(err, ErrPeerLost) {
+		t.Fatalf("got %v, want ErrPeerLost", err)
+	}
 }
--- /dev/null
+++ b/internal/core/ratelimit/limiter_test.go
@@ -0,0 +1,162 @@
+package ratelimit
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// mostWithin is what an endpoint may get within a time from one limiter.
+func mostWithin(perSecond float64, t time.Duration) float64 {
+	return 1 + perSecond*(t+burst).Seconds()
+}
+
+// checkSent checks what was sent to one endpoint against every window.
+func checkSent(t *rapid.T, sent []time.Time, perSecond float64, limiters int) {
+	slices.SortFunc(sent, time.Time.Compare)
+	for i, first := range sent {
+		for j := i; j < len(sent); j++ {
+			most := mostWithin(perSecond, sent[j].Sub(first)) + float64(limiters-1)*mostWithin(perSecond, 0)
+			if n := float64(j - i + 1); n > most+1e-6 {
+				t.Fatalf("%v requests within %v, limit %v a second, allowed %v", n, sent[j].Sub(first), perSecond, most)
+			}
+		}
+	}
+}
+
+// Whoever asks, how often and with what patience: no endpoint gets more than its
+// limit allows in any time, also where the daemon that admits changes.
+func TestNoMoreIsAdmittedThanTheLimitsAllow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l, now := NewLimiter(), start
+		limits := []float64{rapid.Float64Range(LowestRate, 50).Draw(t, "limit 0"), rapid.Float64Range(LowestRate, 50).Draw(t, "limit 1")}
+		sent := make([][]time.Time, len(limits))
+		takeovers := 1
+		for range rapid.IntRange(1, 200).Draw(t, "asks") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "pause")) * time.Millisecond)
+			if rapid.IntRange(0, 50).Draw(t, "takeover") == 0 {
+				l = NewLimiter()
+				takeovers++
+			}
+			var asks []Ask
+			for i := range limits {
+				if rapid.Bool().Draw(t, "asked for") {
+					asks = append(asks, Ask{Endpoint: fmt.Sprint(i), PerSecond: limits[i]})
+				}
+			}
+			patience := time.Duration(rapid.IntRange(0, 3000).Draw(t, "patience")) * time.Millisecond
+			g := l.Admit(now, asks, patience)
+			if g.Wait < 0 || g.Endpoint != "" && g.Wait > patience || g.Endpoint == "" && g.Wait <= 0 {
+				t.Fatalf("patience %v: %+v", patience, g)
+			}
+			for i := range limits {
+				if g.Endpoint == fmt.Sprint(i) {
+					sent[i] = append(sent[i], now.Add(g.Wait))
+				}
+			}
+			l.Expire(now)
+		}
+		for i := range limits {
+			checkSent(t, sent[i], limits[i], takeovers)
+		}
+	})
+}
+
+// Daemons that ask as often as they are told use up what an endpoint takes, and
+// the one that admits isn't asked without end.
+func TestWhatIsTakenIsUsedUp(t *testing.T) {
+	for _, daemons := range []int{1, 6, 60} {
+		for _, limit := range []float64{LowestRate, 3, 50} {
+			for _, patience := range []time.Duration{0, time.Second} {
+				t.Run(fmt.Sprintf("%d daemons, %v a second, patience %v", daemons, limit, patience), func(t *testing.T) {
+					const lasting = 60 * time.Second
+					admitted, asked := askAll(NewLimiter(), daemons, limit, patience, lasting)
+					takes := limit * lasting.Seconds()
+					if admitted < int(0.9*takes) {
+						t.Errorf("%d admitted, the endpoint takes %v", admitted, takes)
+					}
+					if most := takes + float64(admitted) + float64(daemons)*(lasting.Seconds()+1)*1.1; float64(asked) > most {
+						t.Errorf("asked %d times, %v are enough", asked, most)
+					}
+				})
+			}
+		}
+	}
+}
+
+// askAll has daemons, each with a request at any time, ask as often as they are
+// told.
+func askAll(l *Limiter, daemons int, limit float64, patience, lasting time.Duration) (admitted, asked int) {
+	const step = 5 * time.Millisecond
+	next := make([]time.Time, daemons)
+	for now := start; now.Sub(start) < lasting; now = now.Add(step) {
+		for d := range next {
+			if now.Before(next[d]) {
+				continue
+			}
+			g := l.Admit(now, []Ask{{Endpoint: "e", PerSecond: limit}}, patience)
+			asked++
+			if g.Endpoint != "" {
+				admitted++
+				continue
+			}
+			next[d] = now.Add(g.Wait)
+		}
+	}
+	return admitted, asked
+}
+
+// Daemons that can't reach each other keep to the limit all together.
+func TestSharesTogetherKeepToTheLimit(t *testing.T) {
+	const daemons, limit, lasting = 12, 3.0, 60 * time.Second
+	admitted := 0
+	for range daemons {
+		n, _ := askAll(NewShareLimiter(), 1, limit/daemons, 0, lasting)
+		admitted += n
+	}
+	if most := limit * (lasting + burst).Seconds(); float64(admitted) > most {
+		t.Errorf("%d admitted, allowed %v", admitted, most)
+	}
+	if g := NewShareLimiter().Admit(start, []Ask{{Endpoint: "e", PerSecond: limit}}, 0); g.Endpoint != "" {
+		t.Error("a request is admitted before the time of one has passed")
+	}
+}
+
+// An endpoint that is asked for seldom isn't starved, and one that is forgotten
+// starts anew.
+func TestSeldomAskedForIsAdmitted(t *testing.T) {
+	for _, pause := range []time.Duration{time.Second, 10 * time.Second, 10 * time.Minute} {
+		l := NewLimiter()
+		for i := range 5 {
+			now := start.Add(time.Duration(i) * pause)
+			if g := l.Admit(now, []Ask{{Endpoint: "e", PerSecond: 3}}, 0); g.Endpoint == "" {
+				t.Errorf("every %v: ask %d is refused for %v", pause, i, g.Wait)
+			}
+			l.Expire(now)
+		}
+		if l.Expire(start.Add(time.Hour)); l.Len() != 0 {
+			t.Errorf("%d endpoints are remembered", l.Len())
+		}
+	}
+}
+
+// A flood of names takes bounded room, and requests beyond it are not admitted
+// until there is some.
+func TestLimiterIsBounded(t *testing.T) {
+	l := NewLimiter()
+	for i := range maxMeters + 10 {
+		l.Admit(start, []Ask{{Endpoint: fmt.Sprint(i), PerSecond: 3}}, 0)
+	}
+	if l.Len() != maxMeters {
+		t.Fatalf("%d endpoints are remembered", l.Len())
+	}
+	if g := l.Admit(start, []Ask{{Endpoint: "another", PerSecond: 3}}, 0); g.Endpoint != "" || g.Wait != askAgain {
+		t.Fatalf("%+v", g)
+	}
+	if g := l.Admit(start.Add(2*memory), []Ask{{Endpoint: "another", PerSecond: 3}}, 0); g.Endpoint == "" {
+		t.Fatalf("%+v", g)
+	}
+}
--- a/internal/core/routing/held.go
+++ b/internal/core/routing/held.go
@@ -251,6 +251,8 @@
 		return ReasonHeldShare
 	case k.chosen() != nil:
 		return ReasonHeldBehind
+	case k.limited > k.overflowed+k.reading+k.batchFull:
+		return ReasonHeldLimit
 	case k.batchFull > k.overflowed+k.reading:
 		return ReasonHeldBatch
 	case k.reading > k.overflowed:
--- a/internal/core/routing/reasons.go
+++ b/internal/core/routing/reasons.go
@@ -11,6 +11,7 @@
 	ReasonHeldOverflow  = "would_overflow"
 	ReasonHeldBatch     = "batch_full"
 	ReasonHeldReading   = "prompts_ahead"
+	ReasonHeldLimit     = "endpoints_at_rate_limit"
 	ReasonHeldShare     = "organisation_over_share"
 	ReasonHeldBehind    = "behind_held_requests"
 	ReasonRefusedModel  = "no_endpoint_for_model"
@@ -35,4 +36,5 @@
 	ExcludedOverflow = "would_overflow"
 	ExcludedSize     = "larger_than_cache"
 	ExcludedReading  = "prompts_ahead"
+	ExcludedLimit    = "at_rate_limit"
 )
--- a/internal/core/routing/relocate.go
+++ b/internal/core/routing/relocate.go
@@ -45,6 +45,7 @@
 		return d
 	}
 	e.next = c.runner
+	e.next.meter.Take(now, e.next.endpoint.RateLimit)
 	e.next.take(now, e)
 	d := s.placed(e, &k, ReasonRelocated)
 	d.Endpoint = e.next.endpoint
@@ -75,6 +76,8 @@
 			c.excluded = ExcludedTried
 		case !r.breaker.allows(now, several):
 			c.excluded = ExcludedBreaker
+		case r.atLimit(now):
+			c.excluded = ExcludedLimit
 		case r.endpoint.Slots > 0 && r.count() >= float64(r.endpoint.Slots):
 			c.excluded = ExcludedBatch
 		case used+e.context()+growthRoom*r.count() > capacity:
--- a/internal/core/routing/runner.go
+++ b/internal/core/routing/runner.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/dragonflyrail/dragonflyrail/internal/core/ratelimit"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
 
@@ -48,6 +49,8 @@
 	nextChange int
 
 	breaker breaker
+	// meter keeps to the limit that the runner names.
+	meter ratelimit.Meter
 	// home marks the runners that this router prefers.
 	home bool
 	// listed marks the runners that the shard lists, dropped those that no
@@ -164,5 +167,8 @@
 	}
 }
 
+// atLimit reports whether the runner has named a limit and takes no more now.
+func (r *runner) atLimit(now time.Time) bool { return r.meter.Wait(now, r.endpoint.RateLimit) > 0 }
+
 // count is the generations there, waiting ones included.
 func (r *runner) count() float64 { return float64(r.ownCount) + r.elseCount }
--- a/internal/core/routing/score.go
+++ b/internal/core/routing/score.go
@@ -74,6 +74,7 @@
 	overflowed int
 	batchFull  int
 	reading    int
+	limited    int
 	tried      int
 	broken     int
 	tooSmall   int
@@ -173,6 +174,9 @@
 	case float64(q.request.PromptTokens) >= capacity:
 		out.tooSmall++
 		return ExcludedSize
+	case r.atLimit(s.now):
+		out.limited++
+		return ExcludedLimit
 	case count >= float64(q.weights.BatchLimit):
 		out.batchFull++
 		return ExcludedBatch
--- a/internal/core/routing/shard.go
+++ b/internal/core/routing/shard.go
@@ -146,6 +146,7 @@
 	e.org.work.add(now, e.cost)
 	e.org.rates[e.item.Lane].add(now, 1)
 	c.runner.breaker.dispatched()
+	c.runner.meter.Take(now, c.runner.endpoint.RateLimit)
 	s.dispatched.add(now, e.print.peak())
 	s.prefixes.sent(now, e.request.PrefixHashes, c.runner)
 }
--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -79,6 +79,7 @@
 		if e.State == port.EndpointGone {
 			g.balancer.Forget(e.ID)
 			g.limits.Forget(e.ID)
+			g.atLimit.forget(e.ID)
 		}
 	}
 	g.moveAway()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -32,6 +32,7 @@
 	Relocate(ctx context.Context, requestID string, terms port.Relocation) port.Decision
 	// Relocated ends a relocation; to is where the run is now.
 	Relocated(requestID string, moved bool, to string)
+	Admitter
 }
 
 // View is what a gateway sees of the system.
@@ -109,6 +110,9 @@
 	runs     runs
 	crashes  *crashwatch.Watch
 	limits   *ratelimit.Observer
+	// atLimit are endpoints and pools that take nothing now.
+	atLimit  refusals
+	promises promises
 	index    atomic.Pointer[route.Index]
 	known    known
 	// endpointChanges yields the endpoints that the view changed.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -29,6 +29,7 @@
 	moves      gometrics.Counter
 	panics     gometrics.Counter
 	crashes    gometrics.Counter
+	atLimit    gometrics.Counter
 }
 
 func newInstruments(r gometrics.Registry) *instruments {
@@ -51,6 +52,7 @@
 		moves:      counter("runs_moved_total"),
 		panics:     counter("panics_total"),
 		crashes:    counter("endpoint_crashes_total"),
+		atLimit:    counter("endpoint_limits_kept_total"),
 	}
 }
 
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -42,7 +42,7 @@
 	if x.req.Generation != nil && x.engine != nil {
 		return x.schedule(ctx)
 	}
-	return x.balance()
+	return x.balance(ctx)
 }
 
 // schedule asks for a place among the pool's runners.
@@ -105,7 +105,7 @@
 }
 
 // balance draws an endpoint of a plain service.
-func (x *exchange) balance() (*placement, *Refusal) {
+func (x *exchange) balance(ctx context.Context) (*placement, *Refusal) {
 	g := x.g
 	now := g.Clock()
 	var candidates, spared []port.Endpoint
@@ -124,13 +124,7 @@
 		// a try; refused, it can come back.
 		candidates = spared
 	}
-	endpoint, scores, ok := g.balancer.Choose(now, candidates)
-	if !ok {
-		return nil, x.noEndpoint()
-	}
-	p := x.chosen(&placement{endpoint: endpoint})
-	x.record(port.VerdictPlace.String(), "least calls of two drawn in pool "+x.pool, "", scores)
-	return p, nil
+	return x.withinLimits(ctx, candidates)
 }
 
 func (x *exchange) noEndpoint() *Refusal {
--- a/internal/scheduling/client.go
+++ b/internal/scheduling/client.go
@@ -8,6 +8,7 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/dragonflyrail/dragonflyrail/internal/core/ratelimit"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
 
@@ -31,6 +32,8 @@
 	Place(ctx context.Context, r *port.GenerationRequest, held func(*port.Decision)) (port.Decision, error)
 	Relocate(ctx context.Context, run *port.RunningRequest, terms port.Relocation) (port.Decision, error)
 	Update(ctx context.Context, adopted []port.RunningRequest, events []RunEvent) error
+	// Admit returns ErrNotAdmitting for a daemon of a build that doesn't know it.
+	Admit(ctx context.Context, pool string, asks []ratelimit.Ask, patience time.Duration) (ratelimit.Grant, error)
 	Close()
 }
 
@@ -58,6 +61,9 @@
 type Client struct {
 	o     Options
 	local *PoolScheduler
+	// limiter admits to the pools that this daemon coordinates, share to others
+	// while their coordinators don't answer.
+	limiter, share *ratelimit.Limiter
 
 	mu    sync.Mutex
 	runs  map[string]*openRun
@@ -96,7 +102,7 @@
 		o.Clock = time.Now
 	}
 	return &Client{
-		o: o, local: local,
+		o: o, local: local, limiter: ratelimit.NewLimiter(), share: ratelimit.NewShareLimiter(),
 		runs: make(map[string]*openRun), peers: make(map[string]*peerState), avoid: make(map[string]time.Time),
 		kept: make(map[string]string),
 	}
--- a/internal/scheduling/coordinator.go
+++ b/internal/scheduling/coordinator.go
@@ -31,6 +31,15 @@
 	return daemon{id: id, address: s.addresses[id]}
 }
 
+// isListedCoordinator reports whether this daemon is the pool's coordinator for
+// all that know the same live daemons, and not only for those that can't reach
+// another one.
+func (c *Client) isListedCoordinator(pool string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.candidatesLocked(c.o.Clock()).listed.Lookup(pool) == c.o.Self
+}
+
 // candidates are the daemons that may coordinate pools.
 type candidates struct {
 	// of is the list of members that they follow from, until is when one that
@@ -39,6 +48,8 @@
 	until     time.Time
 	ring      *rendezvous.Rendezvous
 	addresses map[string]string
+	// listed is the ring with those that are avoided.
+	listed *rendezvous.Rendezvous
 }
 
 // candidatesLocked works the candidates out again only when another list of
@@ -51,7 +62,7 @@
 		return s
 	}
 	s := &candidates{of: members, until: now.Add(candidatesFor), addresses: make(map[string]string)}
-	var ids []string
+	var ids, avoided []string
 	leaving := false
 	for i := range members {
 		m := &members[i]
@@ -60,6 +71,7 @@
 			leaving = m.State == port.MemberLeaving
 		case m.CallerAddress == "" || m.State != port.MemberLive:
 		case now.Before(c.avoid[m.ID]):
+			avoided = append(avoided, m.ID)
 			s.until = earlier(s.until, c.avoid[m.ID])
 		default:
 			ids = append(ids, m.ID)
@@ -70,6 +82,10 @@
 		ids = append(ids, c.o.Self)
 	}
 	s.ring = rendezvous.New(ids, xxhash.Sum64String)
+	s.listed = s.ring
+	if len(avoided) > 0 {
+		s.listed = rendezvous.New(append(avoided, ids...), xxhash.Sum64String)
+	}
 	c.last = s
 	return s
 }
@@ -174,6 +190,7 @@
 			c.tellProgress()
 			c.rehome()
 			c.local.Expire()
+			c.expireLimits()
 		case <-flush.C:
 			c.flush(ctx)
 		}
--- a/internal/scheduling/scheduling_test.go
+++ b/internal/scheduling/scheduling_test.go
@@ -12,6 +12,7 @@
 	"github.com/phuslu/log"
 	"pgregory.net/rapid"
 
+	"github.com/dragonflyrail/dragonflyrail/internal/core/ratelimit"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/routing"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 	_ "github.com/dragonflyrail/dragonflyrail/internal/testkit/fixedseed"
@@ -45,6 +46,8 @@
 	schedulers map[string]*PoolScheduler
 	own        map[string]*routing.Scheduler
 	clients    map[string]*Client
+	// old are daemons of a build that admits nothing.
+	old map[string]bool
 	// lose draws what becomes of the next call: 0 works, 1 is lost on its way,
 	// 2 is carried out and its answer lost.
 	lose func() int
@@ -131,6 +134,15 @@
 	return l.call(func() { l.fleet.schedulers[l.to].Update(adopted, events) })
 }
 
+func (l *link) Admit(_ context.Context, pool string, asks []ratelimit.Ask, patience time.Duration) (ratelimit.Grant, error) {
+	if l.fleet.old[l.to] {
+		return ratelimit.Grant{}, ErrNotAdmitting
+	}
+	var g ratelimit.Grant
+	err := l.call(func() { g = l.fleet.clients[l.to].AdmitHere(pool, asks, patience) })
+	return g, err
+}
+
 func (l *link) Close() {}
 
 // settle lets every client tell what it has to tell.
--- a/test/limited_test.go
+++ b/test/limited_test.go
@@ -49,6 +49,36 @@
 	limitsRunners(t, testfleet.Once, 3)
 }
 
+// Whichever daemon admits for all may be killed: the runners get no more from
+// those that are left and those that come back, and soon again what they take.
+func TestLimitIsKeptWhileDaemonsAreKilled(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, func(l *testfleet.Layout) { l.Daemons, l.Engines, l.Plain, l.Work = 4, 1, 2, 10*time.Millisecond })
+	ctx, stop := context.WithCancel(bounded(t))
+	defer stop()
+	var background sync.WaitGroup
+	f.offers(ctx, &background, testfleet.Repeatable)
+	limited := f.runnersOf(standin.PlainService)
+	f.setLimit(limited, limitPerSecond)
+	time.Sleep(limitStable)
+	stable := time.Now()
+	for _, d := range f.Daemons {
+		d.Kill()
+		time.Sleep(2 * time.Second)
+		if err := f.StartDaemon(d); err != nil {
+			t.Fatal(err)
+		}
+		procs.Until(t, d.ID+" is back", func() bool { return d.Ready(ctx) })
+		time.Sleep(2 * time.Second)
+	}
+	ended := time.Now()
+	stop()
+	background.Wait()
+	for _, r := range limited {
+		checkLimited(t, r, stable, ended)
+	}
+}
+
 func limitsRunners(t *testing.T, kind testfleet.Kind, inNeed int) {
 	f := startFleet(t, func(l *testfleet.Layout) { l.Engines, l.Plain, l.Work = 3, 3, 10*time.Millisecond })
 	ctx, stop := context.WithCancel(bounded(t))
@@ -69,6 +99,7 @@
 	for _, r := range limited {
 		checkLimited(t, r, stable, ended)
 	}
+	t.Logf("%d served, %d refused", load.served.Load(), load.refused.Load())
 	if inNeed < 3 && load.refused.Load() > 0 {
 		t.Errorf("%d callers were refused while a runner had room", load.refused.Load())
 	}
@@ -93,6 +124,7 @@
 func checkLimited(t *testing.T, r *testfleet.Runner, from, to time.Time) {
 	t.Helper()
 	runs := runsAt(r, from, to)
+	t.Logf("%s got %d requests in %v", r.ID, len(runs), to.Sub(from).Round(time.Second))
 	for i, first := range runs {
 		n := 0
 		for _, at := range runs[i:] {
