--- a/test/limited_test.go
+++ b/test/limited_test.go
@@ -243,3 +243,20 @@
 	}
 	return out
 }
+
+// From the id of a refused call an operator finds that its endpoints were at their
+// limits, and from there which named limits.
+func TestRefusalForALimitIsExplained(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, func(l *testfleet.Layout) { l.Engines, l.Plain = 1, 1 })
+	limited := f.runnersOf(standin.PlainService)
+	f.setLimit(limited, 0.5)
+	var refused *testfleet.Request
+	procs.Until(t, "a call is refused", func() bool {
+		refused = f.request(testfleet.Once, 1)
+		a := f.caller.Ask(bounded(t), f.Daemons[0].Callers, refused)
+		return a.NotRun && a.RetryAfter > 0
+	})
+	f.tells("at_rate_limit: the 1 endpoints of pool plain take 0.5 requests a second", "why", "request", refused.ID)
+	f.tells("takes 0.5 requests a second from all daemons together", "why", "endpoint", limited[0].ID)
+}
