While the store is away only runners that live are asked whether they leave

Cause: a keeper's share of the probes held every runner that had ever been registered: on this platform those that left are never gone for good. Each that had ended cost a probe its timeout of a second, eight at once, in the round in which one that lives may say that it leaves, of 2 s notice.

Ruled out: probing them for their unreachability: with a registry a probe's word counts only where it says that an endpoint leaves.

Test: TestOnlyEndpointsThatLiveAreAskedWhileThePlatformIsAway, 21 asked before where one lives, 1 now. Without a registry all that aren't gone are probed as before.

Found while looking for what grows with the endpoints that have left.

--- a/internal/keeper/probes.go
+++ b/internal/keeper/probes.go
@@ -82,13 +82,22 @@
 	owners := k.standing().owners
 	var out []membership.Endpoint
 	for e := range k.node.Endpoints.All() {
-		if e.State != port.EndpointGone && owners.Of(e.ID) == k.options.Self.ID {
+		if k.tellsMore(&e) && owners.Of(e.ID) == k.options.Self.ID {
 			out = append(out, e)
 		}
 	}
 	return out
 }
 
+// tellsMore reports whether a probe of the endpoint can tell anything new: with a
+// registry only that it leaves, without one also that it is gone.
+func (k *Keeper) tellsMore(e *membership.Endpoint) bool {
+	if k.options.ProbeWhenAway {
+		return e.State == port.EndpointLive
+	}
+	return e.State != port.EndpointGone
+}
+
 func (k *Keeper) probeRound(ctx context.Context, share []membership.Endpoint) {
 	missed := make([]bool, len(share))
 	var group errgroup.Group
--- a/internal/keeper/registry_test.go
+++ b/internal/keeper/registry_test.go
@@ -13,6 +13,23 @@
 	_ "github.com/dragonflyrail/dragonflyrail/internal/testkit/fixedseed"
 )
 
+// Of a runner that is known to leave nothing more is to be learned. Asked all the
+// same, those that have ended hold up the round, in which one that lives may say
+// that it leaves.
+func TestOnlyEndpointsThatLiveAreAskedWhileThePlatformIsAway(t *testing.T) {
+	k, _ := newTestKeeper(newFakePlatform())
+	k.options.ProbeWhenAway = true
+	k.putEndpoint(membership.Listed(listed("lives", 1, port.EndpointLive).Endpoint), "listed")
+	for i := range 20 {
+		known := membership.Listed(listed(fmt.Sprint("ended-", i), 1, port.EndpointLive).Endpoint)
+		k.putEndpoint(membership.Removed(known, 7), "no_longer_registered")
+	}
+	share := k.probeShare()
+	if len(share) != 1 || share[0].ID != "lives" {
+		t.Fatalf("%d endpoints are asked, one lives", len(share))
+	}
+}
+
 // registry is the platform's registry of endpoints: an ordered history, of
 // which the oldest part may be gone.
 type registry struct {
