Endpoints that have left long ago are forgotten

Cause: on the users' platform an endpoint that the registry drops is leaving, never gone, and nothing ever forgot one that leaves: tables, gateway, scheduler, balancer, departures; and breakers, whose number is bounded, so that after enough dead runners new ones had none. Class: what is remembered without a bound.

Ruled out: an age for each entry (on the wire with each, and neighbours differ at each departure); a floor below which unknown entries are refused (one that was missed would be refused for good).

What is counted of one at a gateway goes with it.

--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -107,6 +107,13 @@
 	}
 }
 
+// Len counts the endpoints that are remembered.
+func (b *Balancer) Len() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.m)
+}
+
 func (b *Balancer) entry(id string) *load {
 	l := b.m[id]
 	if l == nil {
--- a/internal/core/breaker/breaker.go
+++ b/internal/core/breaker/breaker.go
@@ -70,6 +70,16 @@
 	delete(s.m, endpoint)
 }
 
+// Len counts the endpoints that are remembered.
+func (s *Set) Len() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.m)
+}
+
+// Forget drops an endpoint that is gone.
+func (s *Set) Forget(endpoint string) { s.Success(endpoint) }
+
 // Failure counts a call that the endpoint did not answer.
 func (s *Set) Failure(now time.Time, endpoint string) {
 	s.mu.Lock()
--- /dev/null
+++ b/internal/core/membership/departed_test.go
@@ -0,0 +1,73 @@
+package membership
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/dragonflyrail/dragonflyrail/internal/port"
+)
+
+// left is an endpoint that left at a revision.
+func left(id string, revision port.StoreRevision) Endpoint {
+	return Removed(Listed(port.Endpoint{ID: id, Incarnation: 1}), revision)
+}
+
+// Endpoints come and go for days: those that live are never forgotten, nor are the
+// last that left; what is forgotten left before all that is kept, and what is kept
+// is bounded. Any order of the entries gives the same.
+func TestOnlyTheOldestDeparturesAreForgotten(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var all []Endpoint
+		live := rapid.IntRange(0, 50).Draw(t, "live")
+		for i := range live {
+			all = append(all, Listed(port.Endpoint{ID: fmt.Sprint("live-", i), Incarnation: 1, Revision: port.StoreRevision(i + 1)}))
+		}
+		unversioned := left("unversioned", 0)
+		all = append(all, unversioned)
+		departures := rapid.IntRange(0, 3000).Draw(t, "departures")
+		step := rapid.IntRange(1, 40).Draw(t, "revisions between two")
+		era := rapid.IntRange(0, departures+1).Draw(t, "those of an earlier era")
+		revision := func(i int) port.StoreRevision {
+			at, err := port.NewStoreRevision(uint64(count(i >= era)), uint64(1+i*step))
+			if err != nil {
+				t.Fatal(err)
+			}
+			return at
+		}
+		for i := range departures {
+			all = append(all, left(fmt.Sprint("left-", i), revision(i)))
+		}
+		shuffled := rapid.Permutation(all).Draw(t, "order")
+		ids := Forgettable(slices.Values(shuffled))
+		forgotten := map[string]bool{}
+		for _, id := range ids {
+			forgotten[id] = true
+		}
+		kept := 0
+		for i := range departures {
+			id := fmt.Sprint("left-", i)
+			if !forgotten[id] {
+				kept++
+			}
+			if forgotten[id] && (i+keptDeparted >= departures || i > 0 && !forgotten[fmt.Sprint("left-", i-1)]) {
+				t.Fatalf("departure %d of %d is forgotten", i, departures)
+			}
+		}
+		if len(ids) != departures-kept {
+			t.Fatalf("%d are forgotten, %d of those that have left", len(ids), departures-kept)
+		}
+		if kept > keptDeparted+departedChunk/step+1 {
+			t.Fatalf("%d departures are kept", kept)
+		}
+	})
+}
+
+func count(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/internal/core/membership/departures.go
+++ b/internal/core/membership/departures.go
@@ -43,6 +43,17 @@
 	d.n.Store(int64(len(d.m)))
 }
 
+// Len counts the endpoints that are remembered.
+func (d *Departures) Len() int { return int(d.n.Load()) }
+
+// Forget drops an endpoint.
+func (d *Departures) Forget(id string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.m, id)
+	d.n.Store(int64(len(d.m)))
+}
+
 // Has reports whether the endpoint, or an earlier incarnation of it, was seen
 // leaving.
 func (d *Departures) Has(e port.Endpoint) bool {
--- a/internal/core/spread/changes.go
+++ b/internal/core/spread/changes.go
@@ -56,15 +56,24 @@
 // Take returns the newest state of each entry that changed since the last
 // call.
 func (c *Changes[T]) Take() []T {
+	changed, _ := c.TakeAll()
+	return changed
+}
+
+// TakeAll is Take with the keys of the entries that were removed.
+func (c *Changes[T]) TakeAll() (changed []T, removed []string) {
 	c.mu.Lock()
 	keys := c.keys
 	c.keys = make(map[string]struct{})
 	c.mu.Unlock()
-	out := make([]T, 0, len(keys))
+	changed = make([]T, 0, len(keys))
 	for key := range keys {
-		if v, held := c.table.Get(key); held {
-			out = append(out, v)
+		v, held := c.table.Get(key)
+		if !held {
+			removed = append(removed, key)
+			continue
 		}
+		changed = append(changed, v)
 	}
-	return out
+	return changed, removed
 }
--- a/internal/core/spread/node/node.go
+++ b/internal/core/spread/node/node.go
@@ -157,6 +157,22 @@
 	return changed
 }
 
+// ForgetDeparted forgets the endpoints that have left so long ago that nobody has
+// to be told of it any more, and returns them.
+func (n *Node) ForgetDeparted() []string {
+	ids := membership.Forgettable(n.Endpoints.All())
+	if len(ids) == 0 {
+		return nil
+	}
+	for _, id := range ids {
+		n.Endpoints.Remove(id)
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.notify()
+	return ids
+}
+
 // Suspects returns the requests under which endpoints have crashed.
 func (n *Node) Suspects() *spread.Table[quarantine.Suspect] { return n.suspects }
 
--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -13,12 +13,13 @@
 	g.applying.Lock()
 	defer g.applying.Unlock()
 	records := g.View.Records()
-	changed := g.endpointChanges()
+	changed, forgotten := g.endpointChanges()
 	if g.applyRoutes(records) {
 		// The routes say how large the caches of a pool's endpoints are.
 		changed = g.View.Endpoints()
 	}
 	g.takeEndpoints(changed)
+	g.forgetEndpoints(forgotten)
 	g.Scheduler.SetPolicy(g.policy(records))
 	g.noteReady()
 }
@@ -77,14 +78,37 @@
 		g.noteEndpoint(before, knew, &e)
 		g.noteLimit(before.RateLimit, &e)
 		if e.State == port.EndpointGone {
-			g.balancer.Forget(e.ID)
-			g.limits.Forget(e.ID)
-			g.atLimit.forget(e.ID)
+			g.forgetWorkOf(e.ID)
 		}
 	}
 	g.moveAway()
 }
 
+// forgetWorkOf forgets what is counted of an endpoint that is gone.
+func (g *Gateway) forgetWorkOf(id string) {
+	g.balancer.Forget(id)
+	g.limits.Forget(id)
+	g.atLimit.forget(id)
+	g.breakers.Forget(id)
+}
+
+// forgetEndpoints forgets endpoints that have left long ago, of which nobody
+// tells any more.
+func (g *Gateway) forgetEndpoints(ids []string) {
+	for _, id := range ids {
+		h, knew := g.known.get(id)
+		if !knew {
+			continue
+		}
+		gone := h.Endpoint
+		gone.State = port.EndpointGone
+		g.Scheduler.ChangeEndpoints(g.Clock(), runnersOf([]port.Endpoint{gone}))
+		g.known.forget(id)
+		g.forgetWorkOf(id)
+		g.departed.Forget(id)
+	}
+}
+
 // asHeld adds to what the view says of endpoints what this daemon saw itself
 // and what the operators say.
 func (g *Gateway) asHeld(changed []port.Endpoint) []port.Endpoint {
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -211,17 +211,23 @@
 	return append([]port.Endpoint(nil), v.endpoints...)
 }
 
-func (v *view) FollowEndpoints() func() []port.Endpoint {
+func (v *view) FollowEndpoints() func() (changed []port.Endpoint, forgotten []string) {
 	handed := make(map[string]port.Endpoint)
-	return func() []port.Endpoint {
-		var out []port.Endpoint
+	return func() (changed []port.Endpoint, forgotten []string) {
+		held := make(map[string]bool)
 		for _, e := range v.Endpoints() {
 			if before, had := handed[e.ID]; !had || !reflect.DeepEqual(before, e) {
-				out = append(out, e)
+				changed = append(changed, e)
 			}
-			handed[e.ID] = e
+			handed[e.ID], held[e.ID] = e, true
 		}
-		return out
+		for id := range handed {
+			if !held[id] {
+				forgotten = append(forgotten, id)
+				delete(handed, id)
+			}
+		}
+		return changed, forgotten
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -39,8 +39,9 @@
 type View interface {
 	port.StateView
 	// FollowEndpoints returns a function that yields the endpoints that
-	// changed since it was last called, at first all.
-	FollowEndpoints() func() []port.Endpoint
+	// changed since it was last called, at first all, and the ids of those that
+	// were forgotten.
+	FollowEndpoints() func() (changed []port.Endpoint, forgotten []string)
 }
 
 // Scheduler is what the gateway tells the scheduler of this daemon.
@@ -116,7 +117,7 @@
 	index    atomic.Pointer[route.Index]
 	known    known
 	// endpointChanges yields the endpoints that the view changed.
-	endpointChanges func() []port.Endpoint
+	endpointChanges func() (changed []port.Endpoint, forgotten []string)
 	applying        sync.Mutex
 	wasReady        atomic.Bool
 
--- a/internal/gateway/known.go
+++ b/internal/gateway/known.go
@@ -70,6 +70,14 @@
 	k.live[pool] = slices.Concat(list[:at], list[at+1:])
 }
 
+// forget drops an endpoint.
+func (k *known) forget(id string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.unlist(k.byID[id].Pool, id)
+	delete(k.byID, id)
+}
+
 func (k *known) get(id string) (held, bool) {
 	k.mu.RLock()
 	defer k.mu.RUnlock()
--- a/internal/keeper/hosts.go
+++ b/internal/keeper/hosts.go
@@ -79,6 +79,19 @@
 	}
 }
 
+// forgetDeparted forgets the endpoints that have left long ago. Only a change of
+// the endpoints can make more of them.
+func (k *Keeper) forgetDeparted() {
+	digest := k.node.Endpoints.Digest()
+	if digest == k.swept {
+		return
+	}
+	k.swept = digest
+	for _, id := range k.node.ForgetDeparted() {
+		k.probes.hit(id)
+	}
+}
+
 func verdictOn(e *membership.Endpoint) string {
 	if e.State == port.EndpointLive && e.Unreachable {
 		return "unreachable"
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -189,6 +189,10 @@
 	// peerHeard is when a peer was last heard, in Unix nanoseconds of this host's
 	// clock.
 	peerHeard atomic.Int64
+	// swept is the digest of the endpoints when those that have left long ago were
+	// last looked for.
+	swept uint64
+
 	// ownVersion is since when the highest version held here is.
 	ownVersion versionClock
 
@@ -292,15 +296,16 @@
 }
 
 // FollowEndpoints returns a function that yields the endpoints that changed
-// since it was last called, at first all.
-func (k *Keeper) FollowEndpoints() func() []port.Endpoint {
+// since it was last called, at first all, and the ids of those that were
+// forgotten.
+func (k *Keeper) FollowEndpoints() func() (changed []port.Endpoint, forgotten []string) {
 	changes := k.node.Endpoints.Follow()
-	return func() []port.Endpoint {
-		var out []port.Endpoint
-		for _, e := range changes.Take() {
-			out = append(out, e.Endpoint)
+	return func() (changed []port.Endpoint, forgotten []string) {
+		entries, forgotten := changes.TakeAll()
+		for _, e := range entries {
+			changed = append(changed, e.Endpoint)
 		}
-		return out
+		return changed, forgotten
 	}
 }
 
--- a/internal/keeper/members.go
+++ b/internal/keeper/members.go
@@ -165,6 +165,7 @@
 		now := time.Now()
 		k.identity.SetBlind(k.duty.Blind(now))
 		k.introduce()
+		k.forgetDeparted()
 		k.ownVersion.since(now, k.node.HighestHeld())
 		for _, s := range append(k.silent(now), k.orphans(now)...) {
 			if k.judging.begin(now, s.member.ID) {
