--- a/internal/core/membership/departed_test.go
+++ b/internal/core/membership/departed_test.go
@@ -15,9 +15,7 @@
 	return Removed(Listed(port.Endpoint{ID: id, Incarnation: 1}), revision)
 }
 
-// Endpoints come and go for days: those that live are never forgotten, nor are the
-// last that left; what is forgotten left before all that is kept, and what is kept
-// is bounded. Any order of the entries gives the same.
+// Guards against forgetting endpoints that live or have just left, and against keeping departures without bound.
 func TestOnlyTheOldestDeparturesAreForgotten(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var all []Endpoint
--- a/internal/core/membership/lattice_test.go
+++ b/internal/core/membership/lattice_test.go
@@ -186,8 +186,7 @@
 	}
 }
 
-// Two daemons take another limit from answers at the same time: all come to hold
-// the stricter one, and the next change goes before both.
+// Guards against daemons that hold different limits after concurrent changes.
 func TestTheStricterOfTwoLimitsOfOneAgeStands(t *testing.T) {
 	known := Listed(port.Endpoint{ID: "e", Incarnation: 1})
 	a, b := Limited(known, 4), Limited(known, 2.5)
--- a/internal/core/quarantine/bench_test.go
+++ b/internal/core/quarantine/bench_test.go
@@ -9,8 +9,7 @@
 	"github.com/dragonflyrail/dragonflyrail/internal/core/quarantine"
 )
 
-// What a request costs that is sent whatever is remembered: its fingerprint, the
-// look whether it is condemned, and the note that it ran to its end.
+// BenchmarkRequest measures what the quarantine costs a request that is sent.
 func BenchmarkRequest(b *testing.B) {
 	d := newDaemons(1)
 	for range 3 {
@@ -22,7 +21,7 @@
 		b.Run(fmt.Sprint(size, " bytes"), func(b *testing.B) {
 			for b.Loop() {
 				f := quarantine.FingerprintOf("org", "POST", "host", "/path", body)
-				r.Condemned(now, f)
+				r.Quarantined(now, f)
 				r.Completed(now, f)
 			}
 		})
@@ -30,7 +29,7 @@
 }
 
 // A verdict with as many suspects as are remembered.
-func BenchmarkJudge(b *testing.B) {
+func BenchmarkEvaluate(b *testing.B) {
 	d := newDaemons(1)
 	d.lose(4096)
 	var all []quarantine.Suspect
@@ -38,7 +37,7 @@
 		all = append(all, s)
 	}
 	for b.Loop() {
-		quarantine.Judge(all)
+		quarantine.Evaluate(all)
 	}
 }
 
--- a/internal/core/quarantine/judge.go
+++ b/internal/core/quarantine/evaluate.go
@@ -7,59 +7,59 @@
 
 // Bounds of a verdict, in endpoints that crashed while they ran a request.
 const (
-	// condemnAt is enough for a request by which alone they can be explained.
-	condemnAt = 3
-	// condemnAnywayAt is enough for any: a request that can't be told from others
+	// quarantineAfter is enough for a request by which alone they can be explained.
+	quarantineAfter = 3
+	// quarantineTiedAfter is enough for any: a request that can't be told from others
 	// is not tried for ever.
-	condemnAnywayAt = 5
+	quarantineTiedAfter = 5
 )
 
-// Judge returns the requests that are not to be sent any more.
+// Evaluate returns the requests to quarantine.
 //
 // Whatever else ran at a crashed endpoint was lost with it, so a crash is held
 // against all of them at first. It tells the more of a request the fewer others
 // ran at all the same crashes: one that crashed four endpoints explains these,
 // and they are no longer held against any other.
-func Judge(suspects []Suspect) []Fingerprint {
-	left := make([]*charge, 0, len(suspects))
+func Evaluate(suspects []Suspect) []Fingerprint {
+	left := make([]*evidence, 0, len(suspects))
 	for i := range suspects {
-		if len(suspects[i].Crashes) >= condemnAt {
-			left = append(left, newCharge(&suspects[i]))
+		if len(suspects[i].Crashes) >= quarantineAfter {
+			left = append(left, newEvidence(&suspects[i]))
 		}
 	}
-	var condemned []Fingerprint
+	var quarantined []Fingerprint
 	for {
 		worst := untied(left)
 		if worst == nil {
-			return condemned
+			return quarantined
 		}
-		condemned = append(condemned, worst.fingerprint)
+		quarantined = append(quarantined, worst.fingerprint)
 		left = explain(left, worst)
 	}
 }
 
-// charge is what is still held against a request.
-type charge struct {
+// evidence is what still speaks against a request.
+type evidence struct {
 	fingerprint Fingerprint
 	crashes     []CrashID
-	// anyway: whatever explains its crashes, they are too many.
-	anyway bool
+	// isConclusive: there are too many crashes, whatever else may explain them.
+	isConclusive bool
 }
 
-func newCharge(s *Suspect) *charge {
-	return &charge{
-		fingerprint: s.Fingerprint, crashes: slices.Clone(s.Crashes), anyway: len(s.Crashes) >= condemnAnywayAt,
+func newEvidence(s *Suspect) *evidence {
+	return &evidence{
+		fingerprint: s.Fingerprint, crashes: slices.Clone(s.Crashes), isConclusive: len(s.Crashes) >= quarantineTiedAfter,
 	}
 }
 
-// untied returns the request with the most crashes that is to be condemned, nil
+// untied returns the request with the most crashes that is to be quarantined, nil
 // for none.
-func untied(left []*charge) *charge {
-	slices.SortFunc(left, func(a, b *charge) int {
+func untied(left []*evidence) *evidence {
+	slices.SortFunc(left, func(a, b *evidence) int {
 		return cmp.Or(cmp.Compare(len(b.crashes), len(a.crashes)), slices.Compare(a.fingerprint[:], b.fingerprint[:]))
 	})
 	for i, c := range left {
-		if c.anyway || len(c.crashes) >= condemnAt && !tied(c, left, i) {
+		if c.isConclusive || len(c.crashes) >= quarantineAfter && !tied(c, left, i) {
 			return c
 		}
 	}
@@ -68,7 +68,7 @@
 
 // tied reports whether another request with as many crashes or more shares some
 // of them.
-func tied(c *charge, left []*charge, at int) bool {
+func tied(c *evidence, left []*evidence, at int) bool {
 	for i, other := range left {
 		if len(other.crashes) < len(c.crashes) {
 			return false
@@ -80,9 +80,9 @@
 	return false
 }
 
-// explain takes the crashes of a condemned request off all others.
-func explain(left []*charge, by *charge) []*charge {
-	out := make([]*charge, 0, len(left))
+// explain takes the crashes of a quarantined request off all others.
+func explain(left []*evidence, by *evidence) []*evidence {
+	out := make([]*evidence, 0, len(left))
 	for _, c := range left {
 		if c == by {
 			continue
--- a/internal/core/quarantine/judge_test.go
+++ b/internal/core/quarantine/evaluate_test.go
@@ -15,7 +15,7 @@
 	return Suspect{Fingerprint: fingerprint(n), Crashes: crashes}
 }
 
-func TestJudge(t *testing.T) {
+func TestEvaluate(t *testing.T) {
 	cases := []struct {
 		name     string
 		suspects []Suspect
@@ -38,10 +38,10 @@
 			for _, n := range c.want {
 				want = append(want, fingerprint(n))
 			}
-			got := Judge(c.suspects)
+			got := Evaluate(c.suspects)
 			slices.SortFunc(got, func(a, b Fingerprint) int { return slices.Compare(a[:], b[:]) })
 			if !slices.Equal(got, want) {
-				t.Fatalf("condemned %v, want %v", got, want)
+				t.Fatalf("quarantined %v, want %v", got, want)
 			}
 		})
 	}
@@ -73,10 +73,8 @@
 	}
 }
 
-// Whatever runs beside what, a request that crashes endpoints is found out before
-// it has crashed six, and one that doesn't is held back only if it ran at five
-// crashed endpoints in a row.
-func TestJudgeFindsWhatCrashesEndpoints(t *testing.T) {
+// Guards against a fatal request that is never found, and harmless ones that are quarantined with it.
+func TestEvaluateFindsWhatCrashesEndpoints(t *testing.T) {
 	const requests = 8
 	rapid.Check(t, func(t *rapid.T) {
 		f := &fleet{fatal: make([]bool, requests), suspects: make([]Suspect, requests), crashes: make([]int, requests), shared: make([]int, requests)}
@@ -85,11 +83,11 @@
 			f.suspects[n].Fingerprint = fingerprint(n)
 		}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
-			condemned := Judge(f.suspects)
+			quarantined := Evaluate(f.suspects)
 			var sent []int
 			for n := range requests {
-				held := slices.Contains(condemned, fingerprint(n))
-				if held && !f.fatal[n] && f.shared[n] < condemnAnywayAt {
+				held := slices.Contains(quarantined, fingerprint(n))
+				if held && !f.fatal[n] && f.shared[n] < quarantineTiedAfter {
 					t.Fatalf("request %d is held back after %d crashes that it shared: %v", n, f.shared[n], f.suspects)
 				}
 				if !held && rapid.Bool().Draw(t, "sent") {
@@ -97,7 +95,7 @@
 				}
 			}
 			f.together(sent)
-			if f.crashes[0] > condemnAnywayAt {
+			if f.crashes[0] > quarantineTiedAfter {
 				t.Fatalf("%d endpoints crashed: %v", f.crashes[0], f.suspects)
 			}
 		}
@@ -105,7 +103,7 @@
 }
 
 // The same for two requests that crash endpoints, often the same ones.
-func TestJudgeFindsTwoThatCrashTogether(t *testing.T) {
+func TestEvaluateFindsTwoThatCrashTogether(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const requests = 5
 		f := &fleet{fatal: make([]bool, requests), suspects: make([]Suspect, requests), crashes: make([]int, requests), shared: make([]int, requests)}
@@ -114,16 +112,16 @@
 			f.suspects[n].Fingerprint = fingerprint(n)
 		}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
-			condemned := Judge(f.suspects)
+			quarantined := Evaluate(f.suspects)
 			var sent []int
 			for n := range requests {
-				if !slices.Contains(condemned, fingerprint(n)) && rapid.Bool().Draw(t, "sent") {
+				if !slices.Contains(quarantined, fingerprint(n)) && rapid.Bool().Draw(t, "sent") {
 					sent = append(sent, n)
 				}
 			}
 			f.together(sent)
 			for n := range 2 {
-				if f.crashes[n] > condemnAnywayAt {
+				if f.crashes[n] > quarantineTiedAfter {
 					t.Fatalf("request %d crashed %d endpoints: %v", n, f.crashes[n], f.suspects)
 				}
 			}
--- a/internal/core/quarantine/fingerprint_test.go
+++ b/internal/core/quarantine/fingerprint_test.go
@@ -2,8 +2,7 @@
 
 import "testing"
 
-// Requests that differ in any field have different fingerprints, also where the
-// fields joined are the same text.
+// Guards against different requests with one fingerprint.
 func TestFingerprintsTellRequestsApart(t *testing.T) {
 	seen := make(map[Fingerprint]int)
 	for i, r := range [][5]string{
--- a/internal/core/quarantine/flights_test.go
+++ b/internal/core/quarantine/flights_test.go
@@ -8,8 +8,7 @@
 	"pgregory.net/rapid"
 )
 
-// An endpoint ends: what was lost there is told, whichever connection broke
-// first, and an attempt whose connection breaks a moment later is told by itself.
+// Guards against lost attempts that are not held against anything when their endpoint ends.
 func TestEndOfAnEndpointTellsWhatRanThere(t *testing.T) {
 	f, now := NewFlights(), time.Unix(1000, 0)
 	e := EndpointKey{ID: "e", Incarnation: 1}
@@ -35,8 +34,7 @@
 	}
 }
 
-// An endpoint that answers has outlived a connection that broke: nothing is held
-// against what was lost, then or at a later end.
+// Guards against broken connections that are taken for crashes.
 func TestLossAtAnEndpointThatLivesIsForgotten(t *testing.T) {
 	f, now := NewFlights(), time.Unix(1000, 0)
 	e := EndpointKey{ID: "e", Incarnation: 1}
@@ -49,9 +47,7 @@
 	}
 }
 
-// Whatever order attempts begin, end and break in, nothing is told of one that
-// ended by itself, nothing twice, somebody looks whenever a loss is unexplained,
-// and nothing is kept once all is over.
+// Guards against attempts that are reported twice, wrongly, or kept after their end.
 func TestFlightsAgainstOracle(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f, now := NewFlights(), time.Unix(1000, 0)
--- a/internal/core/quarantine/register.go
+++ b/internal/core/quarantine/register.go
@@ -44,8 +44,8 @@
 	Suspected Verdict = "suspect"
 	// Cleared: nothing is held against it any more.
 	Cleared Verdict = "clear"
-	// Condemned: the request is not sent any more.
-	Condemned Verdict = "quarantine"
+	// Quarantined: the request is not sent any more.
+	Quarantined Verdict = "quarantine"
 	// Released: it is sent again.
 	Released Verdict = "release"
 	// Forgotten: the memory of it has ended.
@@ -67,8 +67,8 @@
 	spread    Spread
 	note      func(Change)
 	completed completed
-	// condemned is replaced whole: it is read for each request.
-	condemned atomic.Pointer[map[Fingerprint]struct{}]
+	// quarantined is replaced whole: it is read for each request.
+	quarantined atomic.Pointer[map[Fingerprint]struct{}]
 
 	mu      sync.Mutex
 	changes *spread.Changes[Suspect]
@@ -78,17 +78,17 @@
 // of belief.
 func NewRegister(s Spread, note func(Change)) *Register {
 	r := &Register{spread: s, note: note, changes: s.Suspects().Follow()}
-	r.condemned.Store(&map[Fingerprint]struct{}{})
+	r.quarantined.Store(&map[Fingerprint]struct{}{})
 	return r
 }
 
-// Any reports whether any request is condemned.
-func (r *Register) Any() bool { return len(*r.condemned.Load()) > 0 }
+// Any reports whether any request is quarantined.
+func (r *Register) Any() bool { return len(*r.quarantined.Load()) > 0 }
 
-// Condemned reports whether the request is not to be sent, and for how long it
+// Quarantined reports whether the request is not to be sent, and for how long it
 // will be remembered if it isn't sent again.
-func (r *Register) Condemned(now time.Time, f Fingerprint) (left time.Duration, condemned bool) {
-	if _, condemned = (*r.condemned.Load())[f]; !condemned {
+func (r *Register) Quarantined(now time.Time, f Fingerprint) (left time.Duration, quarantined bool) {
+	if _, quarantined = (*r.quarantined.Load())[f]; !quarantined {
 		return 0, false
 	}
 	s, held := r.get(f)
@@ -162,10 +162,10 @@
 	r.Refresh(now)
 }
 
-// Condemnations lists the suspects that are condemned, by fingerprint.
-func (r *Register) Condemnations() []Suspect {
+// Entries lists the suspects that are quarantined, by fingerprint.
+func (r *Register) Entries() []Suspect {
 	var out []Suspect
-	for f := range *r.condemned.Load() {
+	for f := range *r.quarantined.Load() {
 		if s, held := r.get(f); held {
 			out = append(out, s)
 		}
@@ -206,11 +206,11 @@
 // judge replaces the verdicts; r.mu is held.
 func (r *Register) judge() {
 	all := slices.Collect(r.spread.Suspects().All())
-	before, next := *r.condemned.Load(), make(map[Fingerprint]struct{})
-	for _, f := range Judge(all) {
+	before, next := *r.quarantined.Load(), make(map[Fingerprint]struct{})
+	for _, f := range Evaluate(all) {
 		next[f] = struct{}{}
 	}
-	r.condemned.Store(&next)
+	r.quarantined.Store(&next)
 	for i := range all {
 		f := all[i].Fingerprint
 		_, was := before[f]
@@ -218,7 +218,7 @@
 		c := Change{Fingerprint: f, Crashes: len(all[i].Crashes)}
 		switch {
 		case is && !was:
-			c.Verdict, c.Reason = Condemned, "endpoints crash whenever it runs"
+			c.Verdict, c.Reason = Quarantined, "endpoints crash whenever it runs"
 		case was && !is:
 			c.Verdict, c.Reason = Released, "other requests explain the crashes, or it has run to its end"
 		default:
@@ -240,7 +240,7 @@
 		}
 		table.Remove(string(all[i].Fingerprint[:]))
 		removed = true
-		if _, condemned := (*r.condemned.Load())[all[i].Fingerprint]; condemned {
+		if _, quarantined := (*r.quarantined.Load())[all[i].Fingerprint]; quarantined {
 			r.note(Change{Fingerprint: all[i].Fingerprint, Verdict: Forgotten, Crashes: len(all[i].Crashes), Reason: "nothing was heard of it for long"})
 		}
 	}
--- a/internal/core/quarantine/register_test.go
+++ b/internal/core/quarantine/register_test.go
@@ -84,8 +84,8 @@
 	d.registers[at].Crashed(d.now, quarantine.CrashID(d.crashes), ran)
 }
 
-func (d *daemons) condemned(at int, f fingerprint) bool {
-	_, is := d.registers[at].Condemned(d.now, f)
+func (d *daemons) quarantined(at int, f fingerprint) bool {
+	_, is := d.registers[at].Quarantined(d.now, f)
 	return is
 }
 
@@ -99,8 +99,7 @@
 	return out
 }
 
-// Three daemons lose one endpoint each under the same request: none knows enough
-// by itself, and all refuse it once they have heard of each other.
+// Guards against a fatal request that each daemon alone has seen too seldom.
 func TestCrashesSeenByDifferentDaemonsAddUp(t *testing.T) {
 	d := newDaemons(4)
 	fatal, other := requestOf(1), requestOf(2)
@@ -110,18 +109,16 @@
 	d.crash(0, other)
 	d.settle()
 	for at := range 4 {
-		if !d.condemned(at, fatal) || d.condemned(at, other) || d.condemned(at, requestOf(10)) {
+		if !d.quarantined(at, fatal) || d.quarantined(at, other) || d.quarantined(at, requestOf(10)) {
 			t.Errorf("daemon %d: %v", at, d.changes[at])
 		}
 	}
-	if got := d.verdicts(3, fatal); !slices.Equal(got, []quarantine.Verdict{quarantine.Condemned}) {
+	if got := d.verdicts(3, fatal); !slices.Equal(got, []quarantine.Verdict{quarantine.Quarantined}) {
 		t.Errorf("logged %v", got)
 	}
 }
 
-// A small request that is sent over and over runs at each endpoint that ends. It
-// was seen to run to its end before, by another daemon than those that saw the
-// crashes, and stays served even where no endpoint is left to show it again.
+// Guards against refusing a small request that is repeated and runs at every endpoint that ends.
 func TestRequestSeenToRunToItsEndStaysServed(t *testing.T) {
 	d := newDaemons(3)
 	repeated := requestOf(1)
@@ -131,7 +128,7 @@
 	}
 	d.settle()
 	for at := range 3 {
-		if d.condemned(at, repeated) {
+		if d.quarantined(at, repeated) {
 			t.Errorf("daemon %d refuses it", at)
 		}
 	}
@@ -142,21 +139,20 @@
 	}
 }
 
-// A request is found harmless after it was held to be fatal: its next run to the
-// end, at a daemon that had not heard, releases it everywhere.
+// Guards against a quarantine that outlives the proof that a request is harmless.
 func TestRunToItsEndReleases(t *testing.T) {
 	d := newDaemons(3)
 	f := requestOf(1)
 	for range 3 {
 		d.crash(0, f)
 	}
-	if !d.condemned(0, f) || d.condemned(2, f) {
+	if !d.quarantined(0, f) || d.quarantined(2, f) {
 		t.Fatal("not as set up")
 	}
 	d.registers[2].Completed(d.now, f)
 	d.settle()
 	for at := range 3 {
-		if d.condemned(at, f) {
+		if d.quarantined(at, f) {
 			t.Errorf("daemon %d refuses it", at)
 		}
 	}
@@ -165,8 +161,7 @@
 	}
 }
 
-// News of a crash goes from daemon to daemon at once, and doesn't wait for them to
-// compare what they hold.
+// Guards against news of a crash that waits for the next comparison of digests.
 func TestNewsOfACrashIsPassedOnAtOnce(t *testing.T) {
 	d := newDaemons(4)
 	d.settle()
@@ -176,14 +171,12 @@
 	for link := range d.links {
 		d.pass(link)
 	}
-	if !d.condemned(3, requestOf(1)) {
+	if !d.quarantined(3, requestOf(1)) {
 		t.Fatal("the last daemon has not heard")
 	}
 }
 
-// What is remembered is bounded in time: a request that nobody sends any more is
-// forgotten by all, and no daemon reminds another of it; one that is still sent
-// stays refused.
+// Guards against suspects of which daemons remind each other for ever.
 func TestSuspectsAreForgottenInTime(t *testing.T) {
 	d := newDaemons(3)
 	d.transit = 20 * time.Second
@@ -199,13 +192,13 @@
 		for at := range 3 {
 			d.registers[at].Tick(d.now.Add(time.Duration(at) * time.Second))
 		}
-		if !d.condemned(2, sent) {
+		if !d.quarantined(2, sent) {
 			t.Fatal("what is still sent was forgotten")
 		}
 		d.settle()
 	}
 	for at := range 3 {
-		if d.condemned(at, old) || !d.condemned(at, sent) {
+		if d.quarantined(at, old) || !d.quarantined(at, sent) {
 			t.Errorf("daemon %d: %v", at, d.changes[at])
 		}
 		if n := d.nodes[at].Suspects().Len(); n != 1 {
@@ -214,8 +207,7 @@
 	}
 }
 
-// What is remembered is bounded in number, whoever sends what, and requests that
-// are refused are the last to be forgotten.
+// Guards against unbounded memory, and against forgetting quarantined requests first.
 func TestSuspectsAreBoundedInNumber(t *testing.T) {
 	d := newDaemons(1)
 	fatal := requestOf(1)
@@ -234,15 +226,12 @@
 	if n := d.nodes[0].Suspects().Len(); n > 4096 {
 		t.Errorf("%d suspects", n)
 	}
-	if !d.condemned(0, fatal) {
+	if !d.quarantined(0, fatal) {
 		t.Error("a request that is refused was forgotten")
 	}
 }
 
-// Daemons see crashes and runs to the end in any order, and hear of each other
-// late. Once all have heard everything they refuse the same requests: those that
-// never ran to their end and crashed five endpoints, none that ran to its end
-// after its last crash.
+// Guards against daemons that refuse different requests after hearing the same in another order.
 func TestDaemonsAgreeOnWhatTheyRefuse(t *testing.T) {
 	const count, requests = 3, 4
 	rapid.Check(t, func(t *rapid.T) {
@@ -273,9 +262,9 @@
 		}
 		d.settle()
 		for n := range requests {
-			is := d.condemned(0, requestOf(n))
+			is := d.quarantined(0, requestOf(n))
 			for at := range count {
-				if d.condemned(at, requestOf(n)) != is {
+				if d.quarantined(at, requestOf(n)) != is {
 					t.Fatalf("daemons disagree on request %d", n)
 				}
 			}
--- a/internal/core/quarantine/suspect.go
+++ b/internal/core/quarantine/suspect.go
@@ -21,7 +21,7 @@
 	return CrashID(h.Sum64())
 }
 
-// maxCrashes bounds the crashes kept of one suspect. More than condemnAt say
+// maxCrashes bounds the crashes kept of one suspect. More than quarantineAfter say
 // nothing more.
 const maxCrashes = 8
 
--- a/internal/core/ratelimit/bench_test.go
+++ b/internal/core/ratelimit/bench_test.go
@@ -7,8 +7,7 @@
 	"time"
 )
 
-// BenchmarkAdmit is the time of one ask, for one endpoint of so many and for all
-// of a pool.
+// BenchmarkAdmit measures one admission, for one endpoint of so many and for all of a pool.
 func BenchmarkAdmit(b *testing.B) {
 	for _, size := range []int{1, 50, 1900} {
 		b.Run(fmt.Sprintf("one of %d", size), func(b *testing.B) { benchAdmit(b, size, 1) })
--- a/internal/core/ratelimit/limiter_test.go
+++ b/internal/core/ratelimit/limiter_test.go
@@ -27,8 +27,7 @@
 	}
 }
 
-// Whoever asks, how often and with what patience: no endpoint gets more than its
-// limit allows in any time, also where the daemon that admits changes.
+// Guards against admissions above a limit within any window, also after a takeover.
 func TestNoMoreIsAdmittedThanTheLimitsAllow(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		l, now := NewLimiter(), start
@@ -65,8 +64,7 @@
 	})
 }
 
-// Daemons that ask as often as they are told use up what an endpoint takes, and
-// the one that admits isn't asked without end.
+// Guards against starving a limited endpoint, and against a herd of retries at the coordinator.
 func TestWhatIsTakenIsUsedUp(t *testing.T) {
 	for _, daemons := range []int{1, 6, 60} {
 		for _, limit := range []float64{LowestRate, 3, 50} {
@@ -125,8 +123,7 @@
 	}
 }
 
-// An endpoint that is asked for seldom isn't starved, and one that is forgotten
-// starts anew.
+// Guards against starving an endpoint that is seldom asked for.
 func TestSeldomAskedForIsAdmitted(t *testing.T) {
 	for _, pause := range []time.Duration{time.Second, 10 * time.Second, 10 * time.Minute} {
 		l := NewLimiter()
@@ -143,8 +140,7 @@
 	}
 }
 
-// A flood of names takes bounded room, and requests beyond it are not admitted
-// until there is some.
+// Guards against unbounded memory under a flood of endpoint names.
 func TestLimiterIsBounded(t *testing.T) {
 	l := NewLimiter()
 	for i := range maxMeters + 10 {
--- a/internal/core/ratelimit/observer_test.go
+++ b/internal/core/ratelimit/observer_test.go
@@ -51,10 +51,7 @@
 	}
 }
 
-// Several daemons hear an endpoint that comes in and out of need. What they
-// believe together follows it: a limit at the first answer that names one, never
-// off by more than the tolerance for long, lifted soon after the need has ended,
-// and passed on a bounded number of times.
+// Guards against limits that are missed, never lifted, or announced without bound.
 func TestDaemonsFollowAnEndpointThroughItsNeeds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		observers := []*Observer{NewObserver(), NewObserver(), NewObserver()}
--- a/internal/core/record/quarantine.go
+++ b/internal/core/record/quarantine.go
@@ -13,11 +13,11 @@
 // QuarantineName is the name of the one quarantine that there is.
 const QuarantineName = "main"
 
-// QuarantineDocument is the record of condemned requests: of more than it holds,
+// QuarantineDocument is the record of quarantined requests: of more than it holds,
 // the first ones.
-func QuarantineDocument(condemned []quarantine.Suspect) json.RawMessage {
+func QuarantineDocument(quarantined []quarantine.Suspect) json.RawMessage {
 	spec := RequestQuarantine{Requests: []QuarantinedRequest{}}
-	for _, s := range condemned[:min(len(condemned), MaxQuarantinedRequests)] {
+	for _, s := range quarantined[:min(len(quarantined), MaxQuarantinedRequests)] {
 		r := QuarantinedRequest{Fingerprint: s.Fingerprint.String()}
 		for _, c := range s.Crashes {
 			r.Crashes = append(r.Crashes, hex.EncodeToString(binary.BigEndian.AppendUint64(nil, uint64(c))))
@@ -37,16 +37,16 @@
 	return raw
 }
 
-// HoldsQuarantine reports whether a record of condemned requests is up to date.
-func HoldsQuarantine(r port.Record, condemned []quarantine.Suspect) bool {
+// HoldsQuarantine reports whether a record of quarantined requests is up to date.
+func HoldsQuarantine(r port.Record, quarantined []quarantine.Suspect) bool {
 	held, released, err := Quarantined(r)
 	return err == nil && len(released) == 0 &&
-		slices.EqualFunc(held, condemned[:min(len(condemned), MaxQuarantinedRequests)], func(a, b quarantine.Suspect) bool {
+		slices.EqualFunc(held, quarantined[:min(len(quarantined), MaxQuarantinedRequests)], func(a, b quarantine.Suspect) bool {
 			return a.Fingerprint == b.Fingerprint && slices.Equal(a.Crashes, b.Crashes)
 		})
 }
 
-// Quarantined returns what a record of condemned requests holds: those that are
+// Quarantined returns what a record of quarantined requests holds: those that are
 // to be held back, and those that an operator has released.
 func Quarantined(r port.Record) (held, released []quarantine.Suspect, err error) {
 	var spec RequestQuarantine
--- a/internal/core/record/quarantine_test.go
+++ b/internal/core/record/quarantine_test.go
@@ -12,16 +12,15 @@
 	return port.Record{Kind: port.ObjectRequestQuarantine, Name: QuarantineName, Version: 1, Body: body}
 }
 
-// What is refused comes back from its record as it was, in either schema, and the
-// record is valid and bounded whatever is refused.
+// Guards against losing quarantined requests on the way through the record.
 func TestQuarantineOutlivesItsRecord(t *testing.T) {
-	var condemned []quarantine.Suspect
+	var quarantined []quarantine.Suspect
 	for n := range MaxQuarantinedRequests + 10 {
-		condemned = append(condemned, quarantine.Suspect{
+		quarantined = append(quarantined, quarantine.Suspect{
 			Fingerprint: quarantine.Fingerprint{byte(n >> 8), byte(n)}, Crashes: []quarantine.CrashID{3, 1 << 63, ^quarantine.CrashID(0)},
 		})
 	}
-	body := QuarantineDocument(condemned)
+	body := QuarantineDocument(quarantined)
 	d, err := Parse(body)
 	if err != nil {
 		t.Fatal(err)
@@ -36,19 +35,18 @@
 		if err != nil || len(held) != MaxQuarantinedRequests || len(released) != 0 {
 			t.Fatalf("%d held, %d released, %v", len(held), len(released), err)
 		}
-		if !HoldsQuarantine(r, condemned) || HoldsQuarantine(r, condemned[1:]) {
+		if !HoldsQuarantine(r, quarantined) || HoldsQuarantine(r, quarantined[1:]) {
 			t.Fatal("a record can't be told from one that is out of date")
 		}
 	}
 }
 
-// An operator's release is told from what the system holds, and such a record is
-// out of date until the system has taken it.
+// Guards against a release that is overwritten before it takes effect.
 func TestReleaseIsReadFromTheRecord(t *testing.T) {
-	condemned := []quarantine.Suspect{{Fingerprint: quarantine.Fingerprint{1}, Crashes: []quarantine.CrashID{1, 2, 3}}}
-	r := quarantineRecord(bytes.Replace(QuarantineDocument(condemned), []byte(`"crashes"`), []byte(`"released":true,"crashes"`), 1))
+	quarantined := []quarantine.Suspect{{Fingerprint: quarantine.Fingerprint{1}, Crashes: []quarantine.CrashID{1, 2, 3}}}
+	r := quarantineRecord(bytes.Replace(QuarantineDocument(quarantined), []byte(`"crashes"`), []byte(`"released":true,"crashes"`), 1))
 	held, released, err := Quarantined(r)
-	if err != nil || len(held) != 0 || len(released) != 1 || released[0].Fingerprint != condemned[0].Fingerprint {
+	if err != nil || len(held) != 0 || len(released) != 1 || released[0].Fingerprint != quarantined[0].Fingerprint {
 		t.Fatalf("held %v, released %v, %v", held, released, err)
 	}
 	if HoldsQuarantine(r, nil) {
--- a/internal/core/routing/limits_test.go
+++ b/internal/core/routing/limits_test.go
@@ -19,8 +19,7 @@
 	return out
 }
 
-// Prompts go to the runner that takes them while others are at their limits, and
-// the decision says which are.
+// Guards against prompts that are placed above a runner's limit while others have room.
 func TestPromptsPassRunnersAtTheirLimit(t *testing.T) {
 	s := newTestScheduler(t, 0, nil)
 	s.SetEndpoints(start, limitedRunners(3, 1, 1))
@@ -49,8 +48,7 @@
 	return false
 }
 
-// All runners are at their limits: prompts are held for that reason, and placed
-// as the runners take them.
+// Guards against refusing prompts that a limited runner takes a moment later.
 func TestPromptsWaitForRunnersAtTheirLimit(t *testing.T) {
 	s := newTestScheduler(t, 0, nil)
 	s.SetEndpoints(start, limitedRunners(2, 2, 2))
@@ -78,8 +76,7 @@
 	wantVerdict(t, s.Relocate(at(time.Second), "run", terms), port.VerdictPlace, ReasonRelocated)
 }
 
-// Prompts come, are held, end and move at any rate while runners name limits and
-// lift them: while a runner names one, it is sent no more than that.
+// Guards against placements and moves above a runner's limit, under any load.
 func TestRunnersGetNoMoreThanTheirLimits(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newTestScheduler(nopTB{}, 0, nil)
--- a/internal/core/spread/node/departed_test.go
+++ b/internal/core/spread/node/departed_test.go
@@ -15,9 +15,7 @@
 	n.PutEndpoint(membership.Removed(e, revision+1))
 }
 
-// Endpoints come and leave by the thousand, as where hosts are reclaimed all day.
-// Daemons remember a bounded number of them, hold the same, and don't go on
-// reminding each other of those that some have forgotten before the others.
+// Guards against tables that grow with every endpoint that ever left, and links that keep repairing them.
 func TestDepartedEndpointsDontPileUp(t *testing.T) {
 	a, b, c := New(), New(), New()
 	a.SetComplete()
--- a/internal/crashwatch/crashwatch.go
+++ b/internal/crashwatch/crashwatch.go
@@ -14,8 +14,8 @@
 // Quarantine knows the requests that crash the endpoints that run them, from
 // what all daemons saw.
 type Quarantine interface {
-	// Condemned reports whether a request is not to be sent, and for how long.
-	Condemned(now time.Time, f quarantine.Fingerprint) (left time.Duration, condemned bool)
+	// Quarantined reports whether a request is not to be sent, and for how long.
+	Quarantined(now time.Time, f quarantine.Fingerprint) (left time.Duration, quarantined bool)
 	// Completed takes a request that ran to its end.
 	Completed(now time.Time, f quarantine.Fingerprint)
 	// Crashed takes the requests that ran at an endpoint when it ended.
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -37,11 +37,11 @@
 	g.decideOn("endpoint", e.ID, verdictCrash, fmt.Sprintf("%s; %d requests were lost with it here", reason, lost), 0)
 }
 
-// condemned is the refusal of a request that crashes endpoints, nil for any
+// quarantineRefusal is the refusal of a request that crashes endpoints, nil for any
 // other.
-func (x *exchange) condemned() *Refusal {
-	left, condemned := x.g.Quarantine.Condemned(x.g.Clock(), x.fingerprint())
-	if !condemned {
+func (x *exchange) quarantineRefusal() *Refusal {
+	left, quarantined := x.g.Quarantine.Quarantined(x.g.Clock(), x.fingerprint())
+	if !quarantined {
 		return nil
 	}
 	x.quarantined = true
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -12,8 +12,7 @@
 	"github.com/dragonflyrail/dragonflyrail/internal/testkit/eventually"
 )
 
-// The lines of two attempts that lost their endpoint show whether they were of
-// one request, which its ids don't.
+// Guards against log lines that don't show whether two lost attempts were of one request.
 func TestLostAttemptsNameTheirFingerprint(t *testing.T) {
 	b := newBench(t)
 	b.everywhere("s", failure(port.ErrEndpointLost))
@@ -58,21 +57,20 @@
 	return quarantine.FingerprintOf("o", "POST", "h", path, nil)
 }
 
-// condemn has endpoints that nobody knows crash under a request.
-func (b *bench) condemn(path string) {
+// quarantineRequest has endpoints that nobody knows crash under a request.
+func (b *bench) quarantineRequest(path string) {
 	for id := range quarantine.CrashID(3) {
 		b.quarantine.Crashed(time.Now(), 1000+id, []quarantine.Fingerprint{fingerprintOf(path)})
 	}
 }
 
-// A request that endpoints are known to crash under is refused at once and sent
-// to none; others of the same caller are served.
-func TestCondemnedRequestIsNotSent(t *testing.T) {
+// Guards against sending a request on that is known to crash endpoints.
+func TestQuarantinedRequestIsNotSent(t *testing.T) {
 	for _, path := range []string{"/safe/fatal", "/once/fatal", "/stream/fatal"} {
 		b := newBench(t)
 		b.everywhere("s", reply(200, "fine"))
 		b.everywhere("e", reply(200, "fine"))
-		b.condemn(path)
+		b.quarantineRequest(path)
 		refusal := b.ask(t, path, &caller{})
 		if refusal == nil || refusal.Cause != CauseQuarantined || refusal.Outcome != outcome.NotRun || refusal.RetryAfter <= time.Minute {
 			t.Errorf("%s: refused with %+v", path, refusal)
@@ -89,13 +87,12 @@
 	}
 }
 
-// Endpoints end one after the other under one request: the daemon finds that
-// nothing listens there any more, and sends it to no other after the third.
-func TestRequestUnderWhichEndpointsEndIsCondemned(t *testing.T) {
+// Guards against a fatal request that is sent to a fourth endpoint.
+func TestRequestUnderWhichEndpointsEndIsQuarantined(t *testing.T) {
 	b := newBench(t)
 	b.everywhere("s", failure(port.ErrEndpointLost))
 	b.look(port.PresenceGone)
-	eventually.True(t, "the request is condemned", func() bool {
+	eventually.True(t, "the request is quarantined", func() bool {
 		refusal := b.ask(t, "/once/fatal", &caller{})
 		return refusal != nil && refusal.Cause == CauseQuarantined
 	})
@@ -108,8 +105,7 @@
 	}
 }
 
-// Connections break at endpoints that go on serving, as a faulty network or
-// endpoint breaks them: the request is not to blame.
+// Guards against quarantining requests whose connections break at endpoints that go on serving.
 func TestBrokenConnectionIsNoCrash(t *testing.T) {
 	for _, presence := range []port.Presence{port.PresenceServing, port.PresenceUnknown} {
 		b := newBench(t)
@@ -139,8 +135,8 @@
 		b.ask(t, "/once/unlucky", &caller{})
 	}
 	b.looksEnd(t)
-	if n := b.quarantine.Condemnations(); len(n) > 0 {
-		t.Fatalf("condemned: %v", n)
+	if n := b.quarantine.Entries(); len(n) > 0 {
+		t.Fatalf("quarantined: %v", n)
 	}
 }
 
@@ -150,13 +146,12 @@
 	eventually.True(t, "the looks have ended", func() bool { return b.crashes.Looking() == 0 })
 }
 
-// A repeatable request has crashed an endpoint in this very attempt, and others
-// before: the second try that the route allows is not made.
-func TestRetryOfACondemnedRequestIsNotMade(t *testing.T) {
+// Guards against a retry that crashes one more endpoint.
+func TestRetryOfAQuarantinedRequestIsNotMade(t *testing.T) {
 	b := newBench(t)
 	f := fingerprintOf("/safe/fatal")
 	b.everywhere("s", func(*port.Exchange) (*port.Answer, error) {
-		b.condemn("/safe/fatal")
+		b.quarantineRequest("/safe/fatal")
 		return nil, port.ErrEndpointLost
 	})
 	refusal := b.ask(t, "/safe/fatal", &caller{})
@@ -168,9 +163,8 @@
 	}
 }
 
-// A request runs to its end at one endpoint after it was lost with others: it is
-// served as before.
-func TestRequestThatRunsToItsEndIsNotCondemned(t *testing.T) {
+// Guards against quarantining a request that was only lost with others.
+func TestRequestThatRunsToItsEndIsNotQuarantined(t *testing.T) {
 	b := newBench(t)
 	f := fingerprintOf("/once/unlucky")
 	b.quarantine.Crashed(time.Now(), 1, []quarantine.Fingerprint{f})
@@ -185,29 +179,28 @@
 	}
 }
 
-// condemningPlacer places a request once it has been found to be fatal.
-type condemningPlacer struct {
+// quarantiningPlacer places a request once it has been found to be fatal.
+type quarantiningPlacer struct {
 	Placer
 	b        *bench
 	finished int
 }
 
-func (p *condemningPlacer) Place(ctx context.Context, r *port.GenerationRequest, held func(*port.Decision)) port.Decision {
-	p.b.condemn("/stream/fatal")
+func (p *quarantiningPlacer) Place(ctx context.Context, r *port.GenerationRequest, held func(*port.Decision)) port.Decision {
+	p.b.quarantineRequest("/stream/fatal")
 	return p.Placer.Place(ctx, r, held)
 }
 
-func (p *condemningPlacer) Finished(id string, tokens int, kind port.FinishKind) {
+func (p *quarantiningPlacer) Finished(id string, tokens int, kind port.FinishKind) {
 	p.finished++
 	p.Placer.Finished(id, tokens, kind)
 }
 
-// A request waits for a place while endpoints crash under others of its kind: it
-// isn't sent to the place that it gets, and the place is given back.
+// Guards against sending a request that is quarantined while it waits, and against losing its place.
 func TestRequestFoundOutWhileItWaitsIsNotSent(t *testing.T) {
 	b := newBench(t)
 	b.everywhere("e", reply(200, "fine"))
-	placer := &condemningPlacer{Placer: b.Placer, b: b}
+	placer := &quarantiningPlacer{Placer: b.Placer, b: b}
 	b.Placer = placer
 	refusal := b.ask(t, "/stream/fatal", &caller{})
 	if refusal == nil || refusal.Cause != CauseQuarantined || refusal.Outcome != outcome.NotRun {
@@ -218,11 +211,10 @@
 	}
 }
 
-// A request that will not be sent is refused at once, without a place among
-// those that wait.
-func TestCondemnedRequestWaitsForNoPlace(t *testing.T) {
+// Guards against a quarantined request that holds a place in the queue.
+func TestQuarantinedRequestWaitsForNoPlace(t *testing.T) {
 	b := newBench(t)
-	b.condemn("/stream/fatal")
+	b.quarantineRequest("/stream/fatal")
 	b.ask(t, "/stream/fatal", &caller{})
 	for _, d := range b.sink.All() {
 		if d.Subject == subjectRequest && d.Verdict != verdictFinish {
--- a/internal/gateway/departed_test.go
+++ b/internal/gateway/departed_test.go
@@ -9,8 +9,7 @@
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
 
-// Endpoints of both kinds come, fail a request and leave, by the thousand. Nothing
-// is kept of those of which nobody tells any more.
+// Guards against counters and breakers that are kept for every endpoint that ever left.
 func TestNothingIsKeptOfForgottenEndpoints(t *testing.T) {
 	b := newBench(t)
 	b.view.endpoints = nil
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -124,7 +124,7 @@
 		return nil
 	}
 	c, lastID := r.run.handover(ctx.Done())
-	if c == nil || r.x.condemned() != nil {
+	if c == nil || r.x.quarantineRefusal() != nil {
 		return nil
 	}
 	for _, at := range []port.Endpoint{c.to, c.from} {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -104,7 +104,7 @@
 func (x *exchange) serve(ctx context.Context) *Refusal {
 	x.g.budgets.pool(x.pool).FirstTry()
 	for {
-		p, refusal := x.placeUnlessCondemned(ctx)
+		p, refusal := x.placeUnlessQuarantined(ctx)
 		if refusal != nil {
 			return x.lastWord(refusal)
 		}
@@ -123,17 +123,17 @@
 	}
 }
 
-// placeUnlessCondemned chooses an endpoint for the next attempt. The request may
+// placeUnlessQuarantined chooses an endpoint for the next attempt. The request may
 // have waited for its place while it was found out.
-func (x *exchange) placeUnlessCondemned(ctx context.Context) (*placement, *Refusal) {
-	if refusal := x.condemned(); refusal != nil {
+func (x *exchange) placeUnlessQuarantined(ctx context.Context) (*placement, *Refusal) {
+	if refusal := x.quarantineRefusal(); refusal != nil {
 		return nil, refusal
 	}
 	p, refusal := x.place(ctx)
 	if refusal != nil {
 		return nil, refusal
 	}
-	if refusal := x.condemned(); refusal != nil {
+	if refusal := x.quarantineRefusal(); refusal != nil {
 		x.giveBack(p)
 		return nil, refusal
 	}
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -98,8 +98,7 @@
 	}
 }
 
-// Two of three endpoints take no more: calls go to the third, none waits, and the
-// coordinator isn't asked for each.
+// Guards against waiting for a limited endpoint, or asking for it at each call, while another has room.
 func TestCallsGoToTheEndpointThatTakesThem(t *testing.T) {
 	b, a := newLimitedBench(t, []float64{3, 3, 0}, none(time.Hour))
 	for i := range 50 {
@@ -117,8 +116,7 @@
 	}
 }
 
-// An endpoint in need gets what the coordinator admits, and each line of such a
-// call shows which endpoints took no more.
+// Guards against starving a limited endpoint, and against log lines that don't show why it was passed over.
 func TestLimitedEndpointGetsWhatIsAdmitted(t *testing.T) {
 	left := 5
 	b, _ := newLimitedBench(t, []float64{3, 0, 0}, func(asks []ratelimit.Ask, _ time.Duration) ratelimit.Grant {
@@ -181,8 +179,7 @@
 	}
 }
 
-// Callers beyond what all endpoints take are refused at once and told different
-// times; the coordinator is spared. Who comes back in time may wait longer.
+// Guards against a herd of refused callers, and promised times that mean nothing.
 func TestCallersBeyondAllLimitsComeBackInTurn(t *testing.T) {
 	var patience []time.Duration
 	b, a := newLimitedBench(t, []float64{3, 3, 3}, func(_ []ratelimit.Ask, p time.Duration) ratelimit.Grant {
--- a/internal/keeper/departed_test.go
+++ b/internal/keeper/departed_test.go
@@ -8,9 +8,7 @@
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
 
-// Runners come and leave by the thousand. The keeper remembers a bounded number of
-// them, follows on what it has forgotten, and still holds as live just those that
-// the registry names.
+// Guards against a registry of departed runners that grows for ever.
 func TestRunnersThatHaveLeftAreForgotten(t *testing.T) {
 	r := &registry{entries: map[string]port.ListedEndpoint{}}
 	k := newRegistryKeeper(r)
@@ -46,8 +44,7 @@
 	}
 }
 
-// A peer that was cut off for long still holds a runner as live that the others
-// have forgotten. What it tells is believed until the next list of the registry.
+// Guards against a departed runner that a long isolated peer brings back for good.
 func TestForgottenRunnerThatAPeerBringsBackIsLeftAgain(t *testing.T) {
 	r := &registry{entries: map[string]port.ListedEndpoint{}, revision: 5000}
 	k := newRegistryKeeper(r)
--- a/internal/keeper/quarantine.go
+++ b/internal/keeper/quarantine.go
@@ -24,7 +24,7 @@
 func (k *Keeper) Quarantine() *quarantine.Register { return k.quarantine }
 
 // quarantineForever takes in what others tell of such requests, and has the
-// platform hold those that are condemned: daemons that start after the loss of
+// platform hold those that are quarantined: daemons that start after the loss of
 // all would else learn of each by as many crashes again.
 func (k *Keeper) quarantineForever(ctx context.Context) error {
 	var group errgroup.Group
@@ -42,7 +42,7 @@
 	return group.Wait()
 }
 
-// takeQuarantine takes the record of condemned requests where it is newer than
+// takeQuarantine takes the record of quarantined requests where it is newer than
 // the version taken last, and returns the version taken.
 func (k *Keeper) takeQuarantine(now time.Time, taken uint64) uint64 {
 	r, known := k.Record(port.ObjectRequestQuarantine, record.QuarantineName)
@@ -73,7 +73,7 @@
 	}
 }
 
-// quarantineWriter has the platform hold what is condemned.
+// quarantineWriter has the platform hold what is quarantined.
 type quarantineWriter struct {
 	keeper *Keeper
 	// retry is the pause after the last write that failed, zero for none; next
@@ -82,7 +82,7 @@
 	next  time.Time
 }
 
-// write changes the record where it differs from what is condemned. One keeper
+// write changes the record where it differs from what is quarantined. One keeper
 // does, the one that reads the platform for all: what the platform holds is
 // known to it.
 func (w *quarantineWriter) write(ctx context.Context, now time.Time) {
@@ -90,14 +90,14 @@
 	if k.standing().place != 0 || !k.Ready() || k.duty.News().Failing() || now.Before(w.next) {
 		return
 	}
-	condemned := k.quarantine.Condemnations()
+	quarantined := k.quarantine.Entries()
 	held, known := k.Record(port.ObjectRequestQuarantine, record.QuarantineName)
 	known = known && !held.Deleted
-	if known && record.HoldsQuarantine(held, condemned) || !known && len(condemned) == 0 {
+	if known && record.HoldsQuarantine(held, quarantined) || !known && len(quarantined) == 0 {
 		return
 	}
 	_, err := k.Change(ctx, &Change{
-		Kind: port.ObjectRequestQuarantine, Name: record.QuarantineName, Body: record.QuarantineDocument(condemned),
+		Kind: port.ObjectRequestQuarantine, Name: record.QuarantineName, Body: record.QuarantineDocument(quarantined),
 		Expect: held.Version, Create: !known, Actor: k.options.Self.ID,
 	})
 	if err == nil {
--- a/internal/keeper/registry_test.go
+++ b/internal/keeper/registry_test.go
@@ -13,9 +13,7 @@
 	_ "github.com/dragonflyrail/dragonflyrail/internal/testkit/fixedseed"
 )
 
-// Of a runner that is known to leave nothing more is to be learned. Asked all the
-// same, those that have ended hold up the round, in which one that lives may say
-// that it leaves.
+// Guards against probes of ended runners that delay the one of a runner about to leave.
 func TestOnlyEndpointsThatLiveAreAskedWhileThePlatformIsAway(t *testing.T) {
 	k, _ := newTestKeeper(newFakePlatform())
 	k.options.ProbeWhenAway = true
--- a/internal/router/crashes.go
+++ b/internal/router/crashes.go
@@ -46,11 +46,11 @@
 	})
 }
 
-// condemned is the refusal of a request that crashes endpoints, nil for any
+// quarantineRefusal is the refusal of a request that crashes endpoints, nil for any
 // other.
-func (r *Router) condemned(f quarantine.Fingerprint) *Refusal {
-	left, condemned := r.Quarantine.Condemned(r.Clock(), f)
-	if !condemned {
+func (r *Router) quarantineRefusal(f quarantine.Fingerprint) *Refusal {
+	left, quarantined := r.Quarantine.Quarantined(r.Clock(), f)
+	if !quarantined {
 		return nil
 	}
 	return &Refusal{
--- a/internal/router/crashes_test.go
+++ b/internal/router/crashes_test.go
@@ -12,8 +12,7 @@
 	"github.com/dragonflyrail/dragonflyrail/internal/testkit/fakes"
 )
 
-// Three engines end under one generation, which is repeatable: it is sent to no
-// fourth one, and others are served.
+// Guards against a generation that crashes one engine after the other.
 func TestGenerationThatCrashesEnginesIsNotSentOn(t *testing.T) {
 	b := newBench(testOptions("r1"), runner("e1"), runner("e2"), runner("e3"), runner("e4"))
 	b.engine.Gone = true
@@ -68,8 +67,7 @@
 	}
 }
 
-// Connections to engines that go on serving break off: the generation is not to
-// blame.
+// Guards against quarantining generations whose connections break at engines that go on serving.
 func TestBrokenStreamIsNoCrash(t *testing.T) {
 	b := newBench(testOptions("r1"), runner("e1"), runner("e2"), runner("e3"))
 	for range 9 {
@@ -79,8 +77,8 @@
 		b.generate(&reader{}, false)
 	}
 	eventually.True(t, "the looks have ended", func() bool { return b.crashes.Looking() == 0 })
-	if n := b.quarantine.Condemnations(); len(n) != 0 {
-		t.Fatalf("condemned: %v", n)
+	if n := b.quarantine.Entries(); len(n) != 0 {
+		t.Fatalf("quarantined: %v", n)
 	}
 	b.engine.OnStart = append(b.engine.OnStart, fakes.Whole(3))
 	if refusal := b.generate(&reader{}, false); refusal != nil {
@@ -88,27 +86,26 @@
 	}
 }
 
-// condemn has engines that nobody knows end under the prompt of generate.
-func (b *bench) condemn() {
+// quarantineRequest has engines that nobody knows end under the prompt of generate.
+func (b *bench) quarantineRequest() {
 	f := (&GenerationRequest{Organisation: "kegsetu", Model: "m", Prompt: "p"}).crashPrint()
 	for id := range quarantine.CrashID(3) {
 		b.quarantine.Crashed(time.Now(), 1000+id, []quarantine.Fingerprint{f})
 	}
 }
 
-// A generation that will not be sent is refused at once, without a place among
-// those that wait; one that is found out while it waits gives its place back.
-func TestCondemnedGenerationTakesNoPlace(t *testing.T) {
+// Guards against a quarantined generation that holds a place.
+func TestQuarantinedGenerationTakesNoPlace(t *testing.T) {
 	for _, waits := range []bool{false, true} {
 		b := newBench(testOptions("r1"), runner("e1"))
 		b.engine.OnStart = append(b.engine.OnStart, fakes.Whole(3))
 		asked := 0
 		b.scheduler.onSubmit = func() {
 			asked++
-			b.condemn()
+			b.quarantineRequest()
 		}
 		if !waits {
-			b.condemn()
+			b.quarantineRequest()
 		}
 		refusal := b.generate(&reader{}, false)
 		if refusal == nil || refusal.Cause != CauseQuarantined || refusal.Outcome != outcome.NotRun {
--- a/internal/router/generate.go
+++ b/internal/router/generate.go
@@ -95,7 +95,7 @@
 // tried.
 func (g *generation) serve(ctx context.Context) *Refusal {
 	for {
-		decision, refusal := g.placeUnlessCondemned(ctx)
+		decision, refusal := g.placeUnlessQuarantined(ctx)
 		if refusal != nil {
 			return g.refused(refusal)
 		}
@@ -112,17 +112,17 @@
 	}
 }
 
-// placeUnlessCondemned asks for a place. The request may have waited for it while
+// placeUnlessQuarantined asks for a place. The request may have waited for it while
 // it was found out.
-func (g *generation) placeUnlessCondemned(ctx context.Context) (port.Decision, *Refusal) {
-	if refusal := g.r.condemned(g.print); refusal != nil {
+func (g *generation) placeUnlessQuarantined(ctx context.Context) (port.Decision, *Refusal) {
+	if refusal := g.r.quarantineRefusal(g.print); refusal != nil {
 		return port.Decision{}, refusal
 	}
 	d, refusal := g.place(ctx)
 	if refusal != nil {
 		return d, refusal
 	}
-	if refusal := g.r.condemned(g.print); refusal != nil {
+	if refusal := g.r.quarantineRefusal(g.print); refusal != nil {
 		g.r.Scheduler.Finished(g.r.Clock(), g.req.RequestID, 0, port.FinishCancelled)
 		return d, refusal
 	}
--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -164,7 +164,7 @@
 // serve tries endpoints until one replies or nothing more may be tried.
 func (c *call) serve(ctx context.Context) (*ServiceReply, *Refusal) {
 	for {
-		if refusal := c.r.condemned(c.print); refusal != nil {
+		if refusal := c.r.quarantineRefusal(c.print); refusal != nil {
 			return nil, c.refused(refusal)
 		}
 		endpoint, ok := c.choose()
--- a/internal/router/service_test.go
+++ b/internal/router/service_test.go
@@ -351,8 +351,7 @@
 	}
 }
 
-// An endpoint loses each call: its breaker opens, and calls that come later go
-// elsewhere at the first try.
+// Guards against a breaker that never opens at an endpoint which loses every call.
 func TestBreakerOpensOnLostCalls(t *testing.T) {
 	b := newBench(testOptions("r1"), serviceEndpoint("s1"), serviceEndpoint("s2"))
 	b.services.reply["s1"] = func() (*ServiceReply, error) { return nil, port.ErrEndpointLost }
--- a/internal/scheduling/admit_test.go
+++ b/internal/scheduling/admit_test.go
@@ -23,9 +23,7 @@
 	return f.clock.Now().Add(g.Wait), g
 }
 
-// All daemons have more for an endpoint than it takes. It gets what it takes from
-// them together, whichever daemon coordinates and whatever calls between them are
-// lost; a daemon that goes down or comes back makes another the coordinator.
+// Guards against exceeding or starving an endpoint while coordinators change and messages are lost.
 func TestDaemonsTogetherKeepToALimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFleet("a", "b", "c", "d")
@@ -91,8 +89,7 @@
 	}
 }
 
-// A coordinator of a build that admits nothing is not taken for lost: it still
-// places generations. The daemons that ask keep to their shares.
+// Guards against taking a coordinator of an earlier build for lost.
 func TestCoordinatorThatAdmitsNothingStaysCoordinator(t *testing.T) {
 	f := newFleet("a", "b", "c", "d")
 	coordinator := f.clients["a"].coordinator("pool").id
--- a/internal/scheduling/scheduling_test.go
+++ b/internal/scheduling/scheduling_test.go
@@ -387,9 +387,7 @@
 	})
 }
 
-// A run never reached its runner, and the daemon asks for another place at once,
-// ahead of its next message: the pool's coordinator must not place it at that
-// runner again.
+// Guards against placing a failed attempt at the same runner again.
 func TestNextPlaceIsAskedForAfterTheEndOfTheLastIsTold(t *testing.T) {
 	f := newFleet("a", "b", "c")
 	coordinator := f.clients["a"].coordinator("pool").id
--- a/test/crashing_test.go
+++ b/test/crashing_test.go
@@ -30,15 +30,13 @@
 	runsAfterwards = 3
 )
 
-// A generation that crashes each runner must not be sent to one after the other,
-// whichever daemon it comes to; callers who shared its runners stay served.
+// Guards against a generation that crashes one runner after the other, whichever daemon it comes to.
 func TestGenerationThatCrashesRunnersIsNotSentOnAndOn(t *testing.T) {
 	t.Parallel()
 	crashesRunners(t, testfleet.Generation)
 }
 
-// The same for a call that may be repeated, which the system itself sends to a
-// second endpoint.
+// Guards against the same for a call that the system itself repeats.
 func TestCallThatCrashesEndpointsIsNotSentOnAndOn(t *testing.T) {
 	t.Parallel()
 	crashesRunners(t, testfleet.Repeatable)
@@ -58,8 +56,7 @@
 	background.Wait()
 }
 
-// All daemons are killed at once after they have learned of a request that
-// crashes runners: those that start in their place know it from the store.
+// Guards against forgetting a fatal request when all daemons are lost.
 func TestCrashingRequestIsKnownAfterTheLossOfAllDaemons(t *testing.T) {
 	t.Parallel()
 	f := startFleet(t, func(l *testfleet.Layout) { l.Engines = 6 })
@@ -125,8 +122,7 @@
 	f.tells("quarantine", "why", "fingerprint", last.Fingerprint)
 }
 
-// An operator releases a request that was taken for one that crashes runners: it
-// is sent again, and held back again once it has crashed as many as before.
+// Guards against a release that has no effect, or that protects a request for ever.
 func TestOperatorReleasesARequest(t *testing.T) {
 	t.Parallel()
 	f := startFleet(t, func(l *testfleet.Layout) { l.Engines = 6 })
@@ -256,8 +252,7 @@
 	}
 }
 
-// On the product's own platform, too, engines don't end one after the other
-// under one prompt, whichever router it comes to.
+// Guards against the same on the product's own platform.
 func TestPromptThatCrashesEnginesIsNotSentOnAndOn(t *testing.T) {
 	t.Parallel()
 	s := procs.StartDemo(t, nil)
--- a/test/limited_test.go
+++ b/test/limited_test.go
@@ -29,28 +29,25 @@
 	limitFor    = 10 * time.Second
 )
 
-// A runner in need must not get more calls than it allows from all daemons
-// together, nor be starved; callers find the runner that has room.
+// Guards against exceeding or starving a runner that names a limit while another has room.
 func TestLimitedRunnerGetsTheCallsThatItAllows(t *testing.T) {
 	t.Parallel()
 	limitsRunners(t, testfleet.Repeatable, 2)
 }
 
-// The same for generations, which wait for a place.
+// Guards against the same for generations.
 func TestLimitedRunnerGetsTheGenerationsThatItAllows(t *testing.T) {
 	t.Parallel()
 	limitsRunners(t, testfleet.Generation, 3)
 }
 
-// All runners are in need: callers beyond what they allow are refused at once,
-// and told when to come back.
+// Guards against callers that wait, or exceed limits, when all runners name limits.
 func TestCallersBeyondAllLimitsAreRefusedAtOnce(t *testing.T) {
 	t.Parallel()
 	limitsRunners(t, testfleet.Once, 3)
 }
 
-// Whichever daemon admits for all may be killed: the runners get no more from
-// those that are left and those that come back, and soon again what they take.
+// Guards against exceeding or starving a limited runner when the coordinator is killed.
 func TestLimitIsKeptWhileDaemonsAreKilled(t *testing.T) {
 	t.Parallel()
 	f := startFleet(t, func(l *testfleet.Layout) { l.Daemons, l.Engines, l.Plain, l.Work = 4, 1, 2, 10*time.Millisecond })
@@ -244,8 +241,7 @@
 	return out
 }
 
-// From the id of a refused call an operator finds that its endpoints were at their
-// limits, and from there which named limits.
+// Guards against a refusal that operators can't trace to the limits behind it.
 func TestRefusalForALimitIsExplained(t *testing.T) {
 	t.Parallel()
 	f := startFleet(t, func(l *testfleet.Layout) { l.Engines, l.Plain = 1, 1 })
