Evacuated failure domains get nothing more, until that is taken back

Ruled out: a state of each endpoint (sticky, and endpoints that join later miss it); moving what runs there (a pause for its callers, links and room taken where load has just grown; the order doesn't say that runners end); one record kind for both writers (a list without the platform's object would end an order given with dragonflyctl).

Change: an evacuation is a record, ordered by the store's revision and era and passed on as all records are; the platform's objects are translated to a kind that is in force as long as they exist. Marked endpoints are in no list that calls or generations are placed from, so all that counts capacity counts the rest; what a late coordinator placed is given back and placed again; moves and copies avoid them; where all are evacuated callers are refused at once.

--- a/cmd/dragonfly-entry/assemble.go
+++ b/cmd/dragonfly-entry/assemble.go
@@ -80,7 +80,7 @@
 		Endpoints: runners,
 		Scheduler: scheduler, Placer: a.placer,
 		Freshness: func() time.Duration { return a.keeper.PlatformAge(time.Now()) },
-		View:      a.keeper, Quarantine: a.keeper.Quarantine(), Limits: a.keeper, Announcer: a.keeper, Sink: store, Policy: record.Policy, Metrics: registry,
+		View:      a.keeper, Quarantine: a.keeper.Quarantine(), Limits: a.keeper, Announcer: a.keeper, Sink: store, Policy: record.Policy, Evacuations: record.Evacuations, Metrics: registry,
 	})
 	a.callers = httpserver.New(&platform.Callers{App: a.gateway, Logger: logger})
 	a.servers = []listening{
@@ -105,7 +105,7 @@
 			ID: s.ID, Host: s.Host, FailureDomain: s.FailureDomain,
 			CallerAddress: s.callers(), AdminAddress: s.Listen.Admin, PeerAddress: s.peers(),
 		},
-		Keepers: s.Keepers, Platform: from.store, Endpoints: from.store, Prober: from.runners, Kinds: []string{route.RecordKind}, ListedKinds: record.Kinds(),
+		Keepers: s.Keepers, Platform: from.store, Endpoints: from.store, Prober: from.runners, Kinds: []string{route.RecordKind}, ListedKinds: record.Kinds(), PresentKinds: []string{port.ObjectPlatformEvacuation},
 		Decisions: sink, Logger: logger, Registry: registry,
 		Watchers: s.Watchers, WatchWait: s.WatchWait, WatchPause: s.WatchPause, FallbackAfter: s.FallbackAfter,
 		RelistEvery: s.RelistEvery, HeartbeatEvery: s.HeartbeatEvery, SilenceAfter: s.SilenceAfter,
--- a/cmd/dragonfly-router/system.go
+++ b/cmd/dragonfly-router/system.go
@@ -68,7 +68,7 @@
 	return router.Ports{
 		Sink: sink, Quarantine: s.quarantine,
 		View: s.view, Scheduler: s.scheduler, Claimer: s.claims, Peers: peers{},
-		Announcer: s.view, Observer: s.view, Policy: s.policy,
+		Announcer: s.view, Observer: s.view, Policy: s.policy, Evacuations: record.Evacuations,
 		KeyRetention: s.claims.Retention,
 	}
 }
--- a/internal/core/record/convert.go
+++ b/internal/core/record/convert.go
@@ -63,6 +63,15 @@
 		v1Top: []string{"organisation", "priority", "share", "tokens_per_second", "concurrency", "key_sha256"},
 		v2Top: []string{"organisation", "priority", "share", "limits", "keys"},
 	},
+	port.ObjectDomainEvacuation: {
+		moves: []move{
+			{v1: "reason", v2: "reason"},
+			{v1: "requested_by", v2: "requested_by"},
+			{v1: "since", v2: "since"},
+		},
+		v1Top: []string{"reason", "requested_by", "since"},
+		v2Top: []string{"reason", "requested_by", "since"},
+	},
 	port.ObjectRequestQuarantine: {
 		moves: []move{{v1: "requests", v2: "requests"}},
 		v1Top: []string{"requests"},
--- a/internal/core/record/convert_test.go
+++ b/internal/core/record/convert_test.go
@@ -106,6 +106,10 @@
 			return keys
 		})
 		d.unknown(spec, "key_sha256", "concurrency")
+	case "domain-evacuations1", "domain-evacuations2":
+		spec["reason"] = d.word()
+		d.maybe(spec, "requested_by", d.word)
+		d.unknown(spec)
 	case "model-deployments1":
 		spec["model"], spec["version"] = d.word(), d.word()
 		d.maybe(spec, "replicas", d.number)
--- a/internal/core/record/document.go
+++ b/internal/core/record/document.go
@@ -86,7 +86,7 @@
 // Kinds lists the kinds of record, sorted.
 func Kinds() []string {
 	return []string{
-		port.ObjectModelDeployment, port.ObjectOrganisationPriority, port.ObjectRequestQuarantine, port.ObjectRoutingConfiguration,
+		port.ObjectDomainEvacuation, port.ObjectModelDeployment, port.ObjectOrganisationPriority, port.ObjectRequestQuarantine, port.ObjectRoutingConfiguration,
 	}
 }
 
--- /dev/null
+++ b/internal/core/record/evacuation_test.go
@@ -0,0 +1,46 @@
+package record
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/dragonflyrail/dragonflyrail/internal/port"
+)
+
+// Guards against losing who evacuated a failure domain, or the order itself where its record can't be read.
+func TestEvacuationsAreReadFromTheirRecords(t *testing.T) {
+	body := json.RawMessage(`{"schema_version":2,"kind":"domain-evacuations","name":"a","spec":{"reason":"power work","requested_by":"anjali","since":"2026-12-03T10:00:00Z"}}`)
+	d, err := Parse(body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	old, err := d.Convert(SchemaV1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, raw := range []json.RawMessage{body, old.Marshal()} {
+		all := Evacuations([]port.Record{{Kind: port.ObjectDomainEvacuation, Name: "a", Version: 3, Body: raw}}).All()
+		if len(all) != 1 || all[0].Reason != "power work" || all[0].RequestedBy != "anjali" || all[0].Since == nil || all[0].Version != 3 {
+			t.Fatalf("%+v", all)
+		}
+	}
+	set := Evacuations([]port.Record{
+		{Kind: port.ObjectDomainEvacuation, Name: "newer", Body: json.RawMessage(`{"schema_version":9}`)},
+		{Kind: port.ObjectPlatformEvacuation, Name: "platform", Body: PresentDocument()},
+		{Kind: port.ObjectDomainEvacuation, Name: "ended", Deleted: true},
+		{Kind: port.ObjectPlatformEvacuation, Name: "ended", Deleted: true},
+		{Kind: port.ObjectOrganisationPriority, Name: "other", Body: body},
+	})
+	if !set.Has("newer") || !set.Has("platform") || set.Has("ended") || set.Has("other") {
+		t.Fatalf("%+v", set.All())
+	}
+}
+
+// Guards against orders that nobody can account for.
+func TestEvacuationNeedsAReason(t *testing.T) {
+	for _, spec := range []string{`{}`, `{"reason":""}`, `{"reason":"x","since":"yesterday"}`} {
+		if _, err := Parse([]byte(`{"schema_version":2,"kind":"domain-evacuations","name":"a","spec":` + spec + `}`)); err == nil {
+			t.Errorf("%s was taken", spec)
+		}
+	}
+}
--- a/internal/core/record/schema.go
+++ b/internal/core/record/schema.go
@@ -145,6 +145,15 @@
 	Released bool `json:"released,omitempty"`
 }
 
+// DomainEvacuation is the order that the endpoints of the failure domain after
+// which the record is named get nothing more, until the record is deleted.
+type DomainEvacuation struct {
+	Reason      string `json:"reason" validate:"required,max=512"`
+	RequestedBy string `json:"requested_by" validate:"max=128"`
+	// Since is a time by RFC 3339, empty where nobody says.
+	Since string `json:"since" validate:"omitempty,datetime=2006-01-02T15:04:05Z07:00"`
+}
+
 // typed returns an empty struct of the document's schema.
 func typed(kind string, schemaVersion int) any {
 	v1 := schemaVersion == SchemaV1
@@ -159,6 +168,8 @@
 			return &organisationV1{}
 		}
 		return &OrganisationPriority{}
+	case port.ObjectDomainEvacuation:
+		return &DomainEvacuation{}
 	case port.ObjectRequestQuarantine:
 		return &RequestQuarantine{}
 	case port.ObjectModelDeployment:
--- a/internal/core/routing/endpoints.go
+++ b/internal/core/routing/endpoints.go
@@ -164,26 +164,41 @@
 	return !slices.Equal(before, s.models)
 }
 
-// rebuild lists the live runners by model. Those that leave keep their
-// generations but are never looked at again.
+// rebuild lists the runners that take work by model. Those that leave, or are
+// evacuated, keep their generations but are not looked at.
 func (s *shard) rebuild() {
 	byModel := make(map[string][]*runner, len(s.byModel))
+	served := make(map[string]struct{}, len(s.byModel))
 	live := int64(0)
 	s.assignHomes()
 	for _, r := range s.runners {
 		if r.endpoint.State != port.EndpointLive {
 			continue
 		}
+		for _, m := range r.endpoint.Models {
+			served[m] = struct{}{}
+		}
+		if r.endpoint.Evacuated {
+			continue
+		}
 		live++
 		for _, m := range r.endpoint.Models {
 			byModel[m] = append(byModel[m], r)
 		}
 	}
 	s.byModel = byModel
-	s.models = slices.Sorted(maps.Keys(byModel))
+	s.models = slices.Sorted(maps.Keys(served))
 	s.live.Store(live)
 }
 
+// unserved is why no runner takes requests for a model.
+func (s *shard) unserved(model string) string {
+	if slices.Contains(s.models, model) {
+		return ReasonRefusedEvacuated
+	}
+	return ReasonRefusedModel
+}
+
 func (s *shard) servedModels() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/core/routing/held.go
+++ b/internal/core/routing/held.go
@@ -41,7 +41,7 @@
 	s.now = now
 	runners := s.byModel[r.Model]
 	if len(runners) == 0 {
-		return s.scheduler.refusal(ReasonRefusedModel, noEndpointRetry)
+		return s.scheduler.refusal(s.unserved(r.Model), noEndpointRetry)
 	}
 	if !r.Deadline.IsZero() && !now.Before(r.Deadline) {
 		return s.scheduler.refusal(ReasonRefusedLate, 0)
@@ -444,7 +444,7 @@
 		reason := ReasonRefusedHeld
 		switch {
 		case len(s.byModel[e.request.Model]) == 0:
-			reason = ReasonRefusedModel
+			reason = s.unserved(e.request.Model)
 		case !e.request.Deadline.IsZero() && !now.Before(e.request.Deadline):
 			reason = ReasonRefusedLate
 		}
--- a/internal/core/routing/shard.go
+++ b/internal/core/routing/shard.go
@@ -67,7 +67,8 @@
 	random  *rand.Rand
 	runners []*runner
 	byModel map[string][]*runner
-	// models are the keys of byModel in order; the slice is never changed.
+	// models are those that runners serve, in order, also where all of them are
+	// evacuated; the slice is never changed.
 	models []string
 	queue  *admission.FairQueue
 	// waiting holds the entries whose callers have yet to collect.
@@ -332,14 +333,18 @@
 // one or more for itself, or shares one where routers outnumber them. It is
 // only a preference: a wrong or old rank costs nothing but its use.
 func (s *shard) assignHomes() {
-	for i, r := range s.runners {
+	usable := slices.DeleteFunc(slices.Clone(s.runners), func(r *runner) bool {
+		r.home = false
+		return r.endpoint.Evacuated
+	})
+	for i, r := range usable {
 		switch {
 		case s.routers <= 1 || s.ordinal < 0:
 			r.home = true
-		case s.routers <= len(s.runners):
+		case s.routers <= len(usable):
 			r.home = i%s.routers == s.ordinal
 		default:
-			r.home = s.ordinal%len(s.runners) == i
+			r.home = s.ordinal%len(usable) == i
 		}
 	}
 }
--- a/internal/ctl/records.go
+++ b/internal/ctl/records.go
@@ -16,7 +16,7 @@
 )
 
 var kinds = []string{
-	port.ObjectModelDeployment, port.ObjectOrganisationPriority, port.ObjectRequestQuarantine, port.ObjectRoutingConfiguration,
+	port.ObjectDomainEvacuation, port.ObjectModelDeployment, port.ObjectOrganisationPriority, port.ObjectRequestQuarantine, port.ObjectRoutingConfiguration,
 }
 
 // versioned is a record as keepers answer it.
--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -18,6 +18,7 @@
 		// The routes say how large the caches of a pool's endpoints are.
 		changed = g.View.Endpoints()
 	}
+	changed = append(changed, g.applyEvacuations(records)...)
 	g.takeEndpoints(changed)
 	g.forgetEndpoints(forgotten)
 	g.Scheduler.SetPolicy(g.policy(records))
@@ -120,7 +121,7 @@
 		if e.Kind == port.KindRunner {
 			e = g.withCache(e)
 		}
-		out = append(out, e)
+		out = append(out, g.evacuated.Load().Mark(e))
 	}
 	return out
 }
--- a/internal/gateway/decide.go
+++ b/internal/gateway/decide.go
@@ -20,6 +20,8 @@
 	verdictCrash = "crash"
 	// verdictRelease: a copy is freed.
 	verdictRelease = "release"
+	// verdictWithdraw: the place is given back before anything was sent.
+	verdictWithdraw = "withdraw"
 	// verdictLimit: an endpoint names another limit, or none any more.
 	verdictLimit = "limit"
 )
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -128,6 +128,10 @@
 		return nil
 	}
 	for _, at := range []port.Endpoint{c.to, c.from} {
+		if r.x.g.isEvacuated(at) {
+			r.x.note(verdictResume, "not taken up: the endpoint's failure domain is evacuated", at.ID, nil)
+			continue
+		}
 		next, err := r.x.resume(ctx, r.p, at, c, lastID)
 		if err != nil {
 			r.x.note(verdictResume, "not taken up: "+err.Error(), at.ID, nil)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -47,6 +47,8 @@
 	kept *buffered
 	// lost: the connection to the endpoint of the last attempt broke off.
 	lost bool
+	// misplaced: it was placed in an evacuated failure domain before.
+	misplaced bool
 	// quarantined: the request is not sent, as endpoints crash under it.
 	quarantined bool
 	// print is read through fingerprint.
@@ -129,7 +131,7 @@
 	if refusal := x.quarantineRefusal(); refusal != nil {
 		return nil, refusal
 	}
-	p, refusal := x.place(ctx)
+	p, refusal := x.placeOutsideEvacuations(ctx)
 	if refusal != nil {
 		return nil, refusal
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,6 +10,7 @@
 
 	"github.com/dragonflyrail/dragonflyrail/internal/core/balance"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/breaker"
+	"github.com/dragonflyrail/dragonflyrail/internal/core/evacuation"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/membership"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/ratelimit"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/route"
@@ -69,6 +70,8 @@
 	Freshness func() time.Duration
 	// Policy turns the records in force into the scheduler's policy.
 	Policy func([]port.Record) port.Policy
+	// Evacuations returns those in force by the records.
+	Evacuations func([]port.Record) evacuation.Set
 	// Clock gives the time; nil is time.Now.
 	Clock   func() time.Time
 	Metrics gometrics.Registry
@@ -116,6 +119,8 @@
 	promises promises
 	index    atomic.Pointer[route.Index]
 	known    known
+	// evacuated are the failure domains whose endpoints get nothing more.
+	evacuated atomic.Pointer[evacuation.Set]
 	// endpointChanges yields the endpoints that the view changed.
 	endpointChanges func() (changed []port.Endpoint, forgotten []string)
 	applying        sync.Mutex
@@ -129,6 +134,9 @@
 	if p.Clock == nil {
 		p.Clock = time.Now
 	}
+	if p.Evacuations == nil {
+		p.Evacuations = func([]port.Record) evacuation.Set { return evacuation.Set{} }
+	}
 	if p.Metrics == nil {
 		p.Metrics = gometrics.NewRegistry()
 	}
@@ -140,6 +148,7 @@
 		limits:   ratelimit.NewObserver(),
 	}
 	g.o.Store(&o)
+	g.evacuated.Store(&evacuation.Set{})
 	g.crashes = g.watchCrashes()
 	g.budgets = newBudgets(g.options, g.daemons)
 	g.endpointChanges = p.View.FollowEndpoints()
--- a/internal/gateway/known.go
+++ b/internal/gateway/known.go
@@ -13,8 +13,9 @@
 type known struct {
 	mu   sync.RWMutex
 	byID map[string]held
-	// live lists the live endpoints of each pool of a plain service. A list is
-	// replaced, never changed, as calls read it without the lock.
+	// live lists the live endpoints of each pool of a plain service, but for those
+	// that are evacuated. A list is replaced, never changed, as calls read it
+	// without the lock.
 	live map[string][]port.Endpoint
 }
 
@@ -55,7 +56,7 @@
 // list puts the endpoint into its pool's list, or takes it out.
 func (k *known) list(e port.Endpoint) {
 	k.unlist(e.Pool, e.ID)
-	if e.State != port.EndpointLive {
+	if e.State != port.EndpointLive || e.Evacuated {
 		return
 	}
 	k.live[e.Pool] = append(slices.Clip(k.live[e.Pool]), e)
@@ -85,6 +86,49 @@
 	return h, ok
 }
 
+// evacuatedOf names the endpoints of a pool that are evacuated.
+func (k *known) evacuatedOf(pool string) []string {
+	k.mu.RLock()
+	defer k.mu.RUnlock()
+	var out []string
+	for id, h := range k.byID {
+		if h.Pool == pool && h.Evacuated && h.State == port.EndpointLive {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// allEvacuated reports whether a pool has live endpoints, all of them evacuated.
+func (k *known) allEvacuated(pool string) bool {
+	k.mu.RLock()
+	defer k.mu.RUnlock()
+	some := false
+	for _, h := range k.byID {
+		if h.Pool != pool || h.State != port.EndpointLive {
+			continue
+		}
+		if !h.Evacuated {
+			return false
+		}
+		some = true
+	}
+	return some
+}
+
+// in lists the endpoints of the failure domains that a change concerns.
+func (k *known) in(concerns func(domain string) bool) []port.Endpoint {
+	k.mu.RLock()
+	defer k.mu.RUnlock()
+	var out []port.Endpoint
+	for _, h := range k.byID {
+		if concerns(h.FailureDomain) {
+			out = append(out, h.Endpoint)
+		}
+	}
+	return out
+}
+
 // pool lists the live endpoints of a plain service; it must not be changed.
 func (k *known) pool(name string) []port.Endpoint {
 	k.mu.RLock()
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -30,6 +30,7 @@
 	panics     gometrics.Counter
 	crashes    gometrics.Counter
 	atLimit    gometrics.Counter
+	evacuated  gometrics.Gauge
 }
 
 func newInstruments(r gometrics.Registry) *instruments {
@@ -53,6 +54,7 @@
 		panics:     counter("panics_total"),
 		crashes:    counter("endpoint_crashes_total"),
 		atLimit:    counter("endpoint_limits_kept_total"),
+		evacuated:  gometrics.GetOrRegisterGauge("evacuated_failure_domains", r),
 	}
 }
 
--- a/internal/gateway/moves.go
+++ b/internal/gateway/moves.go
@@ -62,10 +62,14 @@
 			if !m.choose(ctx) {
 				return
 			}
-			step = m.copy(ctx, false)
+			step = m.copyIfFitting(ctx)
 		case continuity.StepCopy:
-			step = m.copy(ctx, false)
+			step = m.copyIfFitting(ctx)
 		case continuity.StepStop:
+			if !m.isFitting() {
+				step = m.elsewhere()
+				continue
+			}
 			if m.run.stop(m.state) {
 				m.copy(ctx, true)
 			}
@@ -96,6 +100,23 @@
 	return d.Verdict == port.VerdictPlace
 }
 
+// isFitting reports whether the destination may still be sent the run.
+func (m *mover) isFitting() bool { return !m.g.isEvacuated(m.to) }
+
+// copyIfFitting makes one pass, unless the destination was evacuated meanwhile.
+func (m *mover) copyIfFitting(ctx context.Context) continuity.Step {
+	if !m.isFitting() {
+		return m.elsewhere()
+	}
+	return m.copy(ctx, false)
+}
+
+// elsewhere gives up the destination.
+func (m *mover) elsewhere() continuity.Step {
+	m.refused = append(m.refused, m.to.ID)
+	return continuity.StepElsewhere
+}
+
 // copy makes one pass and returns what follows from it.
 func (m *mover) copy(ctx context.Context, stop bool) continuity.Step {
 	began := m.g.Clock()
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -60,9 +60,12 @@
 		return x.chosen(&placement{endpoint: d.Endpoint, generation: true}), nil
 	}
 	refusal := &Refusal{Cause: CauseOverloaded, Detail: d.Reason, RetryAfter: d.RetryAfter}
-	if d.Reason == routing.ReasonRefusedModel {
+	switch d.Reason {
+	case routing.ReasonRefusedModel:
 		refusal.Cause = CauseUnknownModel
 		refusal.Detail = "no known endpoint of pool " + x.pool + " serves the model " + strconv.Quote(ask.Model)
+	case routing.ReasonRefusedEvacuated:
+		refusal = x.allEvacuated()
 	}
 	x.interrupted(ctx, refusal)
 	return nil, refusal
@@ -86,7 +89,7 @@
 		Route: x.req.Pass.Route.Name, Objective: x.req.Pass.Route.Objective, Rank: x.req.Pass.Rank,
 		TokenGap:     x.req.Pass.Route.GapObjective / time.Duration(max(1, x.engine.EventTokens)),
 		PromptTokens: a.PromptTokens, MaxTokens: a.MaxTokens, LengthHint: a.LengthHint, PrefixHashes: prefixHashes(a.Parts),
-		Excluded: x.tried, Attempt: x.attempts + 1,
+		Excluded: x.excluded(), Attempt: x.attempts + 1,
 		Arrived: x.req.Arrived, Deadline: x.req.Arrived.Add(left / holdPart),
 	}
 }
@@ -128,6 +131,9 @@
 }
 
 func (x *exchange) noEndpoint() *Refusal {
+	if x.attempts == 0 && x.g.known.allEvacuated(x.pool) {
+		return x.allEvacuated()
+	}
 	if x.attempts > 0 {
 		return &Refusal{Cause: CauseEndpointFailed, Detail: x.reason + "; no other endpoint is left", RetryAfter: retrySoon}
 	}
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -21,6 +21,9 @@
 	CauseEndpointFailed Cause = "endpoint_failed"
 	// CauseQuarantined: endpoints crash whenever they run the request.
 	CauseQuarantined Cause = "crashes_endpoints"
+	// CauseEvacuated: all endpoints that could run the request are in failure
+	// domains that are evacuated.
+	CauseEvacuated   Cause = "evacuated"
 	CauseTimeout     Cause = "timeout"
 	CauseStopping    Cause = "daemon_stopping"
 	CauseTooManyOpen Cause = "too_many_open_requests"
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -87,10 +87,13 @@
 	// only, which tell each other. They are read now and then by the keeper that
 	// reads for all, so that they outlast the loss of all daemons.
 	ListedKinds []string
-	Prober      EndpointProber
-	Decisions   port.DecisionSink
-	Logger      *log.Logger
-	Registry    gometrics.Registry
+	// PresentKinds are kinds of objects that only the platform's own operators
+	// write: a record is in force as long as its object exists.
+	PresentKinds []string
+	Prober       EndpointProber
+	Decisions    port.DecisionSink
+	Logger       *log.Logger
+	Registry     gometrics.Registry
 
 	Watchers       int
 	WatchWait      time.Duration
@@ -251,6 +254,9 @@
 	for _, kind := range k.options.Kinds {
 		group.Go(func() error { return k.watchForever(ctx, kind) })
 	}
+	for _, kind := range k.options.PresentKinds {
+		group.Go(func() error { return k.watchPresentForever(ctx, kind) })
+	}
 	for _, kind := range k.options.ListedKinds {
 		group.Go(func() error { return k.listForever(ctx, kind) })
 	}
--- a/internal/keeper/recordsource.go
+++ b/internal/keeper/recordsource.go
@@ -49,10 +49,17 @@
 	default:
 		s.settle(ctx, objects, revision)
 	}
-	if slices.Contains(k.options.Kinds, s.kind) && k.listed.add(s.kind, len(k.options.Kinds)) {
+	k.listedInFull(s.kind)
+	return revision, nil
+}
+
+// listedInFull notes that a kind was read. Once all that are watched have been,
+// the records are complete.
+func (k *Keeper) listedInFull(kind string) {
+	watched := slices.Concat(k.options.Kinds, k.options.PresentKinds)
+	if slices.Contains(watched, kind) && k.listed.add(kind, len(watched)) {
 		k.node.SetComplete()
 	}
-	return revision, nil
 }
 
 // enter notes the era of a list. The versions of the operators' routes are their
--- a/internal/port/endpoint.go
+++ b/internal/port/endpoint.go
@@ -52,6 +52,9 @@
 	// RateLimit is the requests a second that the endpoint says it takes from all
 	// daemons together; zero is no limit.
 	RateLimit float64 `json:"rate_limit,omitempty"`
+	// Evacuated: nothing more is to be sent to the endpoints of its failure
+	// domain. Each daemon sets it by the evacuations that it knows.
+	Evacuated bool `json:"evacuated,omitempty"`
 }
 
 // LoadReport is what an endpoint says of its own load. It is always late.
--- a/internal/port/platform.go
+++ b/internal/port/platform.go
@@ -15,6 +15,10 @@
 	Value   json.RawMessage `json:"value"`
 }
 
+// ObjectPlatformEvacuation is a kind of platform objects that only the platform's
+// own operators write. An evacuation is in force as long as its object exists.
+const ObjectPlatformEvacuation = "platform-evacuations"
+
 // HostEntry is one line of the platform's lagging list of hosts.
 type HostEntry struct {
 	Endpoint
@@ -61,6 +65,7 @@
 	ObjectOrganisationPriority = "organisation-priorities"
 	ObjectModelDeployment      = "model-deployments"
 	ObjectRequestQuarantine    = "request-quarantines"
+	ObjectDomainEvacuation     = "domain-evacuations"
 	ObjectAudit                = "audit"
 	ObjectClaims               = "claims"
 	ObjectLease                = "leases"
--- a/internal/router/generate.go
+++ b/internal/router/generate.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/dragonflyrail/dragonflyrail/internal/core/evacuation"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/outcome"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/quarantine"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/routing"
@@ -157,9 +158,13 @@
 		Cause: CauseOverloaded, Detail: d.Reason, DecisionID: g.decision,
 		RetryAfter: d.RetryAfter, LastIndex: -1,
 	}
-	if d.Reason == routing.ReasonRefusedModel {
+	switch d.Reason {
+	case routing.ReasonRefusedModel:
 		refusal.Cause = CauseUnknownModel
 		refusal.Detail = "no known endpoint serves the model " + strconv.Quote(g.ask.Model)
+	case routing.ReasonRefusedEvacuated:
+		refusal.Cause, refusal.RetryAfter = CauseEvacuated, evacuation.RetryAfter
+		refusal.Detail = "the endpoints that serve the model " + strconv.Quote(g.ask.Model) + " are in failure domains that are evacuated"
 	}
 	return refusal
 }
--- a/internal/router/refusal.go
+++ b/internal/router/refusal.go
@@ -18,7 +18,10 @@
 	CauseUnknownModel   Cause = "unknown_model"
 	CauseEndpointFailed Cause = "endpoint_failed"
 	// CauseQuarantined: endpoints crash whenever they run the request.
-	CauseQuarantined    Cause = "crashes_endpoints"
+	CauseQuarantined Cause = "crashes_endpoints"
+	// CauseEvacuated: all endpoints that could run the request are in failure
+	// domains that are evacuated.
+	CauseEvacuated      Cause = "evacuated"
 	CauseRejected       Cause = "rejected_by_engine"
 	CauseRetriesSpent   Cause = "retry_budget_spent"
 	CauseStopping       Cause = "router_stopping"
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -10,6 +10,7 @@
 
 	"github.com/dragonflyrail/dragonflyrail/internal/core/balance"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/breaker"
+	"github.com/dragonflyrail/dragonflyrail/internal/core/evacuation"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/membership"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/stream"
 	"github.com/dragonflyrail/dragonflyrail/internal/crashwatch"
@@ -66,6 +67,8 @@
 	Sink     port.DecisionSink
 	// Policy turns the records in force into the scheduler's policy.
 	Policy func([]port.Record) port.Policy
+	// Evacuations returns those in force by the records.
+	Evacuations func([]port.Record) evacuation.Set
 	// KeyRetention is how long claims of idempotency keys are remembered;
 	// zero or nil where no keeper has told it yet.
 	KeyRetention func() time.Duration
@@ -137,9 +140,11 @@
 	loads    *loads
 	metrics  *instruments
 	departed membership.Departures
-	takers   atomic.Pointer[takers]
-	crashes  *crashwatch.Watch
-	applying sync.Mutex
+	// evacuated are the evacuations in force, guarded by applying.
+	evacuated evacuation.Set
+	takers    atomic.Pointer[takers]
+	crashes   *crashwatch.Watch
+	applying  sync.Mutex
 
 	life lifecycle
 }
@@ -149,6 +154,9 @@
 	if p.Clock == nil {
 		p.Clock = time.Now
 	}
+	if p.Evacuations == nil {
+		p.Evacuations = func([]port.Record) evacuation.Set { return evacuation.Set{} }
+	}
 	if p.Metrics == nil {
 		p.Metrics = gometrics.NewRegistry()
 	}
@@ -221,6 +229,8 @@
 	services []port.Endpoint
 	// byService lists the services' endpoints by pool.
 	byService map[string][]port.Endpoint
+	// evacuated are the services that have endpoints in evacuated failure domains.
+	evacuated map[string]bool
 }
 
 // setEndpoints sorts the view's endpoints once per change, and not once per
@@ -229,13 +239,19 @@
 func (r *Router) setEndpoints() {
 	r.applying.Lock()
 	defer r.applying.Unlock()
-	t := &takers{byService: make(map[string][]port.Endpoint)}
+	t := &takers{byService: make(map[string][]port.Endpoint), evacuated: make(map[string]bool)}
 	known := make(map[string]bool)
+	evacuations := r.applyEvacuations()
 	for _, e := range r.View.Endpoints() {
 		known[e.ID] = true
 		if e.State != port.EndpointLive || r.departed.Has(e) {
 			continue
 		}
+		e = evacuations.Mark(e)
+		if e.Kind == port.KindService && e.Evacuated {
+			t.evacuated[e.Pool] = true
+			continue
+		}
 		if e.Kind == port.KindService {
 			t.services = append(t.services, e)
 			t.byService[e.Pool] = append(t.byService[e.Pool], e)
@@ -250,6 +266,18 @@
 	r.departed.Keep(known)
 }
 
+// applyEvacuations puts the evacuations of the records in force; r.applying is
+// held.
+func (r *Router) applyEvacuations() evacuation.Set {
+	next := r.Evacuations(r.View.Records())
+	changes := r.evacuated.ChangesTo(next)
+	r.evacuated = next
+	for _, d := range changes.Decisions(next) {
+		r.decide(d)
+	}
+	return next
+}
+
 // reachable leaves out the runners that the keepers' probes don't reach. Where
 // that would leave none of a pool, its runners stay: it may be the keepers
 // that are cut off.
--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/dragonflyrail/dragonflyrail/internal/core/evacuation"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/outcome"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/quarantine"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/stream"
@@ -248,8 +249,12 @@
 func (c *call) noEndpoint() *Refusal {
 	refusal := &Refusal{Cause: CauseNoEndpoint, RetryAfter: retrySoon, LastIndex: -1}
 	refusal.Detail = "no live endpoint of service " + c.req.Service
-	if c.attempt > 0 {
+	switch {
+	case c.attempt > 0:
 		refusal.Cause, refusal.Detail = CauseEndpointFailed, c.reason
+	case c.r.takers.Load().evacuated[c.req.Service]:
+		refusal.Cause, refusal.RetryAfter = CauseEvacuated, evacuation.RetryAfter
+		refusal.Detail = "the endpoints of service " + c.req.Service + " are in failure domains that are evacuated"
 	}
 	return refusal
 }
