--- a/internal/adapter/httpadmin/httpadmin.go
+++ b/internal/adapter/httpadmin/httpadmin.go
@@ -43,10 +43,11 @@
 
 // subjects maps the plural in a path to the subject of decisions.
 var subjects = map[string]string{
-	"requests":       "request",
-	"endpoints":      "endpoint",
-	"configurations": "configuration",
-	"fingerprints":   "fingerprint",
+	"requests":        "request",
+	"endpoints":       "endpoint",
+	"configurations":  "configuration",
+	"failure-domains": "failure-domain",
+	"fingerprints":    "fingerprint",
 }
 
 // New returns the handler of the admin listener. Only /healthz and /readyz
--- a/internal/adapter/httprecords/records.go
+++ b/internal/adapter/httprecords/records.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/dragonflyrail/dragonflyrail/internal/adapter/httpadmin"
+	"github.com/dragonflyrail/dragonflyrail/internal/core/evacuation"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/record"
 	"github.com/dragonflyrail/dragonflyrail/internal/keeper"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
@@ -58,6 +59,7 @@
 		mux.HandleFunc("DELETE "+base+"/{name}", func(w http.ResponseWriter, r *http.Request) { h.remove(w, r, kind) })
 	}
 	mux.HandleFunc("GET /admin/v1/audit/{kind}/{name}", h.audit)
+	mux.HandleFunc("GET /admin/v1/evacuations", h.evacuations)
 	mux.HandleFunc("GET /admin/v1/in-force", h.inForce)
 	mux.HandleFunc("GET /admin/v1/members", h.members)
 	mux.HandleFunc("GET /admin/v1/endpoints", h.endpoints)
@@ -207,6 +209,19 @@
 	httpadmin.WriteJSON(w, http.StatusOK, h.Keeper.InForce(r.Context()))
 }
 
+type evacuationList struct {
+	Evacuations []evacuation.Evacuation `json:"evacuations"`
+}
+
+// evacuations lists those in force here, whoever gave the order.
+func (h *Handler) evacuations(w http.ResponseWriter, _ *http.Request) {
+	if !h.ready(w) {
+		return
+	}
+	h.setAge(w)
+	httpadmin.WriteJSON(w, http.StatusOK, evacuationList{Evacuations: record.Evacuations(h.Keeper.Records()).All()})
+}
+
 type memberList struct {
 	Members []port.Member `json:"members"`
 }
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/dragonflyrail/dragonflyrail/internal/adapter/httpserver"
+	"github.com/dragonflyrail/dragonflyrail/internal/core/evacuation"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
 
@@ -276,3 +277,21 @@
 	run(t, "short", "hash-token").want(t, ExitUsage, "standard input")
 	run(t, strings.Repeat("x", mostToken+1), "hash-token").want(t, ExitUsage)
 }
+
+// Guards against evacuations that nobody can account for, or that can't be taken back.
+func TestEvacuateListAndUseAgain(t *testing.T) {
+	k := newFakeKeeper(t)
+	run(t, "", global(k, "evacuate", "howrah-hall")...).want(t, ExitUsage, "reason")
+	run(t, "", global(k, "evacuate", "howrah-hall", "--reason", "power work")...).want(t, ExitOK, "howrah-hall", "evacuated")
+	got := string(k.records["domain-evacuations/howrah-hall"].Document)
+	for _, want := range []string{`"reason":"power work"`, `"requested_by":"asha"`, `"since":"20`} {
+		if !strings.Contains(got, want) {
+			t.Errorf("%s is not in %s", want, got)
+		}
+	}
+	run(t, "", global(k, "evacuate", "howrah-hall", "--reason", "again")...).want(t, ExitConflict, "already")
+	k.evacuations = []evacuation.Evacuation{{FailureDomain: "howrah-hall", Kind: "domain-evacuations", RequestedBy: "asha", Reason: "power work"}}
+	run(t, "", global(k, "evacuations")...).want(t, ExitOK, "howrah-hall", "asha", "power work")
+	run(t, "", global(k, "use-again", "howrah-hall")...).want(t, ExitOK, "used again")
+	run(t, "", global(k, "use-again", "howrah-hall")...).want(t, ExitNotFound, "evacuations")
+}
--- a/internal/ctl/fake_test.go
+++ b/internal/ctl/fake_test.go
@@ -12,6 +12,7 @@
 	"sync"
 	"testing"
 
+	"github.com/dragonflyrail/dragonflyrail/internal/core/evacuation"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
 
@@ -23,6 +24,8 @@
 	records map[string]versioned
 	version uint64
 	members []port.Member
+	// evacuations are those in force.
+	evacuations []evacuation.Evacuation
 	// explain maps a path below explain/ to decisions.
 	explain map[string][]port.DecisionRecord
 	// fault, when set, answers instead.
@@ -60,6 +63,8 @@
 	switch {
 	case path == "members":
 		answer(w, http.StatusOK, memberList{k.members})
+	case path == "evacuations":
+		answer(w, http.StatusOK, evacuationList{k.evacuations})
 	case path == "drain":
 		w.WriteHeader(http.StatusAccepted)
 	case path == "in-force":
--- a/internal/ctl/why.go
+++ b/internal/ctl/why.go
@@ -24,8 +24,8 @@
 type whyCommand struct {
 	app  *app
 	Args struct {
-		Subject whySubject `positional-arg-name:"SUBJECT" required:"true" description:"request, endpoint, configuration or fingerprint"`
-		ID      string     `positional-arg-name:"ID" required:"true" description:"request id, endpoint id, KIND/NAME, or a request's fingerprint"`
+		Subject whySubject `positional-arg-name:"SUBJECT" required:"true" description:"request, endpoint, configuration, failure-domain or fingerprint"`
+		ID      string     `positional-arg-name:"ID" required:"true" description:"request id, endpoint id, KIND/NAME, a failure domain, or a request's fingerprint"`
 	} `positional-args:"true" required:"true"`
 }
 
@@ -33,24 +33,25 @@
 type whySubject string
 
 var subjectPaths = map[whySubject]string{
-	"request":       "requests",
-	"endpoint":      "endpoints",
-	"configuration": "configurations",
-	"fingerprint":   "fingerprints",
+	"request":        "requests",
+	"endpoint":       "endpoints",
+	"configuration":  "configurations",
+	"failure-domain": "failure-domains",
+	"fingerprint":    "fingerprints",
 }
 
 // UnmarshalFlag accepts one of the subjects.
 func (s *whySubject) UnmarshalFlag(value string) error {
 	*s = whySubject(strings.TrimSuffix(value, "s"))
 	if subjectPaths[*s] == "" {
-		return merry.Appendf(ErrUsage, "no subject %q; ask why request, why endpoint, why configuration or why fingerprint", value)
+		return merry.Appendf(ErrUsage, "no subject %q; ask why request, why endpoint, why configuration, why failure-domain or why fingerprint", value)
 	}
 	return nil
 }
 
 // Complete lists the subjects that start with what is typed.
 func (s *whySubject) Complete(match string) []flags.Completion {
-	return completions(match, "configuration", "endpoint", "fingerprint", "request")
+	return completions(match, "configuration", "endpoint", "failure-domain", "fingerprint", "request")
 }
 
 // explained is the answer to a why.
