Cold runners get no more than they bear from all daemons together

Cause: a runner that is cold, as it says in its entry or beside its answers, was used like any other. It looks emptiest to each daemon's two choices: of 300 calls in 3 s one of three cold ones got 88 where it bears 4 a second, and the stand-in runners, which end above their measure, ended one after the other: in a soak of 15 s with runners that join cold 9 and 10 of them, until nobody was served.

Ruled out: a share of each daemon (74 daemons share 27 a second: a third each, and most go unused); a ramp by time alone (it doesn't know how many send).

Change: coldstart follows who is cold, bounded to a minute by one word; the operators' measure (cold_per_s) becomes a limit beside the one that an endpoint names itself, and goes the same way: leave by the pool's coordinator, with a quarter of a second of burst in place of one, as what counts is any second. Others get the calls meanwhile; where all are cold, callers are refused at once. Once it is warm two choices give it twice its share at most.

--- a/cmd/dragonfly-standin/fleet.go
+++ b/cmd/dragonfly-standin/fleet.go
@@ -32,6 +32,8 @@
 	Work       time.Duration `long:"work" default:"0s" description:"how long a plain service takes"`
 	Beat       time.Duration `long:"beat" default:"1s" description:"time between two writes of the entry"`
 	Notice     time.Duration `long:"notice" default:"1500ms" description:"how long it serves on once the store knows that it leaves"`
+	ColdFor    time.Duration `long:"cold-for" default:"0s" description:"how long it is cold after its start; more than it bears then ends it"`
+	ColdRate   float64       `long:"cold-per-second" default:"0" description:"requests a second that it bears while it is cold"`
 	Unsaid     bool          `long:"unsaid" description:"leave by removing the entry, without saying so"`
 }
 
@@ -39,7 +41,7 @@
 func (c *fleetRunnerCommand) Execute([]string) error {
 	r := &standin.Runner{
 		ID: c.ID, EventEvery: c.EventEvery, Work: c.Work, CacheTokens: standin.CacheTokens,
-		OnCrash: func() { os.Exit(exitCrashed) },
+		OnCrash: func() { os.Exit(exitCrashed) }, Cold: standin.NewCold(c.ColdFor, c.ColdRate),
 	}
 	var kept *standin.Registration
 	return c.serveWith("fleet-runner", standin.SwitchedRunner(r), hooks{
@@ -50,7 +52,7 @@
 				address = c.Listen
 			}
 			kept = &standin.Registration{
-				Store: standin.StoreClient{Address: c.Store}, ID: c.ID, Every: c.Beat, Logger: l,
+				Store: standin.StoreClient{Address: c.Store}, ID: c.ID, Every: c.Beat, Cold: r.Cold, Logger: l,
 				Entry: standin.Entry(c.Service, address, c.FailureDomain, time.Now().UnixMilli(), nil),
 			}
 			kept.Keep(ctx)
--- a/internal/adapter/grpcpeer/convert.go
+++ b/internal/adapter/grpcpeer/convert.go
@@ -6,10 +6,12 @@
 
 import (
 	"math"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	peerv1 "github.com/dragonflyrail/dragonflyrail/api/peer/v1"
+	"github.com/dragonflyrail/dragonflyrail/internal/core/coldstart"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/membership"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/spread"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/spread/node"
@@ -49,7 +51,7 @@
 		FencesOrders: e.FencesOrders, Models: e.Models,
 		Version: e.Observation, Unreachable: e.Unreachable, Confirmed: e.Confirmed,
 		Revision: uint64(e.Revision), Said: string(e.Said), Slots: uint32(e.Slots),
-		RateLimit: e.RateLimit, LimitChanges: e.LimitChanges,
+		RateLimit: e.RateLimit, LimitChanges: e.LimitChanges, ColdMillis: e.ColdFor.Milliseconds(),
 	}
 	if e.EntryRevision != e.Revision {
 		out.EntryRevision = proto.Uint64(uint64(e.EntryRevision))
@@ -69,7 +71,7 @@
 			FailureDomain: e.GetFailureDomain(), Incarnation: e.GetIncarnation(),
 			State: port.EndpointState(e.GetState()), FencesOrders: e.GetFencesOrders(), Models: e.GetModels(),
 			Unreachable: e.GetUnreachable(), Revision: revision, Slots: int(e.GetSlots()),
-			RateLimit: rateLimitFromWire(e.GetRateLimit()),
+			RateLimit: rateLimitFromWire(e.GetRateLimit()), ColdFor: coldFromWire(e.GetColdMillis()),
 		},
 		EntryRevision: entry,
 		Said:          port.EndpointState(e.GetSaid()),
@@ -196,3 +198,8 @@
 func heartbeatFromWire(h *peerv1.Heartbeat) node.Message {
 	return messageFromWire(h.GetSync(), h.GetRecords(), h.GetObservedEndpoints(), h.GetKnownMembers(), h.GetSuspects())
 }
+
+// coldFromWire bounds how long an endpoint may be said to stay cold.
+func coldFromWire(millis int64) time.Duration {
+	return time.Duration(min(coldstart.Longest.Milliseconds(), max(0, millis))) * time.Millisecond
+}
--- a/internal/adapter/grpcpeer/scheduling.go
+++ b/internal/adapter/grpcpeer/scheduling.go
@@ -72,7 +72,9 @@
 // Admit gives leave to send one request.
 func (s *SchedulingService) Admit(_ context.Context, r *peerv1.AdmitRequest) (*peerv1.AdmitReply, error) {
 	asks := mapSlice(r.GetEndpoints(), func(e *peerv1.LimitedEndpoint) ratelimit.Ask {
-		return ratelimit.Ask{Endpoint: e.GetId(), PerSecond: rateLimitFromWire(e.GetRateLimit())}
+		return ratelimit.Ask{Endpoint: e.GetId(), Limit: ratelimit.Limit{
+			PerSecond: rateLimitFromWire(e.GetRateLimit()), IsCold: e.GetCold(),
+		}}
 	})
 	g := s.Admitter.AdmitHere(r.GetPool(), asks, millis(r.GetPatienceMillis()))
 	return &peerv1.AdmitReply{Endpoint: g.Endpoint, WaitMicros: g.Wait.Microseconds()}, nil
@@ -178,7 +180,7 @@
 	reply, err := peerv1.NewSchedulingClient(p.conn).Admit(ctx, &peerv1.AdmitRequest{
 		Pool: pool,
 		Endpoints: mapSlice(asks, func(a ratelimit.Ask) *peerv1.LimitedEndpoint {
-			return &peerv1.LimitedEndpoint{Id: a.Endpoint, RateLimit: a.PerSecond}
+			return &peerv1.LimitedEndpoint{Id: a.Endpoint, RateLimit: a.PerSecond, Cold: a.IsCold}
 		}),
 		PatienceMillis: patience.Milliseconds(),
 	})
--- a/internal/adapter/grpcpeer/scheduling_test.go
+++ b/internal/adapter/grpcpeer/scheduling_test.go
@@ -57,7 +57,7 @@
 // A daemon gets leave for one request at another, and is told when to ask again.
 func TestAdmitsOverTheWire(t *testing.T) {
 	_, peer := schedulerOnTheWire(t)
-	asks := []ratelimit.Ask{{Endpoint: "e", PerSecond: 0.5}}
+	asks := []ratelimit.Ask{{Endpoint: "e", Limit: ratelimit.Limit{PerSecond: 0.5}}}
 	g, err := peer.Admit(t.Context(), "pool", asks, 0)
 	if err != nil || g.Endpoint != "e" || g.Wait != 0 {
 		t.Fatalf("%+v, %v", g, err)
--- a/internal/core/membership/endpoint.go
+++ b/internal/core/membership/endpoint.go
@@ -114,6 +114,7 @@
 		cmp.Compare(a.FailureDomain, b.FailureDomain),
 		compareBools(a.FencesOrders, b.FencesOrders),
 		cmp.Compare(a.Slots, b.Slots),
+		cmp.Compare(a.ColdFor, b.ColdFor),
 	)
 }
 
@@ -171,6 +172,9 @@
 	if e.EntryRevision != e.Revision {
 		h.Uint64(uint64(e.EntryRevision))
 	}
+	if e.ColdFor != 0 {
+		h.Uint64(uint64(e.ColdFor))
+	}
 	if e.LimitChanges != 0 {
 		h.Uint64(e.LimitChanges)
 		h.Uint64(math.Float64bits(e.RateLimit))
--- a/internal/core/membership/lattice_test.go
+++ b/internal/core/membership/lattice_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
@@ -58,6 +59,7 @@
 		Observation: few[uint64](0, 1, 2).Draw(t, "observation"),
 	}
 	if changes := few[uint64](0, 1, 2).Draw(t, "limit changes"); changes > 0 {
+		e.ColdFor = few(time.Duration(0), time.Second, time.Minute).Draw(t, "cold")
 		e.LimitChanges, e.RateLimit = changes, few(0, 2.5, 4).Draw(t, "limit")
 	}
 	if rapid.Bool().Draw(t, "has model") {
--- a/internal/core/ratelimit/limiter.go
+++ b/internal/core/ratelimit/limiter.go
@@ -27,9 +27,8 @@
 // Ask names an endpoint to which a request could be sent.
 type Ask struct {
 	Endpoint string
-	// PerSecond is the limit that the endpoint is known by, in requests a second;
-	// zero is none.
-	PerSecond float64
+	// Limit is the one that the endpoint is known by.
+	Limit
 }
 
 // Grant says where and when one request may be sent.
@@ -80,7 +79,7 @@
 		if m == nil {
 			continue
 		}
-		if wait := m.Wait(now, a.PerSecond); best == nil || wait < soonest {
+		if wait := m.Wait(now, a.Limit); best == nil || wait < soonest {
 			best, chosen, soonest = m, a, wait
 		}
 	}
@@ -90,7 +89,7 @@
 	case soonest > patience:
 		return Grant{Wait: best.postpone(now, soonest-patience, chosen.PerSecond)}
 	}
-	best.Take(now, chosen.PerSecond)
+	best.Take(now, chosen.Limit)
 	return Grant{Endpoint: chosen.Endpoint, Wait: soonest}
 }
 
@@ -123,7 +122,7 @@
 	}
 	m = &metered{}
 	if l.isShare {
-		m.due = now.Add(burst + interval(a.PerSecond))
+		m.due = now.Add(a.burst() + interval(a.PerSecond))
 	}
 	l.m[a.Endpoint] = m
 	return m
--- a/internal/core/ratelimit/limiter_test.go
+++ b/internal/core/ratelimit/limiter_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
 
 // mostWithin is what an endpoint may get within a time from one limiter.
@@ -43,7 +45,7 @@
 			var asks []Ask
 			for i := range limits {
 				if rapid.Bool().Draw(t, "asked for") {
-					asks = append(asks, Ask{Endpoint: fmt.Sprint(i), PerSecond: limits[i]})
+					asks = append(asks, Ask{Endpoint: fmt.Sprint(i), Limit: Limit{PerSecond: limits[i]}})
 				}
 			}
 			patience := time.Duration(rapid.IntRange(0, 3000).Draw(t, "patience")) * time.Millisecond
@@ -95,7 +97,7 @@
 			if now.Before(next[d]) {
 				continue
 			}
-			g := l.Admit(now, []Ask{{Endpoint: "e", PerSecond: limit}}, patience)
+			g := l.Admit(now, []Ask{{Endpoint: "e", Limit: Limit{PerSecond: limit}}}, patience)
 			asked++
 			if g.Endpoint != "" {
 				admitted++
@@ -118,7 +120,7 @@
 	if most := limit * (lasting + burst).Seconds(); float64(admitted) > most {
 		t.Errorf("%d admitted, allowed %v", admitted, most)
 	}
-	if g := NewShareLimiter().Admit(start, []Ask{{Endpoint: "e", PerSecond: limit}}, 0); g.Endpoint != "" {
+	if g := NewShareLimiter().Admit(start, []Ask{{Endpoint: "e", Limit: Limit{PerSecond: limit}}}, 0); g.Endpoint != "" {
 		t.Error("a request is admitted before the time of one has passed")
 	}
 }
@@ -129,7 +131,7 @@
 		l := NewLimiter()
 		for i := range 5 {
 			now := start.Add(time.Duration(i) * pause)
-			if g := l.Admit(now, []Ask{{Endpoint: "e", PerSecond: 3}}, 0); g.Endpoint == "" {
+			if g := l.Admit(now, []Ask{{Endpoint: "e", Limit: Limit{PerSecond: 3}}}, 0); g.Endpoint == "" {
 				t.Errorf("every %v: ask %d is refused for %v", pause, i, g.Wait)
 			}
 			l.Expire(now)
@@ -144,15 +146,60 @@
 func TestLimiterIsBounded(t *testing.T) {
 	l := NewLimiter()
 	for i := range maxMeters + 10 {
-		l.Admit(start, []Ask{{Endpoint: fmt.Sprint(i), PerSecond: 3}}, 0)
+		l.Admit(start, []Ask{{Endpoint: fmt.Sprint(i), Limit: Limit{PerSecond: 3}}}, 0)
 	}
 	if l.Len() != maxMeters {
 		t.Fatalf("%d endpoints are remembered", l.Len())
 	}
-	if g := l.Admit(start, []Ask{{Endpoint: "another", PerSecond: 3}}, 0); g.Endpoint != "" || g.Wait != askAgain {
+	if g := l.Admit(start, []Ask{{Endpoint: "another", Limit: Limit{PerSecond: 3}}}, 0); g.Endpoint != "" || g.Wait != askAgain {
 		t.Fatalf("%+v", g)
 	}
-	if g := l.Admit(start.Add(2*memory), []Ask{{Endpoint: "another", PerSecond: 3}}, 0); g.Endpoint == "" {
+	if g := l.Admit(start.Add(2*memory), []Ask{{Endpoint: "another", Limit: Limit{PerSecond: 3}}}, 0); g.Endpoint == "" {
 		t.Fatalf("%+v", g)
 	}
 }
+
+// Guards against bursts at a cold endpoint: within any second it gets little more than its rate.
+func TestColdEndpointsGetNoBurst(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l, now := NewLimiter(), start
+		limit := Limit{PerSecond: rapid.Float64Range(1, 200).Draw(t, "limit"), IsCold: true}
+		var sent []time.Time
+		for range rapid.IntRange(1, 400).Draw(t, "asks") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 40).Draw(t, "pause")) * time.Millisecond)
+			if g := l.Admit(now, []Ask{{Endpoint: "e", Limit: limit}}, 0); g.Endpoint != "" {
+				sent = append(sent, now)
+			}
+		}
+		for i, first := range sent {
+			n := 0.0
+			for _, at := range sent[i:] {
+				if at.Sub(first) < time.Second {
+					n++
+				}
+			}
+			// What arrives a fifth of a second late still counts in the next second.
+			if late := 0.2 * limit.PerSecond; n+late > 1.5*limit.PerSecond+5 {
+				t.Fatalf("%v requests within a second, limit %v", n, limit.PerSecond)
+			}
+		}
+	})
+}
+
+// Guards against forgetting one of the limits of an endpoint that has two.
+func TestSmallerLimitOfAnEndpointCounts(t *testing.T) {
+	for _, c := range []struct {
+		named, cold float64
+		want        Limit
+	}{
+		{0, 0, Limit{}},
+		{3, 0, Limit{PerSecond: 3}},
+		{0, 4, Limit{PerSecond: 4, IsCold: true}},
+		{3, 4, Limit{PerSecond: 3, IsCold: true}},
+		{5, 4, Limit{PerSecond: 4, IsCold: true}},
+	} {
+		if got := Of(&port.Endpoint{RateLimit: c.named, ColdRate: c.cold}); got != c.want {
+			t.Errorf("%v and %v: %+v", c.named, c.cold, got)
+		}
+	}
+}
--- a/internal/core/route/table.go
+++ b/internal/core/route/table.go
@@ -84,6 +84,9 @@
 	// MaxConnections is what one endpoint takes of all callers together; zero
 	// is no bound.
 	MaxConnections int `json:"max_connections,omitempty"`
+	// ColdRate is the requests a second that an endpoint takes from all callers
+	// together while it is cold; zero where the operators name none.
+	ColdRate float64 `json:"cold_rate,omitempty"`
 	// Engine describes the pool's model engines; nil for plain services.
 	Engine *Engine `json:"engine,omitempty"`
 }
--- a/internal/core/routing/relocate.go
+++ b/internal/core/routing/relocate.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/dragonflyrail/dragonflyrail/internal/core/ratelimit"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
 
@@ -45,7 +46,7 @@
 		return d
 	}
 	e.next = c.runner
-	e.next.meter.Take(now, e.next.endpoint.RateLimit)
+	e.next.meter.Take(now, ratelimit.Of(&e.next.endpoint))
 	e.next.take(now, e)
 	d := s.placed(e, &k, ReasonRelocated)
 	d.Endpoint = e.next.endpoint
--- a/internal/core/routing/runner.go
+++ b/internal/core/routing/runner.go
@@ -168,7 +168,7 @@
 }
 
 // atLimit reports whether the runner has named a limit and takes no more now.
-func (r *runner) atLimit(now time.Time) bool { return r.meter.Wait(now, r.endpoint.RateLimit) > 0 }
+func (r *runner) atLimit(now time.Time) bool { return r.meter.Wait(now, ratelimit.Of(&r.endpoint)) > 0 }
 
 // count is the generations there, waiting ones included.
 func (r *runner) count() float64 { return float64(r.ownCount) + r.elseCount }
--- a/internal/core/routing/shard.go
+++ b/internal/core/routing/shard.go
@@ -9,6 +9,7 @@
 
 	"github.com/dragonflyrail/dragonflyrail/internal/core/admission"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/length"
+	"github.com/dragonflyrail/dragonflyrail/internal/core/ratelimit"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
 
@@ -147,7 +148,7 @@
 	e.org.work.add(now, e.cost)
 	e.org.rates[e.item.Lane].add(now, 1)
 	c.runner.breaker.dispatched()
-	c.runner.meter.Take(now, c.runner.endpoint.RateLimit)
+	c.runner.meter.Take(now, ratelimit.Of(&c.runner.endpoint))
 	s.dispatched.add(now, e.print.peak())
 	s.prefixes.sent(now, e.request.PrefixHashes, c.runner)
 }
--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/dragonflyrail/dragonflyrail/internal/core/route"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
@@ -70,7 +71,7 @@
 		return
 	}
 	now := g.Clock()
-	changed = g.asHeld(changed)
+	changed = g.asHeld(now, changed)
 	// First the scheduler: who sees here that a runner is known may place at
 	// once, and would be refused for want of it.
 	g.Scheduler.ChangeEndpoints(now, runnersOf(changed))
@@ -78,6 +79,7 @@
 		before, knew := g.known.put(e, now)
 		g.noteEndpoint(before, knew, &e)
 		g.noteLimit(before.RateLimit, &e)
+		g.noteColdness(before.ColdRate, &e)
 		if e.State == port.EndpointGone {
 			g.forgetWorkOf(e.ID)
 		}
@@ -89,6 +91,7 @@
 func (g *Gateway) forgetWorkOf(id string) {
 	g.balancer.Forget(id)
 	g.limits.Forget(id)
+	g.cold.Forget(id)
 	g.atLimit.forget(id)
 	g.breakers.Forget(id)
 }
@@ -112,7 +115,7 @@
 
 // asHeld adds to what the view says of endpoints what this daemon saw itself
 // and what the operators say.
-func (g *Gateway) asHeld(changed []port.Endpoint) []port.Endpoint {
+func (g *Gateway) asHeld(now time.Time, changed []port.Endpoint) []port.Endpoint {
 	out := make([]port.Endpoint, 0, len(changed))
 	for _, e := range changed {
 		if g.departed.Has(e) && e.State == port.EndpointLive {
@@ -121,7 +124,7 @@
 		if e.Kind == port.KindRunner {
 			e = g.withCache(e)
 		}
-		out = append(out, g.evacuated.Load().Mark(e))
+		out = append(out, g.evacuated.Load().Mark(g.withColdness(now, e)))
 	}
 	return out
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -46,11 +46,12 @@
 	return x.relayBody(ctx, p, answer)
 }
 
-// send sends a request once and takes what the endpoint says of its limit.
+// send sends a request once and takes what the endpoint says of what it takes.
 func (x *exchange) send(ctx context.Context, out *port.Exchange) (*port.Answer, error) {
 	answer, err := x.g.Endpoints.Send(ctx, out)
 	if answer != nil {
 		x.g.heardLimit(out.Endpoint, answer.RateLimit)
+		x.g.heardColdness(out.Endpoint, answer.ColdFor)
 	}
 	return answer, err
 }
--- a/internal/gateway/decide.go
+++ b/internal/gateway/decide.go
@@ -22,6 +22,9 @@
 	verdictRelease = "release"
 	// verdictWithdraw: the place is given back before anything was sent.
 	verdictWithdraw = "withdraw"
+	// verdictCold and verdictWarm: an endpoint has become so.
+	verdictCold = "cold"
+	verdictWarm = "warm"
 	// verdictLimit: an endpoint names another limit, or none any more.
 	verdictLimit = "limit"
 )
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,6 +10,7 @@
 
 	"github.com/dragonflyrail/dragonflyrail/internal/core/balance"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/breaker"
+	"github.com/dragonflyrail/dragonflyrail/internal/core/coldstart"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/evacuation"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/membership"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/ratelimit"
@@ -114,6 +115,7 @@
 	runs     runs
 	crashes  *crashwatch.Watch
 	limits   *ratelimit.Observer
+	cold     *coldstart.Tracker
 	// atLimit are endpoints and pools that take nothing now.
 	atLimit  refusals
 	promises promises
@@ -146,6 +148,7 @@
 		balancer: balance.New(balance.Options{Draw: draw, ReportMaxAge: o.ReportMaxAge}),
 		metrics:  newInstruments(p.Metrics),
 		limits:   ratelimit.NewObserver(),
+		cold:     coldstart.NewTracker(),
 	}
 	g.o.Store(&o)
 	g.evacuated.Store(&evacuation.Set{})
@@ -182,6 +185,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			g.warm()
 			g.Scheduler.Tick(g.Clock())
 			g.crashes.Tick()
 		}
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -124,7 +124,7 @@
 	return slices.DeleteFunc(slices.Clone(es), isLimited)
 }
 
-func isLimited(e port.Endpoint) bool { return e.RateLimit > 0 }
+func isLimited(e port.Endpoint) bool { return ratelimit.Of(&e).PerSecond > 0 }
 
 // withinLimits draws an endpoint that takes a call now. One that names a limit is
 // asked for where it is drawn, so that it gets its share of the calls and no more
@@ -182,7 +182,7 @@
 func asksOf(es []port.Endpoint) []ratelimit.Ask {
 	asks := make([]ratelimit.Ask, len(es))
 	for i := range es {
-		asks[i] = ratelimit.Ask{Endpoint: es[i].ID, PerSecond: es[i].RateLimit}
+		asks[i] = ratelimit.Ask{Endpoint: es[i].ID, Limit: ratelimit.Of(&es[i])}
 	}
 	return asks
 }
@@ -263,7 +263,7 @@
 	x.g.metrics.atLimit.Inc(1)
 	perSecond := 0.0
 	for i := range limited {
-		perSecond += limited[i].RateLimit
+		perSecond += ratelimit.Of(&limited[i]).PerSecond
 	}
 	refusal := &Refusal{
 		Cause:  CauseOverloaded,
--- a/internal/port/endpoint.go
+++ b/internal/port/endpoint.go
@@ -52,6 +52,13 @@
 	// RateLimit is the requests a second that the endpoint says it takes from all
 	// daemons together; zero is no limit.
 	RateLimit float64 `json:"rate_limit,omitempty"`
+	// ColdFor is how long the endpoint stays cold after the registry's entry was
+	// written: it takes few requests until then.
+	ColdFor time.Duration `json:"cold_for,omitempty"`
+	// ColdRate is the requests a second that the endpoint takes from all daemons
+	// together while it is cold; zero where it isn't. Each daemon sets it by what
+	// it knows.
+	ColdRate float64 `json:"cold_rate,omitempty"`
 	// Evacuated: nothing more is to be sent to the endpoints of its failure
 	// domain. Each daemon sets it by the evacuations that it knows.
 	Evacuated bool `json:"evacuated,omitempty"`
--- a/internal/port/exchange.go
+++ b/internal/port/exchange.go
@@ -67,6 +67,9 @@
 	// RateLimit is the requests a second that the endpoint takes from all daemons
 	// together, as long as its answers say so; nil where this one says none.
 	RateLimit *float64
+	// ColdFor is how long the endpoint says that it stays cold, nil where it says
+	// nothing.
+	ColdFor *time.Duration
 	// Closing: the endpoint closes the connection, as one that leaves does.
 	Closing bool
 }
--- a/internal/scheduling/admit.go
+++ b/internal/scheduling/admit.go
@@ -65,7 +65,8 @@
 	}
 	out := make([]ratelimit.Ask, len(asks))
 	for i, a := range asks {
-		out[i] = ratelimit.Ask{Endpoint: a.Endpoint, PerSecond: a.PerSecond / float64(sharedPart*max(1, daemons))}
+		out[i] = a
+		out[i].PerSecond /= float64(sharedPart * max(1, daemons))
 	}
 	return out
 }
--- a/internal/scheduling/admit_test.go
+++ b/internal/scheduling/admit_test.go
@@ -19,7 +19,7 @@
 
 // admit asks for leave at a daemon, and returns when the request is sent.
 func (f *fleet) admit(name string, patience time.Duration) (sent time.Time, g Admission) {
-	g = f.clients[name].Admit(context.Background(), "pool", []ratelimit.Ask{{Endpoint: "e", PerSecond: limit}}, patience)
+	g = f.clients[name].Admit(context.Background(), "pool", []ratelimit.Ask{{Endpoint: "e", Limit: ratelimit.Limit{PerSecond: limit}}}, patience)
 	return f.clock.Now().Add(g.Wait), g
 }
 
--- a/internal/tools/soak/main.go
+++ b/internal/tools/soak/main.go
@@ -31,6 +31,7 @@
 	Crashes bool          `long:"crashes" description:"have a request crash the runners that run it"`
 	Limits  bool          `long:"limits" description:"have runners name limits of requests"`
 	Domains bool          `long:"evacuations" description:"have failure domains evacuated"`
+	Cold    bool          `long:"cold" description:"have runners that join be cold"`
 	BinDir  string        `long:"bin" default:"bin" description:"directory of the binaries"`
 	Logs    string        `long:"logs" default:"soak-logs" description:"where the logs of a seed that failed are kept"`
 	Keep    bool          `long:"keep-logs" description:"keep the logs of seeds that held as well"`
@@ -78,7 +79,7 @@
 	}
 	l := testfleet.SmallLayout(o.BinDir, ".", dir)
 	l.Daemons, l.Engines, l.Plain = o.Daemons, o.Engines, o.Plain
-	report, err := soak.Run(ctx, soak.Options{Seed: seed, Length: o.Length, Layout: l, Routes: o.Routes, Restores: o.Restore, Crashes: o.Crashes, Limits: o.Limits, Evacuations: o.Domains, Log: func(format string, args ...any) {
+	report, err := soak.Run(ctx, soak.Options{Seed: seed, Length: o.Length, Layout: l, Routes: o.Routes, Restores: o.Restore, Crashes: o.Crashes, Limits: o.Limits, Evacuations: o.Domains, Cold: o.Cold, Log: func(format string, args ...any) {
 		if o.Verbose {
 			fmt.Printf(format+"\n", args...)
 		}
