--- a/test/entry_test.go
+++ b/test/entry_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -291,3 +292,32 @@
 		s.mustBeWhole(t)
 	}
 }
+
+// deadNamedFor bounds the time for which a daemon that was killed is still named.
+const deadNamedFor = 6 * time.Second
+
+// Guards against directories that send callers to a daemon that was killed.
+func TestKilledDaemonIsNamedNoMore(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, nil)
+	dead, others := f.Daemons[0], f.Daemons[1:]
+	dead.Kill()
+	bound := time.Now().Add(deadNamedFor)
+	for _, d := range others {
+		procs.Until(t, d.ID+" names it no more", func() bool {
+			named := f.Resolve(bounded(t), d)
+			return len(named) > 0 && !slices.Contains(named, dead.Callers)
+		})
+	}
+	if late := time.Since(bound); late > 0 {
+		t.Errorf("it was named for %v longer than %v", late, deadNamedFor)
+	}
+	if err := f.StartDaemon(dead); err != nil {
+		t.Fatal(err)
+	}
+	for _, d := range others {
+		procs.Until(t, d.ID+" names it again", func() bool {
+			return slices.Contains(f.Resolve(bounded(t), d), dead.Callers)
+		})
+	}
+}
