Pools' evacuated endpoints are counted where they change; lists are read in one place

Cause: a call to a pool without endpoints looked through all that are known to tell whether they are evacuated: at 1,900 runners and thousands of refused calls a second that is most of a core. And the two readers of kinds of records both read, and judged the era of, a list.

Change: evacuated endpoints are listed by pool as they change; recordSource.read.

--- a/internal/gateway/known.go
+++ b/internal/gateway/known.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -17,6 +18,8 @@
 	// that are evacuated. A list is replaced, never changed, as calls read it
 	// without the lock.
 	live map[string][]port.Endpoint
+	// evacuated names the live endpoints of each pool that are evacuated.
+	evacuated map[string]map[string]struct{}
 }
 
 // held is one endpoint.
@@ -34,6 +37,7 @@
 	if k.byID == nil {
 		k.byID = make(map[string]held)
 		k.live = make(map[string][]port.Endpoint)
+		k.evacuated = make(map[string]map[string]struct{})
 	}
 	before, knew = k.byID[e.ID]
 	next := held{Endpoint: e}
@@ -46,7 +50,9 @@
 	k.byID[e.ID] = next
 	if knew && before.Pool != e.Pool {
 		k.unlist(before.Pool, e.ID)
+		delete(k.evacuated[before.Pool], e.ID)
 	}
+	k.listEvacuated(e)
 	if e.Kind != port.KindRunner {
 		k.list(e)
 	}
@@ -62,6 +68,19 @@
 	k.live[e.Pool] = append(slices.Clip(k.live[e.Pool]), e)
 }
 
+// listEvacuated puts the endpoint among those of its pool that are evacuated, or
+// takes it out.
+func (k *known) listEvacuated(e port.Endpoint) {
+	if e.State != port.EndpointLive || !e.Evacuated {
+		delete(k.evacuated[e.Pool], e.ID)
+		return
+	}
+	if k.evacuated[e.Pool] == nil {
+		k.evacuated[e.Pool] = make(map[string]struct{})
+	}
+	k.evacuated[e.Pool][e.ID] = struct{}{}
+}
+
 func (k *known) unlist(pool, id string) {
 	list := k.live[pool]
 	at := slices.IndexFunc(list, func(e port.Endpoint) bool { return e.ID == id })
@@ -75,7 +94,9 @@
 func (k *known) forget(id string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.unlist(k.byID[id].Pool, id)
+	pool := k.byID[id].Pool
+	k.unlist(pool, id)
+	delete(k.evacuated[pool], id)
 	delete(k.byID, id)
 }
 
@@ -90,30 +111,15 @@
 func (k *known) evacuatedOf(pool string) []string {
 	k.mu.RLock()
 	defer k.mu.RUnlock()
-	var out []string
-	for id, h := range k.byID {
-		if h.Pool == pool && h.Evacuated && h.State == port.EndpointLive {
-			out = append(out, id)
-		}
-	}
-	return out
+	return slices.Collect(maps.Keys(k.evacuated[pool]))
 }
 
-// allEvacuated reports whether a pool has live endpoints, all of them evacuated.
+// allEvacuated reports whether a pool of a plain service has live endpoints, all of
+// them evacuated.
 func (k *known) allEvacuated(pool string) bool {
 	k.mu.RLock()
 	defer k.mu.RUnlock()
-	some := false
-	for _, h := range k.byID {
-		if h.Pool != pool || h.State != port.EndpointLive {
-			continue
-		}
-		if !h.Evacuated {
-			return false
-		}
-		some = true
-	}
-	return some
+	return len(k.live[pool]) == 0 && len(k.evacuated[pool]) > 0
 }
 
 // in lists the endpoints of the failure domains that a change concerns.
--- a/internal/keeper/present.go
+++ b/internal/keeper/present.go
@@ -27,13 +27,10 @@
 // written again, and ending it in between would take back what holds.
 func (s *presentSource) list(ctx context.Context, _ bool) (port.StoreRevision, error) {
 	k := s.keeper
-	objects, revision, err := k.options.Platform.List(ctx, s.kind)
+	objects, revision, err := s.read(ctx)
 	if err != nil {
 		return 0, err
 	}
-	if err := k.takeEra(s.kind, revision); err != nil {
-		return 0, err
-	}
 	s.apply(objects)
 	absent := s.absent(objects, revision)
 	if s.restored(revision.Era()) {
--- a/internal/keeper/recordsource.go
+++ b/internal/keeper/recordsource.go
@@ -31,15 +31,21 @@
 	rewritesAtOnce = 16
 )
 
+// read reads all objects of the kind, of an era that is taken for one.
+func (s *recordSource) read(ctx context.Context) ([]port.Object, port.StoreRevision, error) {
+	objects, revision, err := s.keeper.options.Platform.List(ctx, s.kind)
+	if err != nil {
+		return nil, 0, err
+	}
+	return objects, revision, s.keeper.takeEra(s.kind, revision)
+}
+
 func (s *recordSource) list(ctx context.Context, _ bool) (port.StoreRevision, error) {
 	k := s.keeper
-	objects, revision, err := k.options.Platform.List(ctx, s.kind)
+	objects, revision, err := s.read(ctx)
 	if err != nil {
 		return 0, err
 	}
-	if err := k.takeEra(s.kind, revision); err != nil {
-		return 0, err
-	}
 	s.enter(revision.Era(), time.Now())
 	switch {
 	case !s.unsettled:
