--- a/Makefile
+++ b/Makefile
@@ -89,3 +89,8 @@
 # Each seed that ever failed, again.
 soak-regress:
 	$(GO) test -count=1 -v -run Regress ./platform/soak
+
+# Draws from the journal of played days worth by round, and losses by cause.
+.PHONY: report
+report:
+	$(GO) run ./internal/tools/worthplot
