Generations that are held at a stop are sent elsewhere once none are taken

It had come as the stop began, was held for 3.1 s as the pool was full, placed with 0.8 s of the grace left, and cut.

Cause: a stopping daemon takes no generation after a part of its grace, but those held by then stayed in the queue, however late their place would come.

Ruled out: a runner that ended (it ran on); a narrower check: callers are better off elsewhere.

Change: the wait for a place ends when generations are taken no more; not run, and the caller is told to come back at once, to another daemon. TestHeldGenerationsAreSentElsewhereAtAStop fails without (it waits for ever).

--- a/internal/gateway/lifecycle.go
+++ b/internal/gateway/lifecycle.go
@@ -35,12 +35,16 @@
 	closed bool
 	// cut is closed when the open requests must end.
 	cut chan struct{}
+	// placing ends when generations are placed no more.
+	placing     context.Context
+	stopPlacing context.CancelFunc
 }
 
 func (l *lifecycle) init() {
 	l.begun = make(chan struct{})
 	l.idle = make(chan struct{})
 	l.cut = make(chan struct{})
+	l.placing, l.stopPlacing = context.WithCancel(context.Background())
 }
 
 // enter counts a request in, or returns why it isn't taken.
@@ -126,6 +130,8 @@
 	}
 	g.noteReady()
 	g.Announcer.SetLeaving()
+	late := time.AfterFunc(g.options().Drain.TakeGenerations, g.life.stopPlacing)
+	defer late.Stop()
 	sleep(ctx, g.options().Drain.TakeCalls)
 	g.life.stopTaking()
 	end := time.NewTimer(g.options().Drain.End - g.options().Drain.TakeCalls)
@@ -138,6 +144,14 @@
 	}
 }
 
+// whilePlacing is a context that also ends when generations are placed no more:
+// one that is held until then would be cut at the end of the grace.
+func (g *Gateway) whilePlacing(ctx context.Context) (placing context.Context, stop func()) {
+	placing, cancel := context.WithCancel(ctx)
+	detach := context.AfterFunc(g.life.placing, cancel)
+	return placing, func() { detach(); cancel() }
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -48,7 +48,9 @@
 // schedule asks for a place among the pool's runners.
 func (x *exchange) schedule(ctx context.Context) (*placement, *Refusal) {
 	ask := x.ask()
-	d := x.g.Placer.Place(ctx, ask, func(d *port.Decision) {
+	placing, stop := x.g.whilePlacing(ctx)
+	defer stop()
+	d := x.g.Placer.Place(placing, ask, func(d *port.Decision) {
 		x.coordinator = d.Coordinator
 		x.record(d.Verdict.String(), d.Reason, "", d.Candidates)
 	})
@@ -67,7 +69,9 @@
 	case routing.ReasonRefusedEvacuated:
 		refusal = x.allEvacuated()
 	}
-	x.interrupted(ctx, refusal)
+	if !x.interrupted(ctx, refusal) && placing.Err() != nil {
+		refusal = &Refusal{Cause: CauseStopping, Detail: "this daemon stops while the request is held; another one serves"}
+	}
 	return nil, refusal
 }
 
