--- a/internal/gateway/coldness_test.go
+++ b/internal/gateway/coldness_test.go
@@ -25,8 +25,8 @@
 	b.apply()
 }
 
-// chill has the registry list an endpoint as cold.
-func (b *bench) chill(id string, left time.Duration) {
+// listAsCold has the registry list an endpoint as cold.
+func (b *bench) listAsCold(id string, left time.Duration) {
 	b.view.mu.Lock()
 	for i := range b.view.endpoints {
 		if b.view.endpoints[i].ID == id {
@@ -57,7 +57,7 @@
 	}
 	got := countSends(b)
 	const lasting = 3 * time.Second
-	b.chill("s0", lasting)
+	b.listAsCold("s0", lasting)
 	for range 300 {
 		pass(lasting / 300)
 		if refusal := b.ask(t, "/safe/x", &caller{}); refusal != nil {
@@ -87,7 +87,7 @@
 	b.withColdRate()
 	countSends(b)
 	for _, id := range []string{"s0", "s1", "s2"} {
-		b.chill(id, time.Minute)
+		b.listAsCold(id, time.Minute)
 	}
 	const calls = 60
 	began := time.Now()
