Tests of crashing requests at routers wait for the quarantine itself

Cause: the end of the last look is told before its crash is counted. The tests went on once the looks had ended, and asked in between.

--- a/internal/router/crashes_test.go
+++ b/internal/router/crashes_test.go
@@ -22,7 +22,7 @@
 	if refusal := b.generate(&reader{}, false); refusal == nil {
 		t.Fatal("answered")
 	}
-	eventually.True(t, "the looks have ended", func() bool { return b.crashes.Looking() == 0 })
+	eventually.True(t, "the request is quarantined", b.quarantine.Any)
 	sent, _, _ := b.engine.Seen()
 	b.engine.OnStart = append(b.engine.OnStart, fakes.Whole(3))
 	refusal := b.generate(&reader{}, false)
@@ -57,7 +57,7 @@
 	if refusal := call(); refusal == nil {
 		t.Fatal("answered")
 	}
-	eventually.True(t, "the looks have ended", func() bool { return b.crashes.Looking() == 0 })
+	eventually.True(t, "the request is quarantined", b.quarantine.Any)
 	sent := b.services.count()
 	if refusal := call(); refusal == nil || refusal.Cause != CauseQuarantined {
 		t.Fatalf("%+v", refusal)
