An evacuation outlasts every list that follows a restore at once

Cause: only the first list of an era let a moment pass before it ended what it left out; a second one right after, as after a watch that failed, ended it at once, though operators write it again only then. Found by reading; the test of restores lists four times now, and failed.

Beside it: a mover that gives up an evacuated destination names all evacuated ones to the scheduler, which could else name them one after the other.

go test -race ./internal/keeper ./internal/gateway: green.

--- a/internal/core/evacuation/evacuation.go
+++ b/internal/core/evacuation/evacuation.go
@@ -58,9 +58,6 @@
 // Has reports whether the failure domain is evacuated.
 func (s Set) Has(domain string) bool { return len(s.domains[domain]) > 0 }
 
-// Empty reports whether no failure domain is evacuated.
-func (s Set) Empty() bool { return len(s.domains) == 0 }
-
 // Domains lists the evacuated failure domains.
 func (s Set) Domains() []string { return slices.Sorted(maps.Keys(s.domains)) }
 
--- a/internal/gateway/moves.go
+++ b/internal/gateway/moves.go
@@ -111,9 +111,11 @@
 	return m.copy(ctx, false)
 }
 
-// elsewhere gives up the destination.
+// elsewhere gives up a destination that is evacuated, and with it all others that
+// are: a scheduler that hasn't heard of it would name them one after the other.
 func (m *mover) elsewhere() continuity.Step {
 	m.refused = append(m.refused, m.to.ID)
+	m.refused = append(m.refused, m.g.known.evacuatedOf(m.run.x.pool)...)
 	return continuity.StepElsewhere
 }
 
--- a/internal/keeper/present.go
+++ b/internal/keeper/present.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
@@ -12,6 +13,10 @@
 // it.
 type presentSource struct {
 	recordSource
+	// unsettledUntil is when what operators wrote before a restore of the store is
+	// written again, zero for no restore.
+	unsettledUntil time.Time
+	// sweeps are the delayed looks at what lists left out.
 	sweeps sync.WaitGroup
 }
 
@@ -22,9 +27,9 @@
 	return k.follow(ctx, kind, s)
 }
 
-// list takes a full list. What it leaves out has ended, but for the first list
-// after the store came back from a copy: what operators wrote since the copy is
-// written again, and ending it in between would take back what holds.
+// list takes a full list. What it leaves out has ended, but for a while after the
+// store came back from a copy: what operators wrote since the copy is written
+// again, and ending it in between would take back what holds.
 func (s *presentSource) list(ctx context.Context, _ bool) (port.StoreRevision, error) {
 	k := s.keeper
 	objects, revision, err := s.read(ctx)
@@ -32,10 +37,13 @@
 		return 0, err
 	}
 	s.apply(objects)
-	absent := s.absent(objects, revision)
+	absent, now := s.absent(objects, revision), time.Now()
 	if s.restored(revision.Era()) {
+		s.unsettledUntil = now.Add(k.options.LapseGrace)
+	}
+	if left := s.unsettledUntil.Sub(now); left > 0 {
 		s.sweeps.Go(func() {
-			if pause(ctx, k.options.LapseGrace) == nil {
+			if pause(ctx, left) == nil {
 				s.end(absent, revision)
 			}
 		})
--- a/internal/keeper/present_test.go
+++ b/internal/keeper/present_test.go
@@ -198,8 +198,9 @@
 	}
 	read()
 	o.restore(before)
-	read()
-	read()
+	for range 4 {
+		read()
+	}
 	if got := r.holds(); !slices.Equal(got, []string{"a"}) {
 		t.Fatalf("%v is evacuated right after the restore", got)
 	}
