Log which answer of an endpoint announced its leaving or asked for a pause

Cause: the logs could not tell the hypotheses of the incident apart. No line named an answer that said that its endpoint leaves, or asks for a pause, nor the host that got it. Change: the platform adapter reads both headers of the answers to all calls (request, load report, health check, copy, release) and passes them on as one typed notice; the gateway records the first of an incarnation and the start and end of each pause, with the call, its status and the request id, and counts them. No decision changes.

--- a/cmd/dragonfly-entry/assemble.go
+++ b/cmd/dragonfly-entry/assemble.go
@@ -65,6 +65,7 @@
 	runners := platform.NewRunnerClient(platform.RunnerClientOptions{
 		DialTimeout: s.ConnectTimeout, LoadTimeout: s.ReportTimeout,
 		IdleConnections: idleConnections, IdleTimeout: s.IdleTimeout,
+		OnNotice: func(e port.Endpoint, n port.EndpointNotice) { a.gateway.ObserveNotice(e, n) },
 	})
 	a.keeper = newKeeper(s, &keeperSources{a.store, runners}, logger, registry, store)
 	a.keeper.Service(nil).Register(a.peers)
--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -95,6 +95,7 @@
 	g.balancer.Forget(id)
 	g.limitObserver.Forget(id)
 	g.coldTracker.Forget(id)
+	g.pauses.Forget(id)
 	g.limitBackoffs.reset(id)
 	g.breakers.Forget(id)
 }
@@ -113,6 +114,7 @@
 		g.endpointTable.remove(id)
 		g.forgetCounters(id)
 		g.seenLeaving.Forget(id)
+		g.leaveNotices.Forget(id)
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/dragonflyrail/dragonflyrail/internal/core/coldstart"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/evacuation"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/membership"
+	"github.com/dragonflyrail/dragonflyrail/internal/core/pause"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/ratelimit"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/route"
 	"github.com/dragonflyrail/dragonflyrail/internal/crashwatch"
@@ -111,14 +112,18 @@
 // Gateway routes the requests of callers. Create it with New, then call Run.
 type Gateway struct {
 	Ports
-	o             atomic.Pointer[Options]
-	breakers      *breaker.Set
-	budgets       *budgets
-	balancer      *balance.Balancer
-	metrics       *instruments
-	seenLeaving   membership.Departures
-	runs          runs
-	crashWatch    *crashwatch.Watch
+	o           atomic.Pointer[Options]
+	breakers    *breaker.Set
+	budgets     *budgets
+	balancer    *balance.Balancer
+	metrics     *instruments
+	seenLeaving membership.Departures
+	runs        runs
+	crashWatch  *crashwatch.Watch
+	// leaveNotices holds the endpoints that have announced in an answer that they
+	// leave.
+	leaveNotices  membership.Departures
+	pauses        pause.Tracker
 	limitObserver *ratelimit.Observer
 	coldTracker   *coldstart.Tracker
 	// limitBackoffs holds the endpoints and pools that accept no requests for
@@ -195,6 +200,7 @@
 			return
 		case <-ticker.C:
 			g.restoreWarmed()
+			g.recordEndedPauses()
 			g.Scheduler.Tick(g.Clock())
 			g.crashWatch.Tick()
 		}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -31,6 +31,9 @@
 	panics         gometrics.Counter
 	crashes        gometrics.Counter
 	limitHits      gometrics.Counter
+	leaveNotices   gometrics.Counter
+	pauseNotices   gometrics.Counter
+	paused         gometrics.Gauge
 	evacuated      gometrics.Gauge
 }
 
@@ -55,6 +58,9 @@
 		panics:         counter("panics_total"),
 		crashes:        counter("endpoint_crashes_total"),
 		limitHits:      counter("endpoint_limits_kept_total"),
+		leaveNotices:   counter("endpoint_leave_notices_total"),
+		pauseNotices:   counter("endpoint_pause_notices_total"),
+		paused:         gometrics.GetOrRegisterGauge("endpoints_paused", r),
 		evacuated:      gometrics.GetOrRegisterGauge("evacuated_failure_domains", r),
 	}
 }
--- /dev/null
+++ b/internal/gateway/notices.go
@@ -0,0 +1,60 @@
+package gateway
+
+import (
+	"fmt"
+
+	"github.com/dragonflyrail/dragonflyrail/internal/port"
+)
+
+// ObserveNotice evaluates what an endpoint states about itself in an answer to
+// any call. The endpoint is the one that the call was sent to, with the
+// incarnation that was known then.
+func (g *Gateway) ObserveNotice(e port.Endpoint, n port.EndpointNotice) {
+	if n.Leaving {
+		g.observeLeaveNotice(e, n)
+	}
+	if n.PauseFor > 0 {
+		g.observePauseNotice(e, n)
+	}
+}
+
+func (g *Gateway) observeLeaveNotice(e port.Endpoint, n port.EndpointNotice) {
+	g.metrics.leaveNotices.Inc(1)
+	if g.leaveNotices.Add(e) {
+		g.recordNotice(e, verdictLeave, "says so in "+describeAnswer(n))
+	}
+}
+
+func (g *Gateway) observePauseNotice(e port.Endpoint, n port.EndpointNotice) {
+	g.metrics.pauseNotices.Inc(1)
+	if g.pauses.Start(g.Clock(), &e, n.PauseFor) {
+		g.recordNotice(e, verdictPause, fmt.Sprintf("asks this host for a pause of %v in %s", n.PauseFor, describeAnswer(n)))
+	}
+	g.metrics.paused.Update(int64(g.pauses.Len()))
+}
+
+// describeAnswer identifies the answer that a notice came with.
+func describeAnswer(n port.EndpointNotice) string {
+	text := fmt.Sprintf("its answer with status %d to a call of kind %s", n.Status, n.Call)
+	if n.RequestID != "" {
+		text += " for request " + n.RequestID
+	}
+	return text
+}
+
+// recordEndedPauses records the pauses that have ended.
+func (g *Gateway) recordEndedPauses() {
+	ended := g.pauses.RemoveEnded(g.Clock())
+	for _, id := range ended {
+		g.recordNotice(port.Endpoint{ID: id}, verdictResumed, "the time that it asked for has passed")
+	}
+	if len(ended) > 0 {
+		g.metrics.paused.Update(int64(g.pauses.Len()))
+	}
+}
+
+func (g *Gateway) recordNotice(e port.Endpoint, verdict, reason string) {
+	g.recordDecision(&port.DecisionRecord{
+		Subject: "endpoint", SubjectID: e.ID, Verdict: verdict, Reason: reason, Endpoint: e.Address, Revision: e.Revision,
+	})
+}
--- a/internal/port/exchange.go
+++ b/internal/port/exchange.go
@@ -78,6 +78,34 @@
 	Closing bool
 }
 
+// EndpointCall is the kind of a call to an endpoint.
+type EndpointCall string
+
+// The kinds of calls to endpoints.
+const (
+	CallRequest     EndpointCall = "request"
+	CallLoadReport  EndpointCall = "load_report"
+	CallHealthCheck EndpointCall = "health_check"
+	CallCopy        EndpointCall = "copy"
+	CallRelease     EndpointCall = "release"
+)
+
+// EndpointNotice is what an endpoint states about itself in the response to a
+// call of any kind, whatever its outcome.
+type EndpointNotice struct {
+	// Leaving is set if the endpoint shuts down and accepts no further requests.
+	Leaving bool
+	// PauseFor is the time for which the endpoint asks this host to send nothing;
+	// zero if it does not ask.
+	PauseFor time.Duration
+	// Call and Status are the kind of the call and the status of the response.
+	Call   EndpointCall
+	Status int
+	// RequestID is the id of the request, or of the run that was copied; empty for
+	// other calls.
+	RequestID string
+}
+
 // LoadHint is the short load report in responses.
 type LoadHint struct {
 	Running int
