An endpoint that announces its leaving in an answer gets no further requests

Cause: the only sources of an endpoint's state were the registry, which was away for 13 s, and load reports, which plain services don't have. What the endpoint states in its answers was passed on to the caller and dropped. Evidence: with the header logged, each daemon records the answer that announces the leaving within 0.2 s and goes on placing requests there. Change: the gateway marks the endpoint as leaving for its incarnation at the first such answer to any call, and the keeper publishes it as the endpoint's own state to all daemons. That state never moves backwards within an incarnation, so that neither a newer entry of the registry nor an older daemon returns it; a restart under its id has a new incarnation.

--- a/cmd/dragonfly-entry/assemble.go
+++ b/cmd/dragonfly-entry/assemble.go
@@ -83,7 +83,7 @@
 		Endpoints: runners,
 		Scheduler: scheduler, Placer: a.placer,
 		PlatformAge: func() time.Duration { return a.keeper.PlatformAge(time.Now()) },
-		View:        a.keeper, Quarantine: a.keeper.Quarantine(), Limits: a.keeper, Announcer: a.keeper, Sink: store, Policy: record.Policy, Evacuations: record.Evacuations, Metrics: registry,
+		View:        a.keeper, Quarantine: a.keeper.Quarantine(), Limits: a.keeper, Notices: a.keeper, Announcer: a.keeper, Sink: store, Policy: record.Policy, Evacuations: record.Evacuations, Metrics: registry,
 	})
 	a.callers = httpserver.New(&platform.CallerHandler{App: a.gateway, Logger: logger})
 	a.servers = []httpListener{
--- a/internal/core/membership/endpoint.go
+++ b/internal/core/membership/endpoint.go
@@ -243,9 +243,7 @@
 		next.Observation, next.LimitChanges = 0, 0
 		next.Unreachable, next.RateLimit = false, 0
 	}
-	next.ReportedState = laterState(next.ReportedState, r.State)
-	next.State = laterState(next.State, r.State)
-	next.Confirmed = true
+	next = WithReportedState(next, r.State)
 	models := slices.Sorted(slices.Values(r.Models))
 	if next.Unreachable || !slices.Equal(models, next.Models) {
 		next.Observation++
@@ -255,6 +253,16 @@
 	return next
 }
 
+// WithReportedState returns the state after the endpoint itself stated its place in
+// the life cycle.
+func WithReportedState(known Endpoint, state port.EndpointState) Endpoint {
+	next := known
+	next.ReportedState = laterState(next.ReportedState, state)
+	next.State = laterState(next.State, state)
+	next.Confirmed = true
+	return next
+}
+
 // WithRateLimit returns the state after the endpoint reported a rate limit, in
 // requests per second; zero is no limit.
 func WithRateLimit(known Endpoint, perSecond float64) Endpoint {
--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -114,7 +114,6 @@
 		g.endpointTable.remove(id)
 		g.forgetCounters(id)
 		g.seenLeaving.Forget(id)
-		g.leaveNotices.Forget(id)
 	}
 }
 
@@ -187,15 +186,13 @@
 	return e
 }
 
-// markLeaving marks an endpoint as leaving because of its own answer.
-func (g *Gateway) markLeaving(e port.Endpoint, reason string) {
+// markLeaving marks an endpoint as leaving because of an answer that this daemon
+// got. It reports whether that was new.
+func (g *Gateway) markLeaving(e port.Endpoint, reason string) bool {
 	if !g.seenLeaving.Add(e) {
-		return
-	}
-	g.recordChange("endpoint", e.ID, "leave", reason, 0)
-	g.applyMu.Lock()
-	defer g.applyMu.Unlock()
-	if h, found := g.endpointTable.get(e.ID); found {
-		g.applyEndpoints([]port.Endpoint{h.Endpoint})
+		return false
 	}
+	g.recordNotice(e, verdictLeave, reason)
+	g.refreshEndpoints(e.ID)
+	return true
 }
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -198,6 +198,9 @@
 	endpoints []port.Endpoint
 	members   []port.Member
 	changed   chan struct{}
+	// leavingPublished lists the published departures, each as
+	// endpoint/incarnation.
+	leavingPublished []string
 }
 
 func (v *fakeView) Records() []port.Record {
@@ -258,6 +261,12 @@
 	}
 }
 
+func (v *fakeView) PublishLeaving(endpoint string, incarnation uint64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.leavingPublished = append(v.leavingPublished, fmt.Sprint(endpoint, "/", incarnation))
+}
+
 func discardLogger() *log.Logger { return &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}} }
 
 // harness is a gateway with fake dependencies.
@@ -323,7 +332,7 @@
 		Drain:   DrainOptions{AcceptGenerationsFor: time.Hour, AcceptCallsFor: time.Hour, ForceCloseAfter: 2 * time.Hour},
 	}, Ports{
 		Endpoints: b.backends, Scheduler: scheduler, Placer: placer, View: b.view, Announcer: b.view,
-		Quarantine: b.quarantine, Limits: b.view,
+		Quarantine: b.quarantine, Limits: b.view, Notices: b.view,
 		Sink: b.sink, Policy: record.Policy,
 	})
 	b.apply()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -68,6 +68,7 @@
 	// Quarantine identifies requests that crash the endpoints that run them.
 	Quarantine crashwatch.Quarantine
 	Limits     LimitPublisher
+	Notices    NoticePublisher
 	Sink       port.DecisionSink
 	// PlatformAge returns how long ago any daemon last got an answer from the
 	// platform, as far as this daemon knows; negative if none ever did. It may
@@ -112,17 +113,14 @@
 // Gateway routes the requests of callers. Create it with New, then call Run.
 type Gateway struct {
 	Ports
-	o           atomic.Pointer[Options]
-	breakers    *breaker.Set
-	budgets     *budgets
-	balancer    *balance.Balancer
-	metrics     *instruments
-	seenLeaving membership.Departures
-	runs        runs
-	crashWatch  *crashwatch.Watch
-	// leaveNotices holds the endpoints that have announced in an answer that they
-	// leave.
-	leaveNotices  membership.Departures
+	o             atomic.Pointer[Options]
+	breakers      *breaker.Set
+	budgets       *budgets
+	balancer      *balance.Balancer
+	metrics       *instruments
+	seenLeaving   membership.Departures
+	runs          runs
+	crashWatch    *crashwatch.Watch
 	pauses        pause.Tracker
 	limitObserver *ratelimit.Observer
 	coldTracker   *coldstart.Tracker
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -6,6 +6,12 @@
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
 
+// NoticePublisher announces to all daemons what endpoints state about themselves.
+type NoticePublisher interface {
+	// PublishLeaving announces that an incarnation of an endpoint is leaving.
+	PublishLeaving(endpoint string, incarnation uint64)
+}
+
 // ObserveNotice evaluates what an endpoint states about itself in an answer to
 // any call. The endpoint is the one that the call was sent to, with the
 // incarnation that was known then.
@@ -20,8 +26,10 @@
 
 func (g *Gateway) observeLeaveNotice(e port.Endpoint, n port.EndpointNotice) {
 	g.metrics.leaveNotices.Inc(1)
-	if g.leaveNotices.Add(e) {
-		g.recordNotice(e, verdictLeave, "says so in "+describeAnswer(n))
+	if g.markLeaving(e, "says so in "+describeAnswer(n)) {
+		// An endpoint that has announced its leaving never returns from it, whatever
+		// the registry lists; the other daemons may not get an answer in time.
+		g.Notices.PublishLeaving(e.ID, e.Incarnation)
 	}
 }
 
--- a/internal/keeper/hosts.go
+++ b/internal/keeper/hosts.go
@@ -83,6 +83,15 @@
 	}
 }
 
+// PublishLeaving announces to all daemons that an incarnation of an endpoint has
+// stated that it is leaving.
+func (k *Keeper) PublishLeaving(endpoint string, incarnation uint64) {
+	known, ok := k.node.Endpoints.Get(endpoint)
+	if ok && known.Incarnation == incarnation {
+		k.putEndpoint(membership.WithReportedState(known, port.EndpointLeaving), "own_word")
+	}
+}
+
 // forgetDepartedEndpoints removes the endpoints that left long ago. It does
 // nothing unless the endpoints have changed, since nothing else adds departed
 // ones.
