Placements and moves to an endpoint known to be leaving are withdrawn

Callers: a generation may be cut when its runner stops, and reaches it although its host knows. Cause: the host that got the announcement does not place generations itself, one coordinator does, which may hear of it later or be unreachable. Only evacuations were checked again between the decision and the send. Change: one check, barOf, of everything that this daemon knows against an endpoint, used after each placement (first, retry, released from a hold) and before each copy of a move; a barred placement is withdrawn and placed again without all barred endpoints of the pool.

--- a/internal/gateway/endpoint_table.go
+++ b/internal/gateway/endpoint_table.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -110,11 +109,9 @@
 	return h, ok
 }
 
-// evacuatedIDs returns the ids of the evacuated endpoints of a pool.
-func (k *endpointTable) evacuatedIDs(pool string) []string {
-	k.mu.RLock()
-	defer k.mu.RUnlock()
-	return slices.Collect(maps.Keys(k.evacuated[pool]))
+// inPool lists the endpoints of a pool.
+func (k *endpointTable) inPool(pool string) []port.Endpoint {
+	return k.matching(func(e *port.Endpoint) bool { return e.Pool == pool })
 }
 
 // allEvacuated reports whether a pool of a plain service has live endpoints and
@@ -127,11 +124,15 @@
 
 // inDomains lists the endpoints whose failure domain matches.
 func (k *endpointTable) inDomains(match func(domain string) bool) []port.Endpoint {
+	return k.matching(func(e *port.Endpoint) bool { return match(e.FailureDomain) })
+}
+
+func (k *endpointTable) matching(match func(*port.Endpoint) bool) []port.Endpoint {
 	k.mu.RLock()
 	defer k.mu.RUnlock()
 	var out []port.Endpoint
 	for _, h := range k.byID {
-		if match(h.FailureDomain) {
+		if match(&h.Endpoint) {
 			out = append(out, h.Endpoint)
 		}
 	}
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -133,6 +133,8 @@
 		return nil
 	}
 	for _, at := range []port.Endpoint{c.to, c.from} {
+		// A leaving endpoint is not skipped: it holds the copy, and the request was
+		// sent before it announced its leaving.
 		if r.x.g.isEvacuated(at) {
 			r.x.recordConcurrent(verdictResume, "not taken up: the endpoint's failure domain is evacuated", at.ID, nil)
 			continue
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -52,9 +52,8 @@
 	keptFailure *bufferedAnswer
 	// connectionLost: the connection to the last attempt's endpoint broke.
 	connectionLost bool
-	// placedInEvacuated: the request was placed in an evacuated failure domain
-	// before.
-	placedInEvacuated bool
+	// placedAtBarred: the request was placed at a barred endpoint before.
+	placedAtBarred bool
 	// quarantined: the request is not sent because it crashes endpoints.
 	quarantined bool
 	// print caches the fingerprint, which the method fingerprint computes.
@@ -139,7 +138,7 @@
 	if refusal := x.quarantineRefusal(); refusal != nil {
 		return nil, refusal
 	}
-	p, refusal := x.placeOutsideEvacuations(ctx)
+	p, refusal := x.placeUnbarred(ctx)
 	if refusal != nil {
 		return nil, refusal
 	}
--- a/internal/gateway/notices_test.go
+++ b/internal/gateway/notices_test.go
@@ -1,10 +1,14 @@
 package gateway
 
 import (
+	"context"
+	"io"
 	"slices"
+	"strings"
 	"testing"
 
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
+	"github.com/dragonflyrail/dragonflyrail/internal/testkit/eventually"
 )
 
 // replyLeaving returns a handler whose answers announce that the endpoint leaves.
@@ -98,3 +102,81 @@
 		t.Fatal("the restarted endpoint gets no requests")
 	}
 }
+
+// staleCoordinator chooses endpoints in a fixed order, without what this daemon
+// knows of them.
+type staleCoordinator struct{ stalePlacer }
+
+func (s *staleCoordinator) Relocate(_ context.Context, _ string, c port.RelocationConstraints) port.Decision {
+	for _, e := range s.endpoints {
+		if !slices.Contains(c.Excluded, e.ID) {
+			return port.Decision{Verdict: port.VerdictPlace, Endpoint: e, Reason: "relocated"}
+		}
+	}
+	return port.Decision{Verdict: port.VerdictRefuse, Reason: "no_runner_has_room"}
+}
+
+func (s *staleCoordinator) Relocated(string, bool, string) {}
+
+func (s *staleCoordinator) Progress(string, int) {}
+
+// useStaleCoordinator replaces the placer by one that prefers the given runners.
+func (b *harness) useStaleCoordinator(ids ...string) {
+	s := &staleCoordinator{stalePlacer: stalePlacer{Placer: b.Placer}}
+	for _, id := range ids {
+		h, _ := b.endpointTable.get(id)
+		s.endpoints = append(s.endpoints, h.Endpoint)
+	}
+	b.Placer = s
+}
+
+// Guards against a generation at a runner that announced its leaving to this
+// daemon, placed by a coordinator that has not heard of it yet.
+func TestPlacementAtLeavingEndpointIsWithdrawn(t *testing.T) {
+	b := newHarness(t)
+	got := countSends(b)
+	b.useStaleCoordinator("e0", "e1", "e2")
+	for _, id := range []string{"e0", "e1"} {
+		h, _ := b.endpointTable.get(id)
+		b.ObserveNotice(h.Endpoint, port.EndpointNotice{Leaving: true, Call: port.CallRequest, Status: 200})
+	}
+	if refusal := b.send(t, "/stream/x", &fakeCaller{}); refusal != nil {
+		t.Fatal(refusal)
+	}
+	if sent := got(); sent["e2"] != 1 || len(sent) != 1 {
+		t.Errorf("requests sent: %v", sent)
+	}
+}
+
+// Guards against moving a run to a runner that announced its leaving to this
+// daemon.
+func TestRunIsNotMovedToLeavingEndpoint(t *testing.T) {
+	b := newHarness(t)
+	b.useStaleCoordinator("e0", "e1", "e2")
+	b.backends.copyHandler = func(_, _ port.Endpoint, _ bool) (port.Copy, error) { return port.Copy{Handle: "h"}, nil }
+	pipes := make(chan *io.PipeWriter, 3)
+	b.setHandlers("e", func(*port.Exchange) (*port.Answer, error) {
+		reader, writer := io.Pipe()
+		pipes <- writer
+		return streamed(reader)
+	})
+	got, done := &fakeCaller{}, make(chan *Refusal, 1)
+	go func() { done <- b.send(t, "/stream/", got) }()
+	firstPipe := <-pipes
+	_, _ = io.WriteString(firstPipe, event(1))
+	eventually.True(t, "the event is relayed", func() bool { return strings.Contains(got.text(), event(1)) })
+	for _, id := range []string{"e1", "e0"} {
+		h, _ := b.endpointTable.get(id)
+		b.ObserveNotice(h.Endpoint, port.EndpointNotice{Leaving: true, Call: port.CallRequest, Status: 200})
+	}
+	nextPipe := <-pipes
+	_, _ = io.WriteString(nextPipe, event(2))
+	nextPipe.Close()
+	firstPipe.CloseWithError(errReset)
+	if refusal := <-done; refusal != nil || got.text() != events(1, 2) {
+		t.Fatalf("%v after %q", refusal, got.text())
+	}
+	if sent := b.backends.arrivals(); !slices.Equal(sent, []string{"e0", "e2"}) {
+		t.Errorf("sent to %v", sent)
+	}
+}
