An endpoint that asked this host for a pause gets no requests until it ends

Cause: Retry-After in a runner's refusal was not read. Worse than no effect: a runner that refuses within 2 ms has the fewest open calls, so the balancer chose it more often, and the repeats at other runners spent the retry budget. Change: a tracker of pauses by endpoint and incarnation, of this host alone, since each host is asked for its own. A paused endpoint is no candidate for calls, is excluded from placements that another daemon makes, and bars a placement made before the pause (held requests, waits for a rate limit). When all are paused, a request is rejected at once with its own cause, and Retry-After is the first end of a pause, spread over half a second so that those who return don't cause the next one.

--- a/internal/core/routing/reasons.go
+++ b/internal/core/routing/reasons.go
@@ -42,4 +42,5 @@
 	ExcludedSize     = "larger_than_cache"
 	ExcludedPrefill  = "prompts_ahead"
 	ExcludedLimit    = "at_rate_limit"
+	ExcludedPaused   = "asked_for_pause"
 )
--- a/internal/gateway/barred.go
+++ b/internal/gateway/barred.go
@@ -16,6 +16,7 @@
 	notBarred    barReason = ""
 	barEvacuated barReason = "the endpoint's failure domain is evacuated"
 	barLeaving   barReason = "the endpoint has announced that it leaves"
+	barPaused    barReason = "the endpoint has asked this host for a pause"
 )
 
 // barOf returns why this daemon sends nothing further to an endpoint. Whatever
@@ -27,6 +28,8 @@
 		return barEvacuated
 	case g.seenLeaving.Has(e):
 		return barLeaving
+	case g.isPaused(e):
+		return barPaused
 	}
 	return notBarred
 }
@@ -68,20 +71,29 @@
 }
 
 // excluded returns the ids of the endpoints at which the request must not be
-// placed. After a placement at a barred endpoint it includes all barred
-// endpoints of the pool, because the coordinator does not know of them yet.
+// placed. They include the paused ones, because an endpoint asks each host for a
+// pause of its own and the coordinator may run on another host. After a placement
+// at a barred endpoint they include all barred endpoints of the pool, because the
+// coordinator does not know of them yet.
 func (x *exchange) excluded() []string {
-	if !x.placedAtBarred {
-		return x.tried
+	paused := x.g.pauses.Active(x.g.Clock())
+	switch {
+	case x.placedAtBarred:
+		return slices.Concat(x.tried, x.g.barredIDs(x.pool))
+	case len(paused) > 0:
+		return slices.Concat(x.tried, paused)
 	}
-	return slices.Concat(x.tried, x.g.barredIDs(x.pool))
+	return x.tried
 }
 
 // refuseBarred returns the refusal of a request that was placed at barred
 // endpoints only, the last one for the given reason.
 func (x *exchange) refuseBarred(bar barReason) *Refusal {
-	if bar == barEvacuated {
+	switch bar {
+	case barEvacuated:
 		return x.allEvacuated()
+	case barPaused:
+		return x.refusePaused()
 	}
 	return &Refusal{Cause: CauseNoEndpoint, Detail: "no endpoint is left in pool " + x.pool + ": " + string(bar), RetryAfter: retrySoon}
 }
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -133,19 +133,21 @@
 
 // placeWithinLimits chooses an endpoint that accepts a call now. Admission to
 // an endpoint with a rate limit is requested only after the balancer has chosen
-// it, so that it gets its share of the calls and no more than its limit.
-func (x *exchange) placeWithinLimits(ctx context.Context, candidates []port.Endpoint) (*placement, *Refusal) {
+// it, so that it gets its share of the calls and no more than its limit. excluded
+// lists the endpoints that are no candidates, for the decision's record.
+func (x *exchange) placeWithinLimits(ctx context.Context, candidates []port.Endpoint, excluded []port.CandidateScore) (*placement, *Refusal) {
 	free := unlimited(candidates)
 	if len(free) == 0 && len(candidates) > 0 {
 		return x.awaitTurn(ctx, candidates)
 	}
-	return x.chooseWithinLimits(ctx, candidates, free)
+	return x.chooseWithinLimits(ctx, candidates, free, excluded)
 }
 
 // chooseWithinLimits chooses among endpoints of which some have no rate limit.
-func (x *exchange) chooseWithinLimits(ctx context.Context, candidates, free []port.Endpoint) (*placement, *Refusal) {
+func (x *exchange) chooseWithinLimits(ctx context.Context, candidates, free []port.Endpoint, excluded []port.CandidateScore) (*placement, *Refusal) {
 	now := x.g.Clock()
-	available, excluded := x.g.splitByLimits(now, candidates)
+	available, atLimit := x.g.splitByLimits(now, candidates)
+	excluded = append(excluded, atLimit...)
 	endpoint, scores, ok := x.g.balancer.Choose(now, available)
 	if ok && isLimited(endpoint) && !x.admitCall(ctx, endpoint) {
 		x.g.balancer.End(endpoint.ID)
--- /dev/null
+++ b/internal/gateway/pauses_test.go
@@ -0,0 +1,175 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/dragonflyrail/dragonflyrail/internal/port"
+)
+
+const testPause = 3 * time.Second
+
+// replyPause returns a handler that refuses requests and asks for a pause.
+func (b *harness) replyPause() func(*port.Exchange) (*port.Answer, error) {
+	return func(x *port.Exchange) (*port.Answer, error) {
+		b.pause(x.Endpoint, testPause)
+		return nil, port.ErrRefused
+	}
+}
+
+func (b *harness) pause(e port.Endpoint, duration time.Duration) {
+	b.ObserveNotice(e, port.EndpointNotice{PauseFor: duration, Call: port.CallRequest, Status: 503})
+}
+
+// pauseAll pauses the given endpoints.
+func (b *harness) pauseAll(ids ...string) {
+	for _, id := range ids {
+		h, _ := b.endpointTable.get(id)
+		b.pause(h.Endpoint, testPause)
+	}
+}
+
+// useFakeClock replaces the gateway's clock and returns a function that advances
+// it.
+func (b *harness) useFakeClock() (advance func(time.Duration)) {
+	var mu sync.Mutex
+	now := time.Now()
+	b.Clock = func() time.Time {
+		mu.Lock()
+		defer mu.Unlock()
+		return now
+	}
+	return func(d time.Duration) {
+		mu.Lock()
+		defer mu.Unlock()
+		now = now.Add(d)
+	}
+}
+
+// Guards against requests within the pause that an endpoint asked for, and
+// against avoiding it for longer.
+func TestPausedEndpointGetsNothingUntilPauseEnds(t *testing.T) {
+	for _, c := range []struct{ path, endpoint string }{{"/safe/x", "s1"}, {"/once/x", "s1"}, {"/stream/x", "e1"}} {
+		t.Run(c.path, func(t *testing.T) {
+			b := newHarness(t)
+			advance := b.useFakeClock()
+			countSends(b)
+			b.backends.handlers[c.endpoint] = b.replyPause()
+			for b.countArrivals(c.endpoint) == 0 {
+				if refusal := b.send(t, c.path, &fakeCaller{}); refusal != nil {
+					t.Fatal(refusal)
+				}
+			}
+			for range 29 {
+				advance(testPause / 30)
+				if n := b.sendMany(t, 3, c.path, c.endpoint); n > 0 {
+					t.Fatalf("%d requests during the pause", n)
+				}
+			}
+			advance(testPause / 30)
+			b.recordEndedPauses()
+			b.pauseAll(c.endpoint[:1]+"0", c.endpoint[:1]+"2")
+			if n := b.sendMany(t, 1, c.path, c.endpoint); n != 1 {
+				t.Fatal("no requests after the pause, while the other endpoints are paused")
+			}
+		})
+	}
+}
+
+// Guards against callers that wait or are refused without a time to return when
+// all endpoints are paused, and against a request to one of them.
+func TestRequestsAreRefusedAtOnceWhenAllEndpointsArePaused(t *testing.T) {
+	for _, path := range []string{"/safe/x", "/once/x", "/stream/x"} {
+		b := newHarness(t)
+		advance := b.useFakeClock()
+		countSends(b)
+		b.pauseAll("s0", "s1", "s2", "e0", "e1", "e2")
+		advance(testPause / 3)
+		began := time.Now()
+		refusal := b.send(t, path, &fakeCaller{})
+		if refusal == nil || refusal.Cause != CausePaused || refusal.Outcome != "not_run" {
+			t.Fatalf("%s: %+v", path, refusal)
+		}
+		remaining := testPause * 2 / 3
+		if refusal.RetryAfter < remaining || refusal.RetryAfter > remaining+pauseReturnSpread {
+			t.Errorf("%s: Retry-After %v, the pause ends in %v", path, refusal.RetryAfter, remaining)
+		}
+		if took := time.Since(began); took > time.Second || len(b.backends.arrivals()) > 0 {
+			t.Errorf("%s: refused after %v and sent to %v", path, took, b.backends.arrivals())
+		}
+	}
+}
+
+// Guards against pausing an endpoint that has restarted under its id.
+func TestRestartedEndpointIsNotPaused(t *testing.T) {
+	b := newHarness(t)
+	countSends(b)
+	b.pauseAll("s0", "s1", "s2")
+	b.relist("s1", 2)
+	if n := b.sendMany(t, 10, "/safe/x", "s1"); n != 10 {
+		t.Errorf("%d of 10 requests reached the restarted endpoint", n)
+	}
+}
+
+// pausingPlacer is a coordinator whose chosen runner asks this host for a pause
+// while the first request is held.
+type pausingPlacer struct {
+	staleCoordinator
+	pause func(port.Endpoint)
+	once  sync.Once
+}
+
+func (p *pausingPlacer) Place(ctx context.Context, r *port.GenerationRequest, held func(*port.Decision)) port.Decision {
+	d := p.staleCoordinator.Place(ctx, r, held)
+	p.once.Do(func() { p.pause(d.Endpoint) })
+	return d
+}
+
+// Guards against a held request that is released to a runner which has asked for
+// a pause meanwhile.
+func TestHeldRequestIsNotSentToPausedEndpoint(t *testing.T) {
+	b := newHarness(t)
+	got := countSends(b)
+	b.useStaleCoordinator("e0", "e1", "e2")
+	b.Placer = &pausingPlacer{
+		staleCoordinator: *b.Placer.(*staleCoordinator),
+		pause:            func(e port.Endpoint) { b.pause(e, testPause) },
+	}
+	if refusal := b.send(t, "/stream/x", &fakeCaller{}); refusal != nil {
+		t.Fatal(refusal)
+	}
+	if sent := got(); sent["e1"] != 1 || len(sent) != 1 {
+		t.Errorf("requests sent: %v", sent)
+	}
+}
+
+// Guards against refusing requests because their placements at paused endpoints
+// are withdrawn one after the other, while one endpoint accepts them.
+func TestPausedEndpointsAreNoCandidates(t *testing.T) {
+	b := newHarness(t)
+	for i := 3; i < 9; i++ {
+		b.view.endpoints = append(b.view.endpoints,
+			testEndpoint(fmt.Sprint("s", i), "plain", port.KindService), testEndpoint(fmt.Sprint("e", i), "engines", port.KindRunner))
+	}
+	b.apply()
+	countSends(b)
+	b.pauseAll("s0", "s1", "e0", "e1")
+	for i := 3; i < 9; i++ {
+		b.pauseAll(fmt.Sprint("s", i), fmt.Sprint("e", i))
+	}
+	for range 10 {
+		for _, path := range []string{"/safe/x", "/once/x", "/stream/x"} {
+			if refusal := b.send(t, path, &fakeCaller{}); refusal != nil {
+				t.Fatalf("%s: %v", path, refusal)
+			}
+		}
+	}
+	for _, d := range b.sink.All() {
+		if d.Verdict == verdictWithdraw {
+			t.Fatalf("placed at %s and withdrawn", d.Endpoint)
+		}
+	}
+}
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -71,6 +71,10 @@
 		refusal.Detail = "no known endpoint of pool " + x.pool + " serves the model " + strconv.Quote(request.Model)
 	case routing.ReasonRefusedEvacuated:
 		refusal = x.allEvacuated()
+	case routing.ReasonRefusedTried:
+		if x.g.untilPauseEnds(x.pool) > 0 {
+			refusal = x.refusePaused()
+		}
 	}
 	if !x.interrupted(ctx, refusal) && placingCtx.Err() != nil {
 		refusal = &Refusal{Cause: CauseStopping, Detail: "this daemon stops while the request is held; another one serves"}
@@ -120,9 +124,12 @@
 	g := x.g
 	now := g.Clock()
 	var candidates, suspect []port.Endpoint
+	var excluded []port.CandidateScore
 	for _, e := range g.endpointTable.liveIn(x.pool) {
 		switch {
 		case slices.Contains(x.tried, e.ID):
+		case g.isPaused(e):
+			excluded = append(excluded, excludedByPause(e))
 		case e.Unreachable || g.breakers.Open(now, e.ID):
 			suspect = append(suspect, e)
 		default:
@@ -137,7 +144,7 @@
 		// retry.
 		candidates = suspect
 	}
-	return x.placeWithinLimits(ctx, candidates)
+	return x.placeWithinLimits(ctx, candidates, excluded)
 }
 
 func (x *exchange) noEndpoint() *Refusal {
@@ -145,7 +152,10 @@
 		return x.allEvacuated()
 	}
 	if x.attempts > 0 {
-		return &Refusal{Cause: CauseEndpointFailed, Detail: x.reason + "; no other endpoint is left", RetryAfter: retrySoon}
+		return &Refusal{Cause: CauseEndpointFailed, Detail: x.reason + "; no other endpoint is left", RetryAfter: x.retryAfterPause()}
+	}
+	if x.g.untilPauseEnds(x.pool) > 0 {
+		return x.refusePaused()
 	}
 	return &Refusal{Cause: CauseNoEndpoint, Detail: "no endpoint that answers in pool " + x.pool, RetryAfter: retrySoon}
 }
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -23,7 +23,10 @@
 	CauseQuarantined Cause = "crashes_endpoints"
 	// CauseEvacuated: all endpoints that could run the request are in evacuated
 	// failure domains.
-	CauseEvacuated   Cause = "evacuated"
+	CauseEvacuated Cause = "evacuated"
+	// CausePaused: all endpoints that could run the request have asked this host
+	// for a pause.
+	CausePaused      Cause = "endpoints_paused"
 	CauseTimeout     Cause = "timeout"
 	CauseStopping    Cause = "daemon_stopping"
 	CauseTooManyOpen Cause = "too_many_open_requests"
