No probes, copies or continuations at an endpoint within its pause

Cause: found by looking for the same fault elsewhere. Change: probes and releases are left out, a move waits for the pause of its source, a run is continued at the runner that is not paused, and if both are, at the end of the first pause rather than not at all. Presence checks stay: they follow a lost connection, and the first one that reaches the endpoint ends the series.

--- a/cmd/dragonfly-entry/assemble.go
+++ b/cmd/dragonfly-entry/assemble.go
@@ -67,7 +67,11 @@
 		IdleConnections: idleConnections, IdleTimeout: s.IdleTimeout,
 		OnNotice: func(e port.Endpoint, n port.EndpointNotice) { a.gateway.ObserveNotice(e, n) },
 	})
-	a.keeper = newKeeper(s, &keeperSources{a.store, runners}, logger, registry, store)
+	a.keeper = newKeeper(s, &keeperSources{
+		store: a.store, runners: runners,
+		// The gateway is created after the keeper, and before the keeper runs.
+		isPaused: func(e port.Endpoint) bool { return a.gateway.IsPaused(e) },
+	}, logger, registry, store)
 	a.keeper.Service(nil).Register(a.peers)
 	// A pool is scheduled by a single daemon, so the scheduler gets no list of other
 	// routers.
@@ -100,6 +104,8 @@
 type keeperSources struct {
 	store   *platform.StoreClient
 	runners *platform.RunnerClient
+	// isPaused reports whether a runner must not be probed now.
+	isPaused func(port.Endpoint) bool
 }
 
 func newKeeper(s *entrySettings, src *keeperSources, logger *log.Logger, registry gometrics.Registry, sink port.DecisionSink) *keeper.Keeper {
@@ -108,7 +114,7 @@
 			ID: s.ID, Host: s.Host, FailureDomain: s.FailureDomain,
 			CallerAddress: s.callerAddress(), AdminAddress: s.Listen.Admin, PeerAddress: s.peerAddress(),
 		},
-		Keepers: s.Keepers, Platform: src.store, Endpoints: src.store, Prober: src.runners, Kinds: []string{route.RecordKind}, PolledKinds: record.Kinds(), ExistenceKinds: []string{port.ObjectPlatformEvacuation},
+		Keepers: s.Keepers, Platform: src.store, Endpoints: src.store, Prober: src.runners, IsPaused: src.isPaused, Kinds: []string{route.RecordKind}, PolledKinds: record.Kinds(), ExistenceKinds: []string{port.ObjectPlatformEvacuation},
 		Decisions: sink, Logger: logger, Registry: registry,
 		Watchers: s.Watchers, WatchWait: s.WatchWait, WatchPause: s.WatchPause, FallbackAfter: s.FallbackAfter,
 		RelistEvery: s.RelistEvery, HeartbeatEvery: s.HeartbeatEvery, SilenceAfter: s.SilenceAfter,
--- a/internal/gateway/barred.go
+++ b/internal/gateway/barred.go
@@ -28,7 +28,7 @@
 		return barEvacuated
 	case g.seenLeaving.Has(e):
 		return barLeaving
-	case g.isPaused(e):
+	case g.IsPaused(e):
 		return barPaused
 	}
 	return notBarred
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -16,7 +16,8 @@
 	})
 }
 
-// probe requests an endpoint's health check.
+// probe requests an endpoint's health check, also while it is paused: probes follow
+// a lost connection, and the first one that reaches the endpoint is the last.
 func (g *Gateway) probe(ctx context.Context, e port.Endpoint) port.Presence {
 	path := "/"
 	if index := g.index.Load(); index != nil {
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -132,13 +132,16 @@
 	if c == nil || r.x.quarantineRefusal() != nil {
 		return nil
 	}
-	for _, at := range []port.Endpoint{c.to, c.from} {
+	for _, at := range r.x.g.pausedLast(c.to, c.from) {
 		// A leaving endpoint is not skipped: it holds the copy, and the request was
 		// sent before it announced its leaving.
 		if r.x.g.isEvacuated(at) {
 			r.x.recordConcurrent(verdictResume, "not taken up: the endpoint's failure domain is evacuated", at.ID, nil)
 			continue
 		}
+		if !r.x.g.awaitPauseEnd(ctx, at) {
+			return nil
+		}
 		next, err := r.x.resume(ctx, r.p, at, c, lastID)
 		if err != nil {
 			r.x.recordConcurrent(verdictResume, "not taken up: "+err.Error(), at.ID, nil)
--- a/internal/gateway/moves.go
+++ b/internal/gateway/moves.go
@@ -57,7 +57,7 @@
 	defer m.finish()
 	defer m.run.x.recoverMove()
 	step := continuity.StepNextDestination
-	for ctx.Err() == nil {
+	for m.g.awaitPauseEnd(ctx, m.from) {
 		switch step {
 		case continuity.StepNextDestination:
 			if !m.chooseDestination(ctx) {
@@ -155,6 +155,10 @@
 	if c == nil {
 		return
 	}
+	if x.g.IsPaused(c.to) {
+		x.recordConcurrent(verdictRelease, "a copy that nobody uses is left to the runner: "+string(barPaused), c.to.ID, nil)
+		return
+	}
 	go func() {
 		defer x.recoverMove()
 		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
--- a/internal/gateway/pauses.go
+++ b/internal/gateway/pauses.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"math/rand/v2"
 	"time"
 
@@ -8,9 +9,36 @@
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
 
-// isPaused reports whether an endpoint has asked this host to send it nothing for
+// IsPaused reports whether an endpoint has asked this host to send it nothing for
 // a while that has not passed yet.
-func (g *Gateway) isPaused(e port.Endpoint) bool { return g.pauses.Remaining(g.Clock(), &e) > 0 }
+func (g *Gateway) IsPaused(e port.Endpoint) bool { return g.pauses.Remaining(g.Clock(), &e) > 0 }
+
+// awaitPauseEnd waits until an endpoint is not paused. It reports false if the
+// context ends before.
+func (g *Gateway) awaitPauseEnd(ctx context.Context, e port.Endpoint) bool {
+	for {
+		remaining := g.pauses.Remaining(g.Clock(), &e)
+		if remaining == 0 {
+			return ctx.Err() == nil
+		}
+		timer := time.NewTimer(remaining)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return false
+		}
+	}
+}
+
+// pausedLast returns two endpoints in their order, but a paused one after one that
+// is not.
+func (g *Gateway) pausedLast(a, b port.Endpoint) []port.Endpoint {
+	if g.IsPaused(a) && !g.IsPaused(b) {
+		return []port.Endpoint{b, a}
+	}
+	return []port.Endpoint{a, b}
+}
 
 func excludedByPause(e port.Endpoint) port.CandidateScore {
 	return port.CandidateScore{Endpoint: e.ID, Excluded: routing.ExcludedPaused}
--- a/internal/gateway/pauses_test.go
+++ b/internal/gateway/pauses_test.go
@@ -3,11 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
+	"github.com/dragonflyrail/dragonflyrail/internal/testkit/eventually"
 )
 
 const testPause = 3 * time.Second
@@ -173,3 +177,129 @@
 		}
 	}
 }
+
+// runWithCopy starts a generation at the runner e0, announces its leaving, and
+// waits until a copy at e1 exists. It returns the streams of the requests in the
+// order in which they arrive.
+func (b *harness) runWithCopy(t *testing.T, beforeLeaving func()) (first *io.PipeWriter, pipes chan *io.PipeWriter, got *fakeCaller, done chan *Refusal) {
+	t.Helper()
+	b.useStaleCoordinator("e0", "e1")
+	pipes = make(chan *io.PipeWriter, 3)
+	b.setHandlers("e", func(*port.Exchange) (*port.Answer, error) {
+		reader, writer := io.Pipe()
+		pipes <- writer
+		return streamed(reader)
+	})
+	got, done = &fakeCaller{}, make(chan *Refusal, 1)
+	go func() { done <- b.send(t, "/stream/", got) }()
+	first = <-pipes
+	_, _ = io.WriteString(first, event(1))
+	eventually.True(t, "the event is relayed", func() bool { return strings.Contains(got.text(), event(1)) })
+	beforeLeaving()
+	h, _ := b.endpointTable.get("e0")
+	b.ObserveNotice(h.Endpoint, port.EndpointNotice{Leaving: true, Call: port.CallRequest, Status: 200})
+	return first, pipes, got, done
+}
+
+// Guards against copies that are requested from a runner within its pause, and
+// against a run that is not moved once the pause has ended.
+func TestMoveWaitsForThePauseOfItsSource(t *testing.T) {
+	const sourcePause = 300 * time.Millisecond
+	b := newHarness(t)
+	var mu sync.Mutex
+	var copiedAt time.Time
+	b.backends.copyHandler = func(_, _ port.Endpoint, _ bool) (port.Copy, error) {
+		mu.Lock()
+		defer mu.Unlock()
+		if copiedAt.IsZero() {
+			copiedAt = time.Now()
+		}
+		return port.Copy{Handle: "h"}, nil
+	}
+	var pausedAt time.Time
+	first, pipes, got, done := b.runWithCopy(t, func() {
+		h, _ := b.endpointTable.get("e0")
+		pausedAt = time.Now()
+		b.pause(h.Endpoint, sourcePause)
+	})
+	next := <-pipes
+	_, _ = io.WriteString(next, event(2))
+	next.Close()
+	first.CloseWithError(errReset)
+	if refusal := <-done; refusal != nil || got.text() != events(1, 2) {
+		t.Fatalf("%v after %q", refusal, got.text())
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	if after := copiedAt.Sub(pausedAt); after < sourcePause {
+		t.Errorf("copied %v after the request for a pause of %v", after, sourcePause)
+	}
+}
+
+// Guards against a run that is resumed at a paused runner while the other one
+// that has its tokens accepts it, and against one that is lost because both are
+// paused for a moment.
+func TestResumeAvoidsPausedRunners(t *testing.T) {
+	for _, c := range []struct {
+		name, pausedID, want string
+		pause                time.Duration
+	}{
+		{"destination", "e1", "e0", time.Minute},
+		{"both", "e1 e0", "e1", 200 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newHarness(t)
+			stopped := make(chan struct{})
+			b.backends.copyHandler = func(_, _ port.Endpoint, stop bool) (port.Copy, error) {
+				if stop {
+					for _, id := range strings.Fields(c.pausedID) {
+						h, _ := b.endpointTable.get(id)
+						b.pause(h.Endpoint, c.pause)
+					}
+					close(stopped)
+				}
+				return port.Copy{Handle: "h"}, nil
+			}
+			first, pipes, got, done := b.runWithCopy(t, func() {})
+			<-stopped
+			began := time.Now()
+			first.CloseWithError(errReset)
+			next := <-pipes
+			_, _ = io.WriteString(next, event(2))
+			next.Close()
+			if refusal := <-done; refusal != nil || got.text() != events(1, 2) {
+				t.Fatalf("%v after %q", refusal, got.text())
+			}
+			if sent := b.backends.arrivals(); !slices.Equal(sent, []string{"e0", c.want}) {
+				t.Errorf("sent to %v", sent)
+			}
+			if waited := time.Since(began); c.name == "both" && waited < c.pause/2 {
+				t.Errorf("resumed after %v within a pause of %v", waited, c.pause)
+			}
+		})
+	}
+}
+
+// Guards against a call that releases a copy at a runner within its pause.
+func TestCopyIsNotReleasedAtPausedRunner(t *testing.T) {
+	b := newHarness(t)
+	b.pauseAll("e1")
+	x := &exchange{g: b.Gateway, req: &Request{ID: "r"}}
+	for _, id := range []string{"e1", "e2"} {
+		h, _ := b.endpointTable.get(id)
+		x.release(&runCopy{to: h.Endpoint, handle: "h"})
+	}
+	eventually.True(t, "the copy of the other runner is released", func() bool { return len(b.backends.releasedCopies()) > 0 })
+	eventually.True(t, "both decisions are recorded", func() bool {
+		n := 0
+		for _, d := range b.sink.All() {
+			if d.Verdict == verdictRelease {
+				n++
+			}
+		}
+		return n == 2
+	})
+	if got := b.backends.releasedCopies(); !slices.Equal(got, []string{"e2/h"}) {
+		t.Errorf("released %v", got)
+	}
+}
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -128,7 +128,7 @@
 	for _, e := range g.endpointTable.liveIn(x.pool) {
 		switch {
 		case slices.Contains(x.tried, e.ID):
-		case g.isPaused(e):
+		case g.IsPaused(e):
 			excluded = append(excluded, excludedByPause(e))
 		case e.Unreachable || g.breakers.Open(now, e.ID):
 			suspect = append(suspect, e)
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -94,9 +94,12 @@
 	// write: a record is in force as long as its object exists.
 	ExistenceKinds []string
 	Prober         EndpointProber
-	Decisions      port.DecisionSink
-	Logger         *log.Logger
-	Registry       gometrics.Registry
+	// IsPaused reports whether an endpoint has asked this host to send it nothing
+	// for now, probes included; nil means that none ever does.
+	IsPaused  func(e port.Endpoint) bool
+	Decisions port.DecisionSink
+	Logger    *log.Logger
+	Registry  gometrics.Registry
 
 	Watchers       int
 	WatchWait      time.Duration
--- a/internal/keeper/notices_test.go
+++ b/internal/keeper/notices_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"github.com/dragonflyrail/dragonflyrail/internal/core/membership"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
 
@@ -31,3 +32,19 @@
 	k.PublishLeaving("e", 1)
 	checkState(port.EndpointLive)
 }
+
+// Guards against probes of an endpoint within the pause that it asked this host
+// for, also when it asked for it during a round of probes.
+func TestPausedEndpointIsNotProbed(t *testing.T) {
+	k, _ := newTestKeeper(newFakePlatform())
+	prober := &fakeProber{reports: map[string]port.LoadReport{}}
+	k.options.Prober, k.options.ProbeOnlyDuringOutage = prober, true
+	for _, id := range []string{"paused", "other"} {
+		k.putEndpoint(membership.Listed(registryEntry(id, 1, port.EndpointLive).Endpoint), "listed")
+	}
+	share := k.probeShare()
+	k.options.IsPaused = func(e port.Endpoint) bool { return e.ID == "paused" }
+	if k.probeRound(t.Context(), share); prober.probed != 1 {
+		t.Fatalf("%d endpoints were probed, want only the one that is not paused", prober.probed)
+	}
+}
--- a/internal/keeper/probes.go
+++ b/internal/keeper/probes.go
@@ -108,7 +108,10 @@
 	group.SetLimit(maxConcurrentProbes)
 	for i := range share {
 		group.Go(func() error {
-			failed[i] = !k.probeEndpoint(ctx, share[i].Endpoint)
+			// The endpoint may have asked for a pause since the round began.
+			if k.options.IsPaused == nil || !k.options.IsPaused(share[i].Endpoint) {
+				failed[i] = !k.probeEndpoint(ctx, share[i].Endpoint)
+			}
 			return nil
 		})
 	}
