Callers refused by pausing endpoints are told when the pause ends

Callers: told to return after 0.5 s to a host whose endpoints had all just asked it for 3 s. Cause: found by looking for the same fault elsewhere. The retry time of a request whose attempts were refused did not look at the pauses that began with these refusals. Change: the retry time is the first end of a pause when no live endpoint of the pool is free of one. Result: TestRetryTimeCoversPausesThatBeganWithTheRequest failed on all three kinds of route (500 ms) and passes.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -173,7 +173,7 @@
 
 // retryRefusal returns the refusal if no further attempt is allowed, else nil.
 func (x *exchange) retryRefusal(ctx context.Context, fate stream.RunOutcome) *Refusal {
-	refusal := &Refusal{Cause: x.cause, Detail: x.reason, RetryAfter: retrySoon}
+	refusal := &Refusal{Cause: x.cause, Detail: x.reason, RetryAfter: x.retryAfterPause()}
 	if refusal.Cause == "" {
 		refusal.Cause = CauseEndpointFailed
 	}
--- a/internal/gateway/pauses.go
+++ b/internal/gateway/pauses.go
@@ -48,6 +48,9 @@
 // requests of this host again; zero if one of them is not paused or there is
 // none.
 func (g *Gateway) untilPauseEnds(pool string) time.Duration {
+	if g.pauses.Len() == 0 {
+		return 0
+	}
 	now, first := g.Clock(), time.Duration(0)
 	for _, e := range g.endpointTable.inPool(pool) {
 		if e.State != port.EndpointLive || e.Evacuated {
--- a/internal/gateway/pauses_test.go
+++ b/internal/gateway/pauses_test.go
@@ -303,3 +303,21 @@
 		t.Errorf("released %v", got)
 	}
 }
+
+// Guards against a caller that is told to return within the pause that all
+// endpoints asked for while they refused its request.
+func TestRetryTimeCoversPausesThatBeganWithTheRequest(t *testing.T) {
+	for _, path := range []string{"/safe/x", "/once/x", "/stream/x"} {
+		b := newHarness(t)
+		b.useFakeClock()
+		b.setHandlers("s", b.replyPause())
+		b.setHandlers("e", b.replyPause())
+		refusal := b.send(t, path, &fakeCaller{})
+		if refusal == nil || refusal.Outcome != "not_run" {
+			t.Fatalf("%s: %+v", path, refusal)
+		}
+		if refusal.RetryAfter < testPause {
+			t.Errorf("%s: Retry-After %v within a pause of %v", path, refusal.RetryAfter, testPause)
+		}
+	}
+}
