--- a/internal/tools/soak/main.go
+++ b/internal/tools/soak/main.go
@@ -30,6 +30,7 @@
 	Restore bool          `long:"restores" description:"also restore the store from copies"`
 	Crashes bool          `long:"crashes" description:"also send a request that crashes the runners that run it"`
 	Limits  bool          `long:"limits" description:"let runners declare limits of requests"`
+	Notices bool          `long:"notices" description:"let runners ask for pauses and announce in answers that they leave"`
 	Domains bool          `long:"evacuations" description:"also evacuate failure domains"`
 	Cold    bool          `long:"cold" description:"let runners be cold when they join"`
 	BinDir  string        `long:"bin" default:"bin" description:"directory of the binaries"`
@@ -80,7 +81,7 @@
 	}
 	l := testfleet.SmallLayout(o.BinDir, ".", dir)
 	l.Daemons, l.Engines, l.Plain = o.Daemons, o.Engines, o.Plain
-	report, err := soak.Run(ctx, soak.Options{Seed: seed, Length: o.Length, Layout: l, Routes: o.Routes, Restores: o.Restore, Crashes: o.Crashes, Limits: o.Limits, Evacuations: o.Domains, Cold: o.Cold, Log: func(format string, args ...any) {
+	report, err := soak.Run(ctx, soak.Options{Seed: seed, Length: o.Length, Layout: l, Routes: o.Routes, Restores: o.Restore, Crashes: o.Crashes, Limits: o.Limits, Notices: o.Notices, Evacuations: o.Domains, Cold: o.Cold, Log: func(format string, args ...any) {
 		if o.Verbose {
 			fmt.Printf(format+"\n", args...)
 		}
