Name the end of a pause and the reason of a leaving endpoint as they are

Cause: reading the change: a verdict named like that of a resumed run, and a reason that did not fit endpoints which are leaving because another one answers at their address. Change: names only, and the address in the line of a pause's end.

--- a/internal/gateway/barred.go
+++ b/internal/gateway/barred.go
@@ -15,7 +15,7 @@
 const (
 	notBarred    barReason = ""
 	barEvacuated barReason = "the endpoint's failure domain is evacuated"
-	barLeaving   barReason = "the endpoint has announced that it leaves"
+	barLeaving   barReason = "the endpoint is leaving"
 	barPaused    barReason = "the endpoint has asked this host for a pause"
 )
 
@@ -76,14 +76,10 @@
 // at a barred endpoint they include all barred endpoints of the pool, because the
 // coordinator does not know of them yet.
 func (x *exchange) excluded() []string {
-	paused := x.g.pauses.Active(x.g.Clock())
-	switch {
-	case x.placedAtBarred:
+	if x.placedAtBarred {
 		return slices.Concat(x.tried, x.g.barredIDs(x.pool))
-	case len(paused) > 0:
-		return slices.Concat(x.tried, paused)
 	}
-	return x.tried
+	return slices.Concat(x.tried, x.g.pauses.Active(x.g.Clock()))
 }
 
 // refuseBarred returns the refusal of a request that was placed at barred
--- a/internal/gateway/decisions.go
+++ b/internal/gateway/decisions.go
@@ -27,10 +27,10 @@
 	verdictWarm = "warm"
 	// verdictLeave: an endpoint is leaving, by its own answer.
 	verdictLeave = "leave"
-	// verdictPause and verdictResumed: an endpoint asked this host to send it
+	// verdictPause and verdictPauseEnded: an endpoint asked this host to send it
 	// nothing for a while, and that time has ended.
-	verdictPause   = "pause"
-	verdictResumed = "pause_ended"
+	verdictPause      = "pause"
+	verdictPauseEnded = "pause_ended"
 	// verdictLimit: an endpoint has a new rate limit, or none any more.
 	verdictLimit = "limit"
 )
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -54,7 +54,10 @@
 func (g *Gateway) recordEndedPauses() {
 	ended := g.pauses.RemoveEnded(g.Clock())
 	for _, id := range ended {
-		g.recordNotice(port.Endpoint{ID: id}, verdictResumed, "the time that it asked for has passed")
+		h, _ := g.endpointTable.get(id)
+		// The endpoint may have been removed during the pause.
+		h.ID = id
+		g.recordNotice(h.Endpoint, verdictPauseEnded, "the time that it asked for has passed")
 	}
 	if len(ended) > 0 {
 		g.metrics.paused.Update(int64(g.pauses.Len()))
