--- a/internal/gateway/notices_test.go
+++ b/internal/gateway/notices_test.go
@@ -53,8 +53,7 @@
 	b.apply()
 }
 
-// Guards against requests to an endpoint that announced its leaving in an answer
-// of any outcome, while the registry goes on listing it as live.
+// Guards against requests to an endpoint that announced its leaving while the registry lists it as live.
 func TestAnnouncedLeavingOutweighsRegistry(t *testing.T) {
 	for _, c := range []struct{ name, path, endpoint string }{
 		{"call", "/safe/x", "s1"}, {"call that may run once", "/once/x", "s1"}, {"generation", "/stream/x", "e1"},
@@ -88,8 +87,7 @@
 	}
 }
 
-// Guards against keeping an endpoint out of service that has restarted under its
-// id, also when a late answer of its former process arrives.
+// Guards against keeping an endpoint out of service that has restarted under its id.
 func TestRestartedEndpointIsUsedAgain(t *testing.T) {
 	b := newHarness(t)
 	b.setHandlers("s", reply(200, "fine"))
@@ -130,8 +128,7 @@
 	b.Placer = s
 }
 
-// Guards against a generation at a runner that announced its leaving to this
-// daemon, placed by a coordinator that has not heard of it yet.
+// Guards against a generation at a leaving runner that a coordinator without that news chose.
 func TestPlacementAtLeavingEndpointIsWithdrawn(t *testing.T) {
 	b := newHarness(t)
 	got := countSends(b)
@@ -148,8 +145,7 @@
 	}
 }
 
-// Guards against moving a run to a runner that announced its leaving to this
-// daemon.
+// Guards against moving a run to a runner that announced its leaving to this daemon.
 func TestRunIsNotMovedToLeavingEndpoint(t *testing.T) {
 	b := newHarness(t)
 	b.useStaleCoordinator("e0", "e1", "e2")
--- a/internal/gateway/pauses_test.go
+++ b/internal/gateway/pauses_test.go
@@ -53,8 +53,7 @@
 	}
 }
 
-// Guards against requests within the pause that an endpoint asked for, and
-// against avoiding it for longer.
+// Guards against requests within the pause that an endpoint asked for, and against a longer pause.
 func TestPausedEndpointGetsNothingUntilPauseEnds(t *testing.T) {
 	for _, c := range []struct{ path, endpoint string }{{"/safe/x", "s1"}, {"/once/x", "s1"}, {"/stream/x", "e1"}} {
 		t.Run(c.path, func(t *testing.T) {
@@ -83,8 +82,7 @@
 	}
 }
 
-// Guards against callers that wait or are refused without a time to return when
-// all endpoints are paused, and against a request to one of them.
+// Guards against callers that wait, or get no time to return, when all endpoints are paused.
 func TestRequestsAreRefusedAtOnceWhenAllEndpointsArePaused(t *testing.T) {
 	for _, path := range []string{"/safe/x", "/once/x", "/stream/x"} {
 		b := newHarness(t)
@@ -132,8 +130,7 @@
 	return d
 }
 
-// Guards against a held request that is released to a runner which has asked for
-// a pause meanwhile.
+// Guards against a held request that is released to a runner which is paused by now.
 func TestHeldRequestIsNotSentToPausedEndpoint(t *testing.T) {
 	b := newHarness(t)
 	got := countSends(b)
@@ -150,8 +147,7 @@
 	}
 }
 
-// Guards against refusing requests because their placements at paused endpoints
-// are withdrawn one after the other, while one endpoint accepts them.
+// Guards against refusing requests after several placements at paused endpoints while one accepts them.
 func TestPausedEndpointsAreNoCandidates(t *testing.T) {
 	b := newHarness(t)
 	for i := 3; i < 9; i++ {
@@ -201,8 +197,7 @@
 	return first, pipes, got, done
 }
 
-// Guards against copies that are requested from a runner within its pause, and
-// against a run that is not moved once the pause has ended.
+// Guards against copies within the pause of their source, and a run that is not moved after it.
 func TestMoveWaitsForThePauseOfItsSource(t *testing.T) {
 	const sourcePause = 300 * time.Millisecond
 	b := newHarness(t)
@@ -236,9 +231,7 @@
 	}
 }
 
-// Guards against a run that is resumed at a paused runner while the other one
-// that has its tokens accepts it, and against one that is lost because both are
-// paused for a moment.
+// Guards against resuming a run at a paused runner, and against losing it when both are paused.
 func TestResumeAvoidsPausedRunners(t *testing.T) {
 	for _, c := range []struct {
 		name, pausedID, want string
@@ -304,8 +297,7 @@
 	}
 }
 
-// Guards against a caller that is told to return within the pause that all
-// endpoints asked for while they refused its request.
+// Guards against a Retry-After within the pause that all endpoints asked for with their refusals.
 func TestRetryTimeCoversPausesThatBeganWithTheRequest(t *testing.T) {
 	for _, path := range []string{"/safe/x", "/once/x", "/stream/x"} {
 		b := newHarness(t)
--- a/internal/keeper/notices_test.go
+++ b/internal/keeper/notices_test.go
@@ -7,9 +7,7 @@
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
 
-// Guards against an endpoint that returns to service when the registry lists it
-// as live again after its own announcement, and against one that stays out of
-// service after its restart.
+// Guards against an endpoint that a newer entry returns to service after its own announcement.
 func TestPublishedLeavingOutweighsLaterEntries(t *testing.T) {
 	r := &registry{entries: map[string]port.ListedEndpoint{}}
 	k := newRegistryKeeper(r)
@@ -33,8 +31,7 @@
 	checkState(port.EndpointLive)
 }
 
-// Guards against probes of an endpoint within the pause that it asked this host
-// for, also when it asked for it during a round of probes.
+// Guards against probes of an endpoint that asked for a pause, also during a round of probes.
 func TestPausedEndpointIsNotProbed(t *testing.T) {
 	k, _ := newTestKeeper(newFakePlatform())
 	prober := &fakeProber{reports: map[string]port.LoadReport{}}
--- a/test/notices_test.go
+++ b/test/notices_test.go
@@ -26,8 +26,7 @@
 	pauseLength = 3 * time.Second
 )
 
-// Guards against requests to runners that announced in their answers that they
-// leave, while the store still lists them as ready.
+// Guards against requests to runners that announced their leaving and are still listed as ready.
 func TestNoRequestsToRunnersThatAnnouncedLeaving(t *testing.T) {
 	t.Parallel()
 	f, load := startNoticeFleet(t)
@@ -47,8 +46,7 @@
 	}
 }
 
-// Guards against requests to runners within the pause that they asked for with a
-// refusal, also those that another daemon places.
+// Guards against requests within the pause that a runner asked for, also if another daemon places them.
 func TestNoRequestsToPausedRunners(t *testing.T) {
 	t.Parallel()
 	f, load := startNoticeFleet(t)
