--- /dev/null
+++ b/internal/gateway/eligibility.go
@@ -0,0 +1,96 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"strconv"
+
+	"github.com/dragonflyrail/dragonflyrail/internal/port"
+)
+
+// ineligibility is the reason why this daemon sends no further requests to an
+// endpoint.
+type ineligibility string
+
+// The reasons; eligible means that there is none.
+const (
+	eligible            ineligibility = ""
+	ineligibleEvacuated ineligibility = "its failure domain is evacuated"
+	ineligibleLeaving   ineligibility = "it is leaving"
+	ineligiblePaused    ineligibility = "it has asked this host for a pause"
+)
+
+// whyIneligible returns why this daemon sends nothing further to an endpoint. Each
+// choice of an endpoint that rests on older or less information, such as that of
+// another daemon, is checked against it right before a request is sent.
+func (g *Gateway) whyIneligible(e port.Endpoint) ineligibility {
+	switch {
+	case g.isEvacuated(e):
+		return ineligibleEvacuated
+	case g.seenLeaving.Has(e):
+		return ineligibleLeaving
+	case g.IsPaused(e):
+		return ineligiblePaused
+	}
+	return eligible
+}
+
+// ineligibleIDs returns the ids of the endpoints of a pool that are not eligible.
+func (g *Gateway) ineligibleIDs(pool string) []string {
+	var out []string
+	for _, e := range g.endpointTable.inPool(pool) {
+		if g.whyIneligible(e) != eligible {
+			out = append(out, e.ID)
+		}
+	}
+	return out
+}
+
+// maxPlacements bounds how often a request is placed again because a
+// coordinator that has not received why an endpoint is ineligible placed it there.
+const maxPlacements = 3
+
+// placeEligible chooses an endpoint for the next attempt and rejects an
+// ineligible one. Such a placement is possible if the coordinator does not know yet
+// why the endpoint is ineligible, or if that came up while the request was held.
+func (x *exchange) placeEligible(ctx context.Context) (*placement, *Refusal) {
+	why := eligible
+	for range maxPlacements {
+		p, refusal := x.place(ctx)
+		if refusal != nil {
+			return nil, refusal
+		}
+		if why = x.g.whyIneligible(p.endpoint); why == eligible {
+			return p, nil
+		}
+		x.record(verdictWithdraw, "the endpoint in failure domain "+strconv.Quote(p.endpoint.FailureDomain)+" is not eligible: "+string(why), "", nil)
+		x.attempts--
+		x.placedAtIneligible = true
+		x.withdraw(p)
+	}
+	return nil, x.refuseIneligible(why)
+}
+
+// excluded returns the ids of the endpoints at which the request must not be
+// placed. They include the paused ones, because an endpoint asks each host for a
+// pause of its own and the coordinator may run on another host. After a placement
+// at an ineligible endpoint they include all ineligible ones of the pool, because the
+// coordinator does not know of them yet.
+func (x *exchange) excluded() []string {
+	if x.placedAtIneligible {
+		return slices.Concat(x.tried, x.g.ineligibleIDs(x.pool))
+	}
+	return slices.Concat(x.tried, x.g.pauses.Active(x.g.Clock()))
+}
+
+// refuseIneligible returns the refusal of a request that was placed at
+// ineligible endpoints only, the last one for the given reason.
+func (x *exchange) refuseIneligible(why ineligibility) *Refusal {
+	switch why {
+	case ineligibleEvacuated:
+		return x.allEvacuated()
+	case ineligiblePaused:
+		return x.refusePaused()
+	}
+	return &Refusal{Cause: CauseNoEndpoint, Detail: "no endpoint of pool " + x.pool + " is eligible; of the last one: " + string(why), RetryAfter: retrySoon}
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -52,8 +52,8 @@
 	keptFailure *bufferedAnswer
 	// connectionLost: the connection to the last attempt's endpoint broke.
 	connectionLost bool
-	// placedAtBarred: the request was placed at a barred endpoint before.
-	placedAtBarred bool
+	// placedAtIneligible: the request was placed at an ineligible endpoint before.
+	placedAtIneligible bool
 	// quarantined: the request is not sent because it crashes endpoints.
 	quarantined bool
 	// print caches the fingerprint, which the method fingerprint computes.
@@ -138,7 +138,7 @@
 	if refusal := x.quarantineRefusal(); refusal != nil {
 		return nil, refusal
 	}
-	p, refusal := x.placeUnbarred(ctx)
+	p, refusal := x.placeEligible(ctx)
 	if refusal != nil {
 		return nil, refusal
 	}
--- a/internal/gateway/moves.go
+++ b/internal/gateway/moves.go
@@ -103,9 +103,9 @@
 
 // isDestinationAllowed reports whether the run may still be sent to the
 // destination.
-func (m *mover) isDestinationAllowed() bool { return m.g.barOf(m.to) == notBarred }
+func (m *mover) isDestinationAllowed() bool { return m.g.whyIneligible(m.to) == eligible }
 
-// copyIfAllowed copies once, unless the destination has been barred in the
+// copyIfAllowed copies once, unless the destination has become ineligible in the
 // meantime.
 func (m *mover) copyIfAllowed(ctx context.Context) continuity.Step {
 	if !m.isDestinationAllowed() {
@@ -114,12 +114,12 @@
 	return m.copy(ctx, false)
 }
 
-// rejectDestination excludes the destination, which is barred, and all other
-// barred runners of the pool: a scheduler that does not know yet what bars them
-// would propose them one after the other.
+// rejectDestination excludes the destination, which is ineligible, and all other
+// ineligible runners of the pool: a scheduler that does not know of them yet would
+// propose them one after the other.
 func (m *mover) rejectDestination() continuity.Step {
 	m.excluded = append(m.excluded, m.to.ID)
-	m.excluded = append(m.excluded, m.g.barredIDs(m.run.x.pool)...)
+	m.excluded = append(m.excluded, m.g.ineligibleIDs(m.run.x.pool)...)
 	return continuity.StepNextDestination
 }
 
@@ -156,7 +156,7 @@
 		return
 	}
 	if x.g.IsPaused(c.to) {
-		x.recordConcurrent(verdictRelease, "a copy that nobody uses is left to the runner: "+string(barPaused), c.to.ID, nil)
+		x.recordConcurrent(verdictRelease, "a copy that nobody uses is left to the runner: "+string(ineligiblePaused), c.to.ID, nil)
 		return
 	}
 	go func() {
