A crash that was counted before a release is not counted again after it

Cause: a release forgets the crashes of a request, and with them that these ends of endpoints were counted. Another daemon that lost a request to the ended endpoint afterwards, within the seconds for which the registry still lists it, reported the same crash, and it counted as a new one: three crashes, two runs.

--- a/internal/core/quarantine/register.go
+++ b/internal/core/quarantine/register.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -70,14 +71,15 @@
 	// quarantined is replaced as a whole, as every request reads it.
 	quarantined atomic.Pointer[map[Fingerprint]struct{}]
 
-	mu      sync.Mutex
-	changes *spread.Changes[Suspect]
+	mu        sync.Mutex
+	changes   *spread.Changes[Suspect]
+	histories histories
 }
 
 // NewRegister returns a register over shared state. It calls onChange for each
 // change of verdict.
 func NewRegister(s SharedState, onChange func(Change)) *Register {
-	r := &Register{shared: s, onChange: onChange, changes: s.Suspects().Follow()}
+	r := &Register{shared: s, onChange: onChange, changes: s.Suspects().Follow(), histories: make(histories)}
 	r.quarantined.Store(&map[Fingerprint]struct{}{})
 	return r
 }
@@ -137,8 +139,9 @@
 
 // Crashed records that an endpoint ended while it ran the given requests.
 func (r *Register) Crashed(now time.Time, crash CrashID, running []Fingerprint) {
+	r.Refresh(now)
 	for _, f := range running {
-		if r.completed.has(now, f) {
+		if r.completed.has(now, f) || r.isDiscarded(f, crash) {
 			continue
 		}
 		s, held := r.get(f)
@@ -153,6 +156,12 @@
 	r.Refresh(now)
 }
 
+func (r *Register) isDiscarded(f Fingerprint, c CrashID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.histories.isDiscarded(f, c)
+}
+
 // Restore adds suspects from persistent storage.
 func (r *Register) Restore(now time.Time, suspects []Suspect) {
 	for _, s := range suspects {
@@ -187,6 +196,9 @@
 	if len(changed) == 0 {
 		return
 	}
+	for i := range changed {
+		r.histories.update(&changed[i])
+	}
 	r.clearCompleted(now, changed)
 	r.reevaluate()
 }
@@ -248,6 +260,10 @@
 	if removed {
 		r.mu.Lock()
 		defer r.mu.Unlock()
+		maps.DeleteFunc(r.histories, func(f Fingerprint, _ *crashHistory) bool {
+			_, held := r.get(f)
+			return !held
+		})
 		r.reevaluate()
 	}
 }
--- a/internal/core/quarantine/register_test.go
+++ b/internal/core/quarantine/register_test.go
@@ -279,3 +279,36 @@
 		}
 	})
 }
+
+// Guards against counting a crash again after its request was released, when another daemon finds the ended endpoint.
+func TestReleasedCrashIsNotCountedAgain(t *testing.T) {
+	d := newDaemons(3)
+	fatal := requestOf(1)
+	for at := range 3 {
+		d.crash(at, fatal)
+	}
+	d.converge()
+	d.registers[0].Release(d.now, d.registers[0].Entries())
+	d.converge()
+	for at := range 3 {
+		for id := 1; id <= 3; id++ {
+			d.registers[at].Crashed(d.now, quarantine.CrashID(id), []fingerprint{fatal})
+		}
+	}
+	d.converge()
+	if d.quarantined(0, fatal) {
+		t.Fatal("the request is quarantined again for the crashes that it was released from")
+	}
+	for at := range 2 {
+		d.crash(at, fatal)
+	}
+	d.converge()
+	if d.quarantined(0, fatal) {
+		t.Fatal("the request is quarantined after two further crashes")
+	}
+	d.crash(2, fatal)
+	d.converge()
+	if !d.quarantined(0, fatal) {
+		t.Fatal("the request is not quarantined after three further crashes")
+	}
+}
