--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -139,7 +139,7 @@
 			r.x.recordConcurrent(verdictResume, "not taken up: the endpoint's failure domain is evacuated", at.ID, nil)
 			continue
 		}
-		if !r.x.g.awaitPauseEnd(ctx, at) {
+		if !r.x.awaitPauseEnd(ctx, verdictResume, at) {
 			return nil
 		}
 		next, err := r.x.resume(ctx, r.p, at, c, lastID)
--- a/internal/gateway/moves.go
+++ b/internal/gateway/moves.go
@@ -57,7 +57,7 @@
 	defer m.finish()
 	defer m.run.x.recoverMove()
 	step := continuity.StepNextDestination
-	for m.g.awaitPauseEnd(ctx, m.from) {
+	for m.run.x.awaitPauseEnd(ctx, verdictMove, m.from) {
 		switch step {
 		case continuity.StepNextDestination:
 			if !m.chooseDestination(ctx) {
--- a/internal/gateway/pauses.go
+++ b/internal/gateway/pauses.go
@@ -13,11 +13,14 @@
 // a while that has not passed yet.
 func (g *Gateway) IsPaused(e port.Endpoint) bool { return g.pauses.Remaining(g.Clock(), &e) > 0 }
 
-// awaitPauseEnd waits until an endpoint is not paused. It reports false if the
-// context ends before.
-func (g *Gateway) awaitPauseEnd(ctx context.Context, e port.Endpoint) bool {
+// awaitPauseEnd waits until an endpoint is not paused, and records that it does,
+// under the verdict of what waits. It reports false if the context ends before.
+func (x *exchange) awaitPauseEnd(ctx context.Context, verdict string, e port.Endpoint) bool {
+	if x.g.IsPaused(e) {
+		x.recordConcurrent(verdict, "waits: "+string(ineligiblePaused), e.ID, nil)
+	}
 	for {
-		remaining := g.pauses.Remaining(g.Clock(), &e)
+		remaining := x.g.pauses.Remaining(x.g.Clock(), &e)
 		if remaining == 0 {
 			return ctx.Err() == nil
 		}
