Placements at an endpoint that this daemon knows to be leaving from any source are withdrawn

The check right before a request is sent asked only what this daemon had learned from answers itself. What it knew from the registry, or from another daemon's published notice, did not count: a generation that a coordinator without that news placed, and a call that waited for its turn at a rate limit, were sent to the leaving endpoint. Change: the check also looks at the endpoint's state in this daemon's table. A placement by a newer entry or incarnation than the table has stays, so that a daemon which is behind does not refuse an endpoint that has returned. Result: TestPlacementAtEndpointReportedLeavingIsWithdrawn (sent to e0, which leaves) and TestCallIsNotSentToEndpointThatLeavesDuringItsWait (sent to s0) failed and pass; TestPlacementByNewerStateIsKept passes before and after, and go test -race ./internal/gateway passes.

--- a/internal/gateway/eligibility.go
+++ b/internal/gateway/eligibility.go
@@ -27,7 +27,7 @@
 	switch {
 	case g.isEvacuated(e):
 		return ineligibleEvacuated
-	case g.seenLeaving.Has(e):
+	case g.seenLeaving.Has(e), g.endpointTable.hasLeft(e):
 		return ineligibleLeaving
 	case g.IsPaused(e):
 		return ineligiblePaused
--- a/internal/gateway/endpoint_table.go
+++ b/internal/gateway/endpoint_table.go
@@ -109,6 +109,17 @@
 	return h, ok
 }
 
+// hasLeft reports whether the table shows that an endpoint, as an earlier decision or
+// another daemon described it, is no longer live. A description by a newer entry or
+// of a newer incarnation than the table has counts as live.
+func (k *endpointTable) hasLeft(described port.Endpoint) bool {
+	known, found := k.get(described.ID)
+	if !found || known.State == port.EndpointLive || known.Incarnation < described.Incarnation {
+		return false
+	}
+	return known.Incarnation > described.Incarnation || known.Revision >= described.Revision
+}
+
 // inPool lists the endpoints of a pool.
 func (k *endpointTable) inPool(pool string) []port.Endpoint {
 	return k.matching(func(e *port.Endpoint) bool { return e.Pool == pool })
--- a/internal/gateway/notices_test.go
+++ b/internal/gateway/notices_test.go
@@ -6,7 +6,9 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
+	"github.com/dragonflyrail/dragonflyrail/internal/core/ratelimit"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 	"github.com/dragonflyrail/dragonflyrail/internal/testkit/eventually"
 )
@@ -145,6 +147,57 @@
 	}
 }
 
+// Guards against a generation at a runner that the registry or another daemon has said to be leaving, chosen by a coordinator without that news.
+func TestPlacementAtEndpointReportedLeavingIsWithdrawn(t *testing.T) {
+	b := newHarness(t)
+	got := countSends(b)
+	b.useStaleCoordinator("e0", "e1", "e2")
+	b.setLeaving("e0")
+	b.setLeaving("e1")
+	if refusal := b.send(t, "/stream/x", &fakeCaller{}); refusal != nil {
+		t.Fatal(refusal)
+	}
+	if sent := got(); sent["e2"] != 1 || len(sent) != 1 {
+		t.Errorf("requests sent: %v", sent)
+	}
+}
+
+// Guards against a call at an endpoint that is said to be leaving while the call waits for its turn there.
+func TestCallIsNotSentToEndpointThatLeavesDuringItsWait(t *testing.T) {
+	var b *harness
+	var waited []string
+	b, _ = newLimitedHarness(t, []float64{3, 3, 3}, func(asks []ratelimit.Candidate, _ time.Duration) ratelimit.Grant {
+		waited = append(waited, asks[0].Endpoint)
+		if len(waited) == 1 {
+			b.setLeaving(asks[0].Endpoint)
+		}
+		return ratelimit.Grant{Endpoint: asks[0].Endpoint, Wait: time.Millisecond}
+	})
+	if refusal := b.send(t, "/safe/x", &fakeCaller{}); refusal != nil {
+		t.Fatal(refusal)
+	}
+	if len(waited) != 2 || !slices.Equal(b.backends.arrivals(), waited[1:]) {
+		t.Errorf("waited for %v, sent to %v", waited, b.backends.arrivals())
+	}
+}
+
+// Guards against refusing a placement that rests on a newer entry or incarnation than this daemon has.
+func TestPlacementByNewerStateIsKept(t *testing.T) {
+	for name, renew := range map[string]func(*port.Endpoint){
+		"entry":       func(e *port.Endpoint) { e.Revision += 5 },
+		"incarnation": func(e *port.Endpoint) { e.Incarnation++ },
+	} {
+		b := newHarness(t)
+		got := countSends(b)
+		b.useStaleCoordinator("e0")
+		renew(&b.Placer.(*staleCoordinator).endpoints[0])
+		b.setLeaving("e0")
+		if refusal := b.send(t, "/stream/x", &fakeCaller{}); refusal != nil || got()["e0"] != 1 {
+			t.Errorf("%s: %v, requests sent: %v", name, refusal, got())
+		}
+	}
+}
+
 // Guards against moving a run to a runner that announced its leaving to this daemon.
 func TestRunIsNotMovedToLeavingEndpoint(t *testing.T) {
 	b := newHarness(t)
