A stream that waits for paused runners resumes at the first one to accept it, or ends at once

Callers: a stream that had broken off and had a copy stayed open without events until its deadline. Cause: of two paused runners the one with the copy was waited for, however long its pause, although the other one's ended sooner; and a pause beyond the request's deadline was waited for until that deadline, although nothing could come of it. Change: the runner whose pause ends first is tried first; a pause that outlasts the deadline is not waited for. Result: TestResumeAvoidsPausedRunners with unequal pauses (resumed at e1 after 30 s instead of at e0 after 0.2 s) and TestStreamEndsAtOnceIfPausesOutlastItsDeadline (open after 5 s) failed and pass; the two cases that the first test had are in it as before.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -132,7 +132,7 @@
 	if c == nil || r.x.quarantineRefusal() != nil {
 		return nil
 	}
-	for _, at := range r.x.g.pausedLast(c.to, c.from) {
+	for _, at := range r.x.g.byPauseEnd(c.to, c.from) {
 		// A leaving endpoint is not skipped: it holds the copy, and the request was
 		// sent before it announced its leaving.
 		if r.x.g.isEvacuated(at) {
@@ -140,7 +140,7 @@
 			continue
 		}
 		if !r.x.awaitPauseEnd(ctx, verdictResume, at) {
-			return nil
+			continue
 		}
 		next, err := r.x.resume(ctx, r.p, at, c, lastID)
 		if err != nil {
--- a/internal/gateway/pauses.go
+++ b/internal/gateway/pauses.go
@@ -14,15 +14,21 @@
 func (g *Gateway) IsPaused(e port.Endpoint) bool { return g.pauses.Remaining(g.Clock(), &e) > 0 }
 
 // awaitPauseEnd waits until an endpoint is not paused, and records that it does,
-// under the verdict of what waits. It reports false if the context ends before.
+// under the verdict of what waits. It reports false if the context ends before, and
+// at once if the pause outlasts the request's deadline.
 func (x *exchange) awaitPauseEnd(ctx context.Context, verdict string, e port.Endpoint) bool {
 	if x.g.IsPaused(e) {
 		x.recordConcurrent(verdict, "waits: "+string(ineligiblePaused), e.ID, nil)
 	}
 	for {
-		remaining := x.g.pauses.Remaining(x.g.Clock(), &e)
-		if remaining == 0 {
+		now := x.g.Clock()
+		remaining := x.g.pauses.Remaining(now, &e)
+		switch {
+		case remaining == 0:
 			return ctx.Err() == nil
+		case now.Add(remaining).After(x.deadline):
+			x.recordConcurrent(verdict, "not waited for: the pause outlasts the request's deadline", e.ID, nil)
+			return false
 		}
 		timer := time.NewTimer(remaining)
 		select {
@@ -34,10 +40,11 @@
 	}
 }
 
-// pausedLast returns two endpoints in their order, but a paused one after one that
-// is not.
-func (g *Gateway) pausedLast(a, b port.Endpoint) []port.Endpoint {
-	if g.IsPaused(a) && !g.IsPaused(b) {
+// byPauseEnd returns two endpoints in their order, but the second one first if it
+// accepts requests earlier.
+func (g *Gateway) byPauseEnd(a, b port.Endpoint) []port.Endpoint {
+	now := g.Clock()
+	if g.pauses.Remaining(now, &b) < g.pauses.Remaining(now, &a) {
 		return []port.Endpoint{b, a}
 	}
 	return []port.Endpoint{a, b}
--- a/internal/gateway/pauses_test.go
+++ b/internal/gateway/pauses_test.go
@@ -233,22 +233,26 @@
 
 // Guards against resuming a run at a paused runner, and against losing it when both are paused.
 func TestResumeAvoidsPausedRunners(t *testing.T) {
+	const short, long = 200 * time.Millisecond, 30 * time.Second
 	for _, c := range []struct {
-		name, pausedID, want string
-		pause                time.Duration
+		name, want string
+		// destination and source are the pauses of the runners, wait is the time
+		// for which the run must wait.
+		destination, source, wait time.Duration
 	}{
-		{"destination", "e1", "e0", time.Minute},
-		{"both", "e1 e0", "e1", 200 * time.Millisecond},
+		{"destination", "e0", long, 0, 0},
+		{"both", "e1", short, short, short},
+		{"destination for longer", "e0", long, short, short},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			b := newHarness(t)
 			stopped := make(chan struct{})
 			b.backends.copyHandler = func(_, _ port.Endpoint, stop bool) (port.Copy, error) {
 				if stop {
-					for _, id := range strings.Fields(c.pausedID) {
-						h, _ := b.endpointTable.get(id)
-						b.pause(h.Endpoint, c.pause)
-					}
+					destination, _ := b.endpointTable.get("e1")
+					b.pause(destination.Endpoint, c.destination)
+					source, _ := b.endpointTable.get("e0")
+					b.pause(source.Endpoint, c.source)
 					close(stopped)
 				}
 				return port.Copy{Handle: "h"}, nil
@@ -266,13 +270,40 @@
 			if sent := b.backends.arrivals(); !slices.Equal(sent, []string{"e0", c.want}) {
 				t.Errorf("sent to %v", sent)
 			}
-			if waited := time.Since(began); c.name == "both" && waited < c.pause/2 {
-				t.Errorf("resumed after %v within a pause of %v", waited, c.pause)
+			if waited := time.Since(began); waited < c.wait/2 || waited > long/2 {
+				t.Errorf("resumed after %v, want %v", waited, c.wait)
 			}
 		})
 	}
 }
 
+// Guards against a stream that stays open until its deadline because all runners that could resume it are paused for longer.
+func TestStreamEndsAtOnceIfPausesOutlastItsDeadline(t *testing.T) {
+	b := newHarness(t)
+	stopped := make(chan struct{})
+	b.backends.copyHandler = func(_, _ port.Endpoint, stop bool) (port.Copy, error) {
+		if stop {
+			for _, id := range []string{"e0", "e1"} {
+				h, _ := b.endpointTable.get(id)
+				b.pause(h.Endpoint, time.Hour)
+			}
+			close(stopped)
+		}
+		return port.Copy{Handle: "h"}, nil
+	}
+	first, _, got, done := b.runWithCopy(t, func() {})
+	<-stopped
+	first.CloseWithError(errReset)
+	select {
+	case refusal := <-done:
+		if refusal == nil || !refusal.ResponseStarted || got.text() != event(1) {
+			t.Fatalf("%+v after %q", refusal, got.text())
+		}
+	case <-time.After(5 * time.Second):
+		t.Fatal("the stream is still open")
+	}
+}
+
 // Guards against a call that releases a copy at a runner within its pause.
 func TestCopyIsNotReleasedAtPausedRunner(t *testing.T) {
 	b := newHarness(t)
