An announced leaving is kept for as long as the registry lists the endpoint as live

Daemons drop endpoints that departed long ago, by the revision of their entries, once more than 512 have departed. An endpoint that announces its leaving in an answer, or in a load report, while the registry still lists it as ready has the revision of its old entry: in a fleet that has run for a while it is dropped at the next round, with what all daemons knew of it, and the next full list returns it to service. Change: an endpoint's state says whether the registry still lists it as live and only its own report made it later. Such endpoints are not dropped; a list that leaves one out counts as its removal, after which it is dropped like the others. Daemons of the build before ignore the new field and behave as they did.

--- a/internal/adapter/grpcpeer/convert.go
+++ b/internal/adapter/grpcpeer/convert.go
@@ -50,7 +50,7 @@
 		FailureDomain: e.FailureDomain, Incarnation: e.Incarnation, State: string(e.State),
 		FencesOrders: e.FencesOrders, Models: e.Models,
 		Version: e.Observation, Unreachable: e.Unreachable, Confirmed: e.Confirmed,
-		Revision: uint64(e.Revision), Said: string(e.ReportedState), Slots: uint32(e.Slots),
+		Revision: uint64(e.Revision), Said: string(e.ReportedState), StillListed: e.StillListed, Slots: uint32(e.Slots),
 		RateLimit: e.RateLimit, LimitChanges: e.LimitChanges, ColdMillis: e.ColdFor.Milliseconds(),
 	}
 	if e.EntryRevision != e.Revision {
@@ -75,6 +75,7 @@
 		},
 		EntryRevision: entry,
 		ReportedState: port.EndpointState(e.GetSaid()),
+		StillListed:   e.GetStillListed() && e.GetState() != string(port.EndpointLive),
 		Observation:   e.GetVersion(), Confirmed: e.GetConfirmed(), LimitChanges: e.GetLimitChanges(),
 	}
 }
--- a/internal/core/membership/endpoint.go
+++ b/internal/core/membership/endpoint.go
@@ -23,6 +23,9 @@
 	// ReportedState is the state that the endpoint itself reported; it never moves
 	// backwards.
 	ReportedState port.EndpointState
+	// StillListed is set if the registry entry at Revision is live and State is
+	// later only because of ReportedState.
+	StillListed bool
 	// Observation counts the changes of Unreachable and Models within the
 	// incarnation; the larger is newer.
 	Observation uint64
@@ -65,8 +68,8 @@
 		out = b
 	}
 	out.ReportedState = laterState(a.ReportedState, b.ReportedState)
-	out.Revision, out.State = joinStates(&a, &b)
-	out.State = laterState(out.State, out.ReportedState)
+	out.Revision, out.State = joinListedStates(&a, &b)
+	out.applyReportedState()
 	out.Confirmed = a.Confirmed || b.Confirmed
 	observed := &a
 	if compareObservations(&a, &b) < 0 {
@@ -81,18 +84,35 @@
 	return out
 }
 
-// joinStates returns the state of the larger revision. At equal revisions the
-// later state wins: "leaving" must not be overwritten by a list that still says
-// "live", or by a late message from a daemon that hasn't received the change.
-// Otherwise new work would be sent to an endpoint that is about to stop.
-func joinStates(a, b *Endpoint) (port.StoreRevision, port.EndpointState) {
+// listedState returns the state without the endpoint's own report, as far as it is
+// known.
+func (e *Endpoint) listedState() port.EndpointState {
+	if e.StillListed {
+		return port.EndpointLive
+	}
+	return e.State
+}
+
+// applyReportedState advances a state that comes from the registry to the one that
+// the endpoint itself reported.
+func (e *Endpoint) applyReportedState() {
+	listed := e.State
+	e.State = laterState(listed, e.ReportedState)
+	e.StillListed = listed == port.EndpointLive && e.State != port.EndpointLive
+}
+
+// joinListedStates returns the listed state of the larger revision. At equal
+// revisions the later state wins: "leaving" must not be overwritten by a list that
+// still says "live", or by a late message from a daemon that hasn't received the
+// change. Otherwise new work would be sent to an endpoint that is about to stop.
+func joinListedStates(a, b *Endpoint) (port.StoreRevision, port.EndpointState) {
 	switch {
 	case a.Revision > b.Revision:
-		return a.Revision, a.State
+		return a.Revision, a.listedState()
 	case a.Revision < b.Revision:
-		return b.Revision, b.State
+		return b.Revision, b.listedState()
 	default:
-		return a.Revision, laterState(a.State, b.State)
+		return a.Revision, laterState(a.listedState(), b.listedState())
 	}
 }
 
@@ -182,6 +202,9 @@
 		h.Uint64(e.LimitChanges)
 		h.Uint64(math.Float64bits(e.RateLimit))
 	}
+	if e.StillListed {
+		h.Bool(e.StillListed)
+	}
 	return h.Sum()
 }
 
@@ -217,7 +240,8 @@
 func WithRenewedEntry(known Endpoint) Endpoint {
 	next := known
 	next.Revision = known.EntryRevision
-	next.State = laterState(port.EndpointLive, known.ReportedState)
+	next.State = port.EndpointLive
+	next.applyReportedState()
 	return next
 }
 
@@ -239,7 +263,7 @@
 	next := known
 	if r.Incarnation > known.Incarnation {
 		next.Incarnation = r.Incarnation
-		next.State, next.ReportedState = port.EndpointLive, ""
+		next.State, next.ReportedState, next.StillListed = port.EndpointLive, "", false
 		next.Observation, next.LimitChanges = 0, 0
 		next.Unreachable, next.RateLimit = false, 0
 	}
@@ -258,7 +282,8 @@
 func WithReportedState(known Endpoint, state port.EndpointState) Endpoint {
 	next := known
 	next.ReportedState = laterState(next.ReportedState, state)
-	next.State = laterState(next.State, state)
+	next.State = next.listedState()
+	next.applyReportedState()
 	next.Confirmed = true
 	return next
 }
@@ -290,7 +315,7 @@
 func Removed(known Endpoint, revision port.StoreRevision) Endpoint {
 	next := known
 	next.Revision, next.EntryRevision = revision, revision
-	next.State = port.EndpointLeaving
+	next.State, next.StillListed = port.EndpointLeaving, false
 	return next
 }
 
@@ -300,7 +325,7 @@
 func Delisted(known Endpoint) Endpoint {
 	next := known
 	if next.Unreachable {
-		next.State = port.EndpointGone
+		next.State, next.StillListed = port.EndpointGone, false
 	}
 	return next
 }
--- a/internal/core/membership/prune.go
+++ b/internal/core/membership/prune.go
@@ -21,11 +21,12 @@
 // PrunableDepartures returns the ids of the endpoints that departed so long ago that
 // they can be removed. The result depends on the entries alone, so daemons with
 // equal entries remove the same ones. Endpoints without a revision are never
-// returned.
+// returned, and neither are those that the registry still lists as live: removed, they
+// would be live again at the next list.
 func PrunableDepartures(all iter.Seq[Endpoint]) []string {
 	var departed []Endpoint
 	for e := range all {
-		if e.State != port.EndpointLive && e.Revision > 0 {
+		if e.State != port.EndpointLive && !e.StillListed && e.Revision > 0 {
 			departed = append(departed, e)
 		}
 	}
--- a/internal/keeper/departed_test.go
+++ b/internal/keeper/departed_test.go
@@ -44,6 +44,43 @@
 	}
 }
 
+// Guards against a runner that returns to service because its own announcement was removed while its entry still said ready.
+func TestAnnouncedLeavingIsKeptWhileEntryIsListed(t *testing.T) {
+	r := &registry{entries: map[string]port.ListedEndpoint{}}
+	k := newRegistryKeeper(r)
+	s := &endpointSource{keeper: k}
+	w := newWatch(k, kindEndpoints, s)
+	r.put(registryEntry("announced", 1, port.EndpointLive))
+	w.step(t.Context())
+	k.PublishLeaving("announced", 1)
+	const departures = 4000
+	for i := range departures {
+		id := fmt.Sprint("e", i)
+		r.put(registryEntry(id, 1, port.EndpointLive))
+		r.put(port.ListedEndpoint{Endpoint: port.Endpoint{ID: id}, Removed: true})
+	}
+	w.step(t.Context())
+	k.forgetDepartedEndpoints()
+	if _, err := s.list(t.Context(), false); err != nil {
+		t.Fatal(err)
+	}
+	if e, _ := k.node.Endpoints.Get("announced"); e.State != port.EndpointLeaving {
+		t.Errorf("the endpoint is %q", e.State)
+	}
+	r.put(port.ListedEndpoint{Endpoint: port.Endpoint{ID: "announced"}, Removed: true})
+	w.step(t.Context())
+	for i := range departures {
+		id := fmt.Sprint("later-", i)
+		r.put(registryEntry(id, 1, port.EndpointLive))
+		r.put(port.ListedEndpoint{Endpoint: port.Endpoint{ID: id}, Removed: true})
+	}
+	w.step(t.Context())
+	k.forgetDepartedEndpoints()
+	if _, held := k.node.Endpoints.Get("announced"); held {
+		t.Error("the endpoint is held long after the registry removed it")
+	}
+}
+
 // Guards against a departed runner that a long isolated peer permanently adds
 // again.
 func TestForgottenRunnerFromPeerIsMarkedLeaving(t *testing.T) {
--- a/internal/keeper/registry.go
+++ b/internal/keeper/registry.go
@@ -151,7 +151,7 @@
 
 // unlisted returns the endpoints that are known from before the revision and
 // that a list at it doesn't name. This includes an endpoint that is leaving
-// while its entry is unproven: it would otherwise count as still listed.
+// while its entry is unproven or live: it would otherwise count as still listed.
 func (s *endpointSource) unlisted(entries []port.ListedEndpoint, revision port.StoreRevision) []string {
 	listed := make(map[string]bool, len(entries))
 	for i := range entries {
@@ -159,7 +159,7 @@
 	}
 	var out []string
 	for e := range s.keeper.node.Endpoints.All() {
-		relevant := e.State == port.EndpointLive || e.StateMayBeStale()
+		relevant := e.State == port.EndpointLive || e.StillListed || e.StateMayBeStale()
 		if relevant && !listed[e.ID] && e.EntryRevision <= revision {
 			out = append(out, e.ID)
 		}
