Calls avoid an endpoint of a plain service that refuses one after the other

A refusal is answered within 2 ms, so its endpoint has the fewest open calls and is chosen more often than the others; refusals counted for no breaker; each one is repeated elsewhere, until the retry budget is spent. A pause covers only refusals that name a time. Change: three refusals in a row open a breaker of their own for the endpoint (0.5 s, doubled up to 4 s, one call as a trial). It is then used only if no other endpoint is left, and decisions list it as refuses_all_calls. Refusals by a rate limit (429) don't count: the admission accounts for them. Result: TestEndpointThatRefusesAllCallsIsAvoided failed (38 of 120 calls reached it, then the retry budget was spent) and passes.

--- a/internal/core/routing/reasons.go
+++ b/internal/core/routing/reasons.go
@@ -43,4 +43,5 @@
 	ExcludedPrefill  = "prompts_ahead"
 	ExcludedLimit    = "at_rate_limit"
 	ExcludedPaused   = "asked_for_pause"
+	ExcludedRefusing = "refuses_all_calls"
 )
--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -103,6 +103,7 @@
 	g.pauses.Forget(id)
 	g.limitBackoffs.reset(id)
 	g.breakers.Forget(id)
+	g.refusals.Forget(id)
 }
 
 // removeEndpoints removes endpoints that left long ago and are no longer in the
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -35,7 +35,7 @@
 	began := x.g.Clock()
 	answer, err := x.send(ctx, x.outbound(p))
 	if err != nil {
-		return x.handleSendError(ctx, p, err)
+		return x.handleSendError(ctx, p, answer, err)
 	}
 	defer answer.Body.Close()
 	x.reachedEndpoint = true
@@ -93,8 +93,8 @@
 	})
 }
 
-// handleSendError classifies and ends an attempt that got no answer.
-func (x *exchange) handleSendError(ctx context.Context, p *placement, err error) stream.RunOutcome {
+// handleSendError classifies and ends an attempt that got no answer, or a refusal.
+func (x *exchange) handleSendError(ctx context.Context, p *placement, refusal *port.Answer, err error) stream.RunOutcome {
 	fate, kind, name := stream.OutcomeUnknown, port.FinishFailed, "lost"
 	switch {
 	case errors.Is(err, port.ErrMisdirected):
@@ -104,6 +104,7 @@
 	case errors.Is(err, port.ErrRefused):
 		fate, kind, name = stream.OutcomeRefused, port.FinishCancelled, "refused"
 		x.reachedEndpoint = true
+		p.refused = !refusedByLimit(refusal)
 	case errors.Is(err, port.ErrNotSent):
 		fate, kind, name = stream.OutcomeNotSent, port.FinishNotStarted, "not_sent"
 	case errors.Is(err, port.ErrForeignAnswer):
@@ -123,6 +124,12 @@
 	return fate
 }
 
+// refusedByLimit reports whether an endpoint refused a request because of its rate
+// limit, which the admission of requests accounts for.
+func refusedByLimit(refusal *port.Answer) bool {
+	return refusal != nil && refusal.Status == http.StatusTooManyRequests
+}
+
 // withCause returns the text of an error together with its cause, which the
 // text alone lacks: for example whether an address refuses connections or does
 // not respond.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -113,8 +113,12 @@
 // Gateway routes the requests of callers. Create it with New, then call Run.
 type Gateway struct {
 	Ports
-	o             atomic.Pointer[Options]
-	breakers      *breaker.Set
+	o        atomic.Pointer[Options]
+	breakers *breaker.Set
+	// refusals opens for endpoints of plain services that refuse one call after the
+	// other. They get calls only if no other endpoint is left: they answer fast and
+	// would have the fewest open calls.
+	refusals      *breaker.Set
 	budgets       *budgets
 	balancer      *balance.Balancer
 	metrics       *instruments
@@ -158,6 +162,7 @@
 	g := &Gateway{
 		Ports:         p,
 		breakers:      breaker.NewSet(o.Breaker),
+		refusals:      breaker.NewSet(o.Breaker),
 		balancer:      balance.New(balance.Options{Draw: randomIndex, ReportMaxAge: o.ReportMaxAge}),
 		metrics:       newInstruments(p.Metrics),
 		limitObserver: ratelimit.NewObserver(),
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -21,6 +21,9 @@
 	generation bool
 	// tokens counts the tokens of the answer relayed so far.
 	tokens int
+	// refused: the endpoint refused the request, for another reason than its rate
+	// limit.
+	refused bool
 	// watched is the crash watch's entry of the attempt while it is in
 	// progress.
 	watched *crashwatch.Attempt
@@ -123,7 +126,7 @@
 func (x *exchange) chooseBalanced(ctx context.Context) (*placement, *Refusal) {
 	g := x.g
 	now := g.Clock()
-	var candidates, suspect []port.Endpoint
+	var candidates, refusing, suspect []port.Endpoint
 	var excluded []port.CandidateScore
 	for _, e := range g.endpointTable.liveIn(x.pool) {
 		switch {
@@ -132,10 +135,18 @@
 			excluded = append(excluded, excludedByPause(e))
 		case e.Unreachable || g.breakers.Open(now, e.ID):
 			suspect = append(suspect, e)
+		case g.refusals.Open(now, e.ID):
+			refusing = append(refusing, e)
 		default:
 			candidates = append(candidates, e)
 		}
 	}
+	if len(candidates) == 0 {
+		candidates, refusing = refusing, nil
+	}
+	for _, e := range refusing {
+		excluded = append(excluded, port.CandidateScore{Endpoint: e.ID, Excluded: routing.ExcludedRefusing})
+	}
 	if len(candidates) == 0 && x.attempts == 0 && x.ledger.Idempotent {
 		// All endpoints are unreachable or have an open breaker. A breaker may
 		// close late after its endpoint has recovered, so trying one is better
@@ -166,6 +177,7 @@
 	p.watched = x.g.crashWatch.Begin(p.endpoint, x.fingerprint())
 	if !p.generation {
 		x.g.breakers.Begin(x.g.Clock(), p.endpoint.ID)
+		x.g.refusals.Begin(x.g.Clock(), p.endpoint.ID)
 	}
 }
 
@@ -189,10 +201,13 @@
 		return
 	}
 	g.balancer.End(p.endpoint.ID)
-	switch kind {
-	case port.FinishDone:
+	switch {
+	case p.refused:
+		g.refusals.Failure(g.Clock(), p.endpoint.ID)
+	case kind == port.FinishDone:
 		g.breakers.Success(p.endpoint.ID)
-	case port.FinishFailed, port.FinishNotStarted:
+		g.refusals.Success(p.endpoint.ID)
+	case kind == port.FinishFailed, kind == port.FinishNotStarted:
 		g.breakers.Failure(g.Clock(), p.endpoint.ID)
 	}
 }
--- a/internal/gateway/refusal_test.go
+++ b/internal/gateway/refusal_test.go
@@ -1,10 +1,13 @@
 package gateway
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
+	"github.com/dragonflyrail/dragonflyrail/internal/core/breaker"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/outcome"
+	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
 
 // Every refusal of a request that has not run gives a retry time, unless the
@@ -34,3 +37,68 @@
 		})
 	}
 }
+
+// Guards against calls that keep going to an endpoint which refuses all of them, because it has the fewest open ones, until the retry budget is spent.
+func TestEndpointThatRefusesAllCallsIsAvoided(t *testing.T) {
+	const refusalsInRow, openFor = 3, time.Second
+	b := newHarness(t)
+	b.refusals = breaker.NewSet(breaker.Options{Failures: refusalsInRow, OpenFor: openFor, MaxOpenFor: openFor, MaxEndpoints: 10})
+	advance := b.useFakeClock()
+	countSends(b)
+	b.backends.handlers["s0"] = failure(port.ErrRefused)
+	sendAll := func() {
+		t.Helper()
+		for _, path := range []string{"/safe/x", "/once/x"} {
+			for range 60 {
+				if refusal := b.send(t, path, &fakeCaller{}); refusal != nil {
+					t.Fatal(refusal)
+				}
+			}
+		}
+	}
+	sendAll()
+	if n := b.countArrivals("s0"); n != refusalsInRow {
+		t.Errorf("%d calls reached the endpoint that refuses them, want %d", n, refusalsInRow)
+	}
+	advance(openFor)
+	sendAll()
+	if n := b.countArrivals("s0"); n != refusalsInRow+1 {
+		t.Errorf("%d calls reached it, want one more", n)
+	}
+	b.backends.handlers["s0"] = reply(200, "fine")
+	advance(openFor)
+	sendAll()
+	if n := b.countArrivals("s0"); n < 20 {
+		t.Errorf("%d calls reached it although it accepts them again", n)
+	}
+}
+
+// refuse returns a handler that refuses requests with a status.
+func refuse(status int) func(*port.Exchange) (*port.Answer, error) {
+	return func(*port.Exchange) (*port.Answer, error) { return &port.Answer{Status: status}, port.ErrRefused }
+}
+
+// Guards against avoiding an endpoint because of its rate limit, for which it gets its share of the requests.
+func TestRefusalByRateLimitOpensNoBreaker(t *testing.T) {
+	b := newHarness(t)
+	b.refusals = breaker.NewSet(breaker.Options{Failures: 1, OpenFor: time.Hour, MaxOpenFor: time.Hour, MaxEndpoints: 10})
+	countSends(b)
+	b.backends.handlers["s0"] = sequence(refuse(http.StatusTooManyRequests), reply(200, "fine"))
+	if n := b.sendMany(t, 60, "/safe/x", "s0"); n < 2 {
+		t.Errorf("%d of 60 calls reached it", n)
+	}
+}
+
+// Guards against refusing calls without an attempt when all endpoints have refused the last ones.
+func TestCallsAreTriedWhenAllEndpointsRefused(t *testing.T) {
+	b := newHarness(t)
+	b.refusals = breaker.NewSet(breaker.Options{Failures: 1, OpenFor: time.Hour, MaxOpenFor: time.Hour, MaxEndpoints: 10})
+	b.setHandlers("s", failure(port.ErrRefused))
+	for range 3 {
+		_ = b.send(t, "/once/x", &fakeCaller{})
+	}
+	b.setHandlers("s", reply(200, "fine"))
+	if refusal := b.send(t, "/once/x", &fakeCaller{}); refusal != nil {
+		t.Error(refusal)
+	}
+}
