A runner that refuses a generation counts as failing for its breaker

A runner that refuses is the emptiest of its pool and is chosen for one generation after the other (208 of 516 arrivals of the pool). Its breaker is there for just that, but the gateway reported a refusal as a cancelled run, which says nothing about the runner; the product's own router reports it as one that was not started. Change: the gateway reports it the same way, but for refusals by a rate limit. The harness of the gateway's tests gives the scheduler the gateway's clock, which one test advances. Result: TestRefusedGenerationCountsForTheBreaker failed (cancelled instead of not started) and passes.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -102,9 +102,12 @@
 		x.reachedEndpoint = true
 		x.g.markLeaving(p.endpoint, "another endpoint answers at its address")
 	case errors.Is(err, port.ErrRefused):
-		fate, kind, name = stream.OutcomeRefused, port.FinishCancelled, "refused"
+		fate, kind, name = stream.OutcomeRefused, port.FinishNotStarted, "refused"
 		x.reachedEndpoint = true
 		p.refused = !refusedByLimit(refusal)
+		if !p.refused {
+			kind = port.FinishCancelled
+		}
 	case errors.Is(err, port.ErrNotSent):
 		fate, kind, name = stream.OutcomeNotSent, port.FinishNotStarted, "not_sent"
 	case errors.Is(err, port.ErrForeignAnswer):
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -343,7 +343,8 @@
 			testEndpoint(fmt.Sprint("e", i), "engines", port.KindRunner))
 	}
 	scheduler := routing.NewScheduler(routing.Options{RouterID: "g"})
-	placer := scheduling.NewClient(scheduling.Options{Self: "g", Members: b.view, Logger: discardLogger()}, scheduling.NewPoolScheduler(scheduler, nil))
+	clock := func() time.Time { return b.Clock() }
+	placer := scheduling.NewClient(scheduling.Options{Self: "g", Members: b.view, Logger: discardLogger(), Clock: clock}, scheduling.NewPoolScheduler(scheduler, clock))
 	b.Gateway = New(Options{
 		ID: "g", CallerAddress: "127.0.0.1:1", MaxOpen: 100, MaxRefusals: 3, ReportMaxAge: time.Second,
 		RetryShare: 0.2, RetryBurst: 20, EntryValidity: time.Second, ReclaimNotice: 1500 * time.Millisecond,
--- a/internal/gateway/refusal_test.go
+++ b/internal/gateway/refusal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -73,6 +74,26 @@
 	}
 }
 
+// Guards against placing one generation after the other at a runner that refuses all of them and is therefore the emptiest.
+func TestRefusedGenerationCountsForTheBreaker(t *testing.T) {
+	for status, want := range map[int]port.FinishKind{
+		http.StatusServiceUnavailable: port.FinishNotStarted,
+		// The rate limit is accounted for by the admission of requests.
+		http.StatusTooManyRequests: port.FinishCancelled,
+	} {
+		b := newHarness(t)
+		countSends(b)
+		b.useStaleCoordinator("e0", "e1")
+		b.backends.handlers["e0"] = refuse(status)
+		if refusal := b.send(t, "/stream/x", &fakeCaller{}); refusal != nil {
+			t.Fatal(refusal)
+		}
+		if got := b.Placer.(*staleCoordinator).finished; !slices.Equal(got, []port.FinishKind{want, port.FinishDone}) {
+			t.Errorf("status %d: the scheduler got the ends %v, want %v first", status, got, want)
+		}
+	}
+}
+
 // refuse returns a handler that refuses requests with a status.
 func refuse(status int) func(*port.Exchange) (*port.Answer, error) {
 	return func(*port.Exchange) (*port.Answer, error) { return &port.Answer{Status: status}, port.ErrRefused }
