A restarted endpoint is asked for its notices before it is used, if its former start gave one

An answer names no start. Requests that reach a runner which has restarted under its id, before its new entry is read, are sent and answered under the former incarnation; what the new process states (that it leaves, or a pause) was kept for the former one and lost when the new entry came, after an outage of the store for one. The new process then got requests until its own next answer. Change: when a new incarnation of an endpoint becomes known whose former one has a notice in force here, or a notice for a former incarnation arrives late, the new one is asked by a health check, whose answer carries the same headers, and is not used until it has answered, for a second at most. A placement by a coordinator that knows the new incarnation first is withdrawn. Weighed: notices that outlast the incarnation (a runner that has restarted to serve would never be used), and an incarnation from the time of the answer (clocks jump). TestRestartedEndpointIsUsedAgain and TestRestartedEndpointIsNotPaused wait for the end of the check; their bounds are as before.

--- a/internal/core/pause/pause.go
+++ b/internal/core/pause/pause.go
@@ -102,6 +102,17 @@
 	return out
 }
 
+// Cancel ends the pause of an endpoint, unless it ends at another time than the given
+// one, as a longer pause does that has begun since.
+func (t *Tracker) Cancel(e *port.Endpoint, until time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if p, tracked := t.endpoints[e.ID]; tracked && p.incarnation == e.Incarnation && p.until.Equal(until) {
+		delete(t.endpoints, e.ID)
+		t.count.Store(int64(len(t.endpoints)))
+	}
+}
+
 // Len returns the number of tracked endpoints.
 func (t *Tracker) Len() int { return int(t.count.Load()) }
 
--- a/internal/core/pause/pause_test.go
+++ b/internal/core/pause/pause_test.go
@@ -70,3 +70,24 @@
 		t.Fatalf("ended: %v", ended)
 	}
 }
+
+// Guards against ending a longer pause that the endpoint has asked for meanwhile.
+func TestCancelEndsOnlyThePauseThatEndsThen(t *testing.T) {
+	tr, now := &Tracker{}, time.Unix(1_700_000_000, 0)
+	former, e := port.Endpoint{ID: "e", Incarnation: 1}, port.Endpoint{ID: "e", Incarnation: 2}
+	until := now.Add(time.Second)
+	tr.Start(now, &e, time.Second)
+	tr.Cancel(&former, until)
+	if tr.Remaining(now, &e) != time.Second {
+		t.Fatal("the pause of another incarnation has ended")
+	}
+	tr.Start(now, &e, 3*time.Second)
+	tr.Cancel(&e, until)
+	if tr.Remaining(now, &e) != 3*time.Second {
+		t.Fatal("the longer pause has ended")
+	}
+	tr.Cancel(&e, now.Add(3*time.Second))
+	if tr.Remaining(now, &e) != 0 || tr.Len() != 0 {
+		t.Fatal("the pause has not ended")
+	}
+}
--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -77,6 +77,7 @@
 		return
 	}
 	now := g.Clock()
+	g.checkRestarts(changed)
 	changed = g.withLocalState(now, changed)
 	// The scheduler is updated first: a caller that sees a runner in the
 	// endpoint table may request a placement at once, which would be refused if
--- a/internal/gateway/decisions.go
+++ b/internal/gateway/decisions.go
@@ -31,6 +31,8 @@
 	// nothing for a while, and that time has ended.
 	verdictPause      = "pause"
 	verdictPauseEnded = "pause_ended"
+	// verdictCheck: a restarted endpoint is asked for its notices, or has answered.
+	verdictCheck = "check"
 	// verdictLimit: an endpoint has a new rate limit, or none any more.
 	verdictLimit = "limit"
 )
--- a/internal/gateway/eligibility.go
+++ b/internal/gateway/eligibility.go
@@ -18,6 +18,7 @@
 	ineligibleEvacuated ineligibility = "its failure domain is evacuated"
 	ineligibleLeaving   ineligibility = "it is leaving"
 	ineligiblePaused    ineligibility = "it has asked this host for a pause"
+	ineligibleRestarted ineligibility = "it has restarted after a notice and has not been asked yet"
 )
 
 // whyIneligible returns why this daemon sends nothing further to an endpoint. Each
@@ -31,6 +32,8 @@
 		return ineligibleLeaving
 	case g.IsPaused(e):
 		return ineligiblePaused
+	case g.isUncheckedRestart(e):
+		return ineligibleRestarted
 	}
 	return eligible
 }
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -37,7 +37,9 @@
 	sent        []port.Exchange
 	// presence is the result of probing an endpoint, by id; others are serving.
 	presence map[string]port.Presence
-	probes   int
+	// onCheck is called with each endpoint whose presence is checked.
+	onCheck func(port.Endpoint)
+	probes  int
 	// released lists the released copies, each as runner/handle.
 	released []string
 }
@@ -85,6 +87,12 @@
 }
 
 func (e *fakeEndpoints) CheckPresence(_ context.Context, at port.Endpoint, _ string) port.Presence {
+	e.mu.Lock()
+	onCheck := e.onCheck
+	e.mu.Unlock()
+	if onCheck != nil {
+		onCheck(at)
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.probes++
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -16,6 +16,10 @@
 // any call. The endpoint is the one that the call was sent to, with the
 // incarnation that was known then.
 func (g *Gateway) ObserveNotice(e port.Endpoint, n port.EndpointNotice) {
+	if known, found := g.endpointTable.get(e.ID); found && known.State == port.EndpointLive && known.Incarnation > e.Incarnation {
+		// The call was sent before the restart was known.
+		g.checkIncarnation(known.Endpoint)
+	}
 	if n.Leaving {
 		g.observeLeaveNotice(e, n)
 	}
--- a/internal/gateway/notices_test.go
+++ b/internal/gateway/notices_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"slices"
 	"strings"
@@ -97,12 +98,75 @@
 	leaving := port.EndpointNotice{Leaving: true, Call: port.CallRequest, Status: 200}
 	b.ObserveNotice(former.Endpoint, leaving)
 	b.relist("s1", 2)
+	eventually.True(t, "the check has ended", func() bool { return b.checksEnded() == 1 })
 	b.ObserveNotice(former.Endpoint, leaving)
+	eventually.True(t, "the second check has ended", func() bool { return b.checksEnded() == 2 })
 	if n := b.sendMany(t, 30, "/safe/x", "s1"); n == 0 {
 		t.Fatal("the restarted endpoint gets no requests")
 	}
 }
 
+// Guards against losing the notice of an endpoint that has restarted under its id, because it came before the new incarnation was known.
+func TestNoticeOfRestartedEndpointIsNotLost(t *testing.T) {
+	for name, notice := range map[string]port.EndpointNotice{
+		"leaving": {Leaving: true, Status: 200},
+		"pause":   {PauseFor: testPause, Status: 503},
+	} {
+		for _, c := range []struct{ path, endpoint string }{{"/safe/x", "s1"}, {"/stream/x", "e1"}} {
+			for _, late := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s, %s, notice after the new incarnation: %v", name, c.endpoint, late), func(t *testing.T) {
+					b := newHarness(t)
+					got := countSends(b)
+					checked := make(chan struct{})
+					b.backends.onCheck = func(at port.Endpoint) {
+						<-checked
+						b.ObserveNotice(at, notice)
+					}
+					former, _ := b.endpointTable.get(c.endpoint)
+					if late {
+						b.relist(c.endpoint, 2)
+						b.ObserveNotice(former.Endpoint, notice)
+					} else {
+						b.ObserveNotice(former.Endpoint, notice)
+						b.relist(c.endpoint, 2)
+					}
+					_ = b.sendMany(t, 10, c.path, c.endpoint)
+					close(checked)
+					eventually.True(t, "the check has ended", func() bool { return b.checksEnded() == 1 })
+					_ = b.sendMany(t, 10, c.path, c.endpoint)
+					if n := got()[c.endpoint]; n > 0 {
+						t.Errorf("%d requests reached it", n)
+					}
+				})
+			}
+		}
+	}
+}
+
+// Guards against a placement by a coordinator that knows of a restart before this daemon does.
+func TestPlacementAtUncheckedRestartIsWithdrawn(t *testing.T) {
+	b := newHarness(t)
+	got := countSends(b)
+	b.useStaleCoordinator("e0", "e1")
+	former, _ := b.endpointTable.get("e0")
+	b.ObserveNotice(former.Endpoint, port.EndpointNotice{Leaving: true, Status: 200})
+	b.Placer.(*staleCoordinator).endpoints[0].Incarnation++
+	if refusal := b.send(t, "/stream/x", &fakeCaller{}); refusal != nil || got()["e0"] > 0 {
+		t.Errorf("%v, requests sent: %v", refusal, got())
+	}
+}
+
+// checksEnded returns the number of restarted endpoints whose check has ended.
+func (b *harness) checksEnded() int {
+	n := 0
+	for _, d := range b.sink.All() {
+		if d.Verdict == verdictCheck && strings.HasPrefix(d.Reason, "it is ") {
+			n++
+		}
+	}
+	return n
+}
+
 // staleCoordinator chooses endpoints in a fixed order, without what this daemon
 // knows of them.
 type staleCoordinator struct{ stalePlacer }
--- a/internal/gateway/pauses_test.go
+++ b/internal/gateway/pauses_test.go
@@ -111,6 +111,7 @@
 	countSends(b)
 	b.pauseAll("s0", "s1", "s2")
 	b.relist("s1", 2)
+	eventually.True(t, "the check of the restarted endpoint has ended", func() bool { return b.checksEnded() == 1 })
 	if n := b.sendMany(t, 10, "/safe/x", "s1"); n != 10 {
 		t.Errorf("%d of 10 requests reached the restarted endpoint", n)
 	}
--- a/internal/port/exchange.go
+++ b/internal/port/exchange.go
@@ -147,6 +147,20 @@
 	PresenceGone
 )
 
+// String returns the name of the value.
+func (p Presence) String() string {
+	switch p {
+	case PresenceServing:
+		return "serving"
+	case PresenceSilent:
+		return "silent"
+	case PresenceGone:
+		return "gone"
+	default:
+		return "unknown"
+	}
+}
+
 // Exchanger communicates with the endpoints of routes. Its errors are ErrNotSent,
 // ErrRefused, ErrMisdirected, ErrForeignAnswer, ErrEndpointLost and, for
 // copies, ErrNoGeneration and ErrNoRoom.
