Exclusions name only endpoints that a coordinator may still choose

Cause: counts every endpoint of the table that is not live as ineligible, and the table keeps some 500 to 1,600 that left. A request that is placed again after a withdrawn placement named them all to the coordinator, which compares them with each runner. Change: of those that left, only the ones of the last 30 s are named; a coordinator that has not received a departure for that long has been replaced. Result: TestLongDepartedEndpointsAreNotExcluded failed (e0 and e1) and passes.

--- a/internal/gateway/eligibility.go
+++ b/internal/gateway/eligibility.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"strconv"
+	"time"
 
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
@@ -38,10 +39,15 @@
 	return eligible
 }
 
-// ineligibleIDs returns the ids of the endpoints of a pool that are not eligible.
+// maxCoordinatorDelay is the time after which every coordinator has received that an
+// endpoint left.
+const maxCoordinatorDelay = 30 * time.Second
+
+// ineligibleIDs returns the ids of the endpoints of a pool that are not eligible and
+// that a coordinator may still choose.
 func (g *Gateway) ineligibleIDs(pool string) []string {
 	var out []string
-	for _, e := range g.endpointTable.inPool(pool) {
+	for _, e := range g.endpointTable.recentlyLiveIn(pool, g.Clock().Add(-maxCoordinatorDelay)) {
 		if g.whyIneligible(e) != eligible {
 			out = append(out, e.ID)
 		}
--- a/internal/gateway/endpoint_table.go
+++ b/internal/gateway/endpoint_table.go
@@ -125,6 +125,20 @@
 	return k.matching(func(e *port.Endpoint) bool { return e.Pool == pool })
 }
 
+// recentlyLiveIn lists the endpoints of a pool that are live or have left after a
+// time.
+func (k *endpointTable) recentlyLiveIn(pool string, after time.Time) []port.Endpoint {
+	k.mu.RLock()
+	defer k.mu.RUnlock()
+	var out []port.Endpoint
+	for _, h := range k.byID {
+		if h.Pool == pool && (h.State == port.EndpointLive || h.leavingSince.After(after)) {
+			out = append(out, h.Endpoint)
+		}
+	}
+	return out
+}
+
 // allEvacuated reports whether a pool of a plain service has live endpoints and
 // all of them are evacuated.
 func (k *endpointTable) allEvacuated(pool string) bool {
--- a/internal/gateway/notices_test.go
+++ b/internal/gateway/notices_test.go
@@ -245,6 +245,18 @@
 	}
 }
 
+// Guards against naming every endpoint that ever left in each request that is placed again.
+func TestLongDepartedEndpointsAreNotExcluded(t *testing.T) {
+	b := newHarness(t)
+	advance := b.useFakeClock()
+	b.setLeaving("e0")
+	advance(2 * maxCoordinatorDelay)
+	b.setLeaving("e1")
+	if got := b.ineligibleIDs("engines"); !slices.Equal(got, []string{"e1"}) {
+		t.Errorf("excluded %v", got)
+	}
+}
+
 // Guards against refusing a placement that rests on a newer entry or incarnation than this daemon has.
 func TestPlacementByNewerStateIsKept(t *testing.T) {
 	for name, renew := range map[string]func(*port.Endpoint){
