Rate limits and cold times are read from the answers of all calls

The platform's page names the remaining cold time for health responses, and only answers to requests were searched for it; a rate limit in the answer to a health check, a load report or a copy was dropped as well. A runner that had restarted cold under its id said so to the health check that follows a lost connection, and got its usual share until its entry was read. Change: the notice of an answer carries both, for all calls but requests, whose answers already do; an answer to another call that names no limit lifts none.

--- a/internal/gateway/coldness_test.go
+++ b/internal/gateway/coldness_test.go
@@ -115,6 +115,25 @@
 	}
 }
 
+// Guards against sending the usual share to an endpoint that has restarted, when only its health check says that it is cold.
+func TestColdnessIsReadFromHealthChecks(t *testing.T) {
+	b := newHarness(t)
+	b.setColdRate()
+	countSends(b)
+	b.backends.handlers["s0"] = failure(port.ErrEndpointLost)
+	coldFor := time.Minute
+	b.backends.onCheck = func(at port.Endpoint) {
+		b.ObserveNotice(at, port.EndpointNotice{ColdFor: &coldFor, Call: port.CallHealthCheck, Status: 200})
+	}
+	for b.countArrivals("s0") == 0 {
+		_ = b.send(t, "/safe/x", &fakeCaller{})
+	}
+	eventually.True(t, "the endpoint is cold", func() bool {
+		h, _ := b.endpointTable.get("s0")
+		return h.ColdRate == coldPerSecond
+	})
+}
+
 // Guards against ignoring the coldness that an endpoint reports in its answers.
 func TestColdnessIsReadFromAnswers(t *testing.T) {
 	b := newHarness(t)
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -16,7 +16,8 @@
 // any call. The endpoint is the one that the call was sent to, with the
 // incarnation that was known then.
 func (g *Gateway) ObserveNotice(e port.Endpoint, n port.EndpointNotice) {
-	if known, found := g.endpointTable.get(e.ID); found && known.State == port.EndpointLive && known.Incarnation > e.Incarnation {
+	lasting := n.Leaving || n.PauseFor > 0
+	if known, found := g.endpointTable.get(e.ID); lasting && found && known.State == port.EndpointLive && known.Incarnation > e.Incarnation {
 		// The call was sent before the restart was known.
 		g.checkIncarnation(known.Endpoint)
 	}
@@ -26,6 +27,10 @@
 	if n.PauseFor > 0 {
 		g.observePauseNotice(e, n)
 	}
+	if n.RateLimit != nil {
+		g.observeLimit(e, n.RateLimit)
+	}
+	g.observeColdness(e, n.ColdFor)
 }
 
 func (g *Gateway) observeLeaveNotice(e port.Endpoint, n port.EndpointNotice) {
--- a/internal/port/exchange.go
+++ b/internal/port/exchange.go
@@ -98,6 +98,10 @@
 	// PauseFor is the time for which the endpoint asks this host to send nothing;
 	// zero if it does not ask.
 	PauseFor time.Duration
+	// RateLimit and ColdFor are as in Answer, nil if the response does not state
+	// them. They are not set for requests, whose Answer has them.
+	RateLimit *float64
+	ColdFor   *time.Duration
 	// Call and Status are the kind of the call and the status of the response.
 	Call   EndpointCall
 	Status int
@@ -106,6 +110,11 @@
 	RequestID string
 }
 
+// IsEmpty reports whether the endpoint states nothing about itself.
+func (n *EndpointNotice) IsEmpty() bool {
+	return !n.Leaving && n.PauseFor <= 0 && n.RateLimit == nil && n.ColdFor == nil
+}
+
 // LoadHint is the short load report in responses.
 type LoadHint struct {
 	Running int
