An endpoint keeps its newest state when the evacuation of its domain changes at the same moment

Callers: requests to a runner that the registry has said to be leaving, or that has restarted cold, until its entry changes again. Cause: when records change, the gateway applies the endpoints that changed in the view and, after them, those of the domains whose evacuation changed, which it takes from its own table, as they were before. An endpoint in both lists went back to its former state and incarnation. Change: the endpoints of the domains are applied first. Result: TestEndpointKeepsItsNewestStateWhenEvacuationsChange failed (live, incarnation 1 instead of leaving, 2; 7 of 30 calls reached it) and passes; go test -race ./internal/gateway passes.

--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -22,8 +22,9 @@
 		// routes, so all endpoints are applied again.
 		changed = g.View.Endpoints()
 	}
-	changed = append(changed, g.applyEvacuations(records)...)
-	g.applyEndpoints(changed)
+	// The endpoints of evacuated domains come from the table and may be older than
+	// those of the view, so they go first.
+	g.applyEndpoints(slices.Concat(g.applyEvacuations(records), changed))
 	g.removeEndpoints(forgotten)
 	g.Scheduler.SetPolicy(g.policy(records))
 	if complete {
--- a/internal/gateway/evacuations_test.go
+++ b/internal/gateway/evacuations_test.go
@@ -75,6 +75,29 @@
 	}
 }
 
+// Guards against returning an endpoint to its former state when its state and the evacuation of its domain change together.
+func TestEndpointKeepsItsNewestStateWhenEvacuationsChange(t *testing.T) {
+	for _, c := range []struct{ path, endpoint string }{{"/safe/x", "s1"}, {"/stream/x", "e1"}} {
+		b := newHarness(t)
+		b.assignDomains()
+		got := countSends(b)
+		b.evacuate("d1")
+		b.view.mu.Lock()
+		for i := range b.view.endpoints {
+			if e := &b.view.endpoints[i]; e.ID == c.endpoint {
+				e.State, e.Incarnation = port.EndpointLeaving, e.Incarnation+1
+				e.Revision++
+			}
+		}
+		b.view.mu.Unlock()
+		b.evacuate()
+		h, _ := b.endpointTable.get(c.endpoint)
+		if n := b.sendMany(t, 30, c.path, c.endpoint); h.State != port.EndpointLeaving || h.Incarnation != 2 || n > 0 {
+			t.Errorf("%s is %s, incarnation %d; %d requests reached it: %v", c.endpoint, h.State, h.Incarnation, n, got())
+		}
+	}
+}
+
 // Guards against calls, retries and generations sent into an evacuated failure domain.
 func TestNoRequestIsSentToEvacuatedDomains(t *testing.T) {
 	for _, path := range []string{"/safe/x", "/once/x", "/stream/x"} {
