An endpoint at which a request was lost gets none until its health checks are answered

After a lost request the endpoint's health is checked over new connections, at 0, 0.1, 0.4 and 1 s. The checks told apart a crash and a broken connection, and nothing else: while they found nobody, requests went on. Breakers open after three failures of calls, and in a pool of which several runners failed not after the first of a generation. Change: from the first check that nobody answers until one is answered the daemon sends nothing there; calls are refused at once, with a time to return, if no other endpoint is left. After checks that ended without an answer only idempotent calls try it, as with open breakers. Result: TestEndpointThatIsDownGetsNoRequests failed (9, 13 and 30 of 30 requests reached it) and passes, as does TestCallsWhileAllEndpointsAreDown.

--- a/internal/core/quarantine/attempts.go
+++ b/internal/core/quarantine/attempts.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -19,6 +20,9 @@
 // tells apart an endpoint that ended, with all requests running there, and a single
 // broken connection. It is safe for concurrent use.
 type Attempts struct {
+	// downCount is the number of endpoints that are down.
+	downCount atomic.Int64
+
 	mu        sync.Mutex
 	endpoints map[EndpointKey]*endpointAttempts
 }
@@ -30,6 +34,9 @@
 	lost []lostFlight
 	// probing is set while a caller finds out whether the endpoint has ended.
 	probing bool
+	// down is set from the first probe that nobody answered until a probe is answered
+	// or the end of the endpoint is forgotten.
+	down bool
 	// endedAt is when the endpoint was found to have ended; zero if it has not.
 	endedAt time.Time
 }
@@ -113,6 +120,41 @@
 	return probe, false
 }
 
+// Unanswered records that nobody answered a probe of an endpoint.
+func (f *Attempts) Unanswered(e EndpointKey) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if attempts := f.endpoints[e]; attempts != nil && attempts.probing {
+		f.setDown(attempts, true)
+	}
+}
+
+// Down reports whether nobody has answered the probes of an endpoint since a
+// connection to it broke, and whether it is still being probed.
+func (f *Attempts) Down(e EndpointKey) (down, probing bool) {
+	if f.downCount.Load() == 0 {
+		return false, false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	attempts := f.endpoints[e]
+	if attempts == nil || !attempts.down {
+		return false, false
+	}
+	return true, attempts.probing
+}
+
+// setDown requires f.mu to be held.
+func (f *Attempts) setDown(attempts *endpointAttempts, down bool) {
+	switch {
+	case down && !attempts.down:
+		f.downCount.Add(1)
+	case !down && attempts.down:
+		f.downCount.Add(-1)
+	}
+	attempts.down = down
+}
+
 // Alive records that an endpoint still runs after the losses so far.
 func (f *Attempts) Alive(e EndpointKey) {
 	f.mu.Lock()
@@ -122,6 +164,7 @@
 		return
 	}
 	attempts.lost, attempts.probing = nil, false
+	f.setDown(attempts, false)
 	f.dropIfEmpty(e, attempts)
 }
 
@@ -177,6 +220,7 @@
 	for e, attempts := range f.endpoints {
 		if !attempts.endedAt.IsZero() && now.Sub(attempts.endedAt) >= endedRetention {
 			attempts.endedAt = time.Time{}
+			f.setDown(attempts, false)
 			f.dropIfEmpty(e, attempts)
 		}
 	}
--- a/internal/core/routing/reasons.go
+++ b/internal/core/routing/reasons.go
@@ -44,4 +44,7 @@
 	ExcludedLimit    = "at_rate_limit"
 	ExcludedPaused   = "asked_for_pause"
 	ExcludedRefusing = "refuses_all_calls"
+	// ExcludedUnanswered: nobody has answered the health checks since a connection
+	// broke.
+	ExcludedUnanswered = "health_checks_unanswered"
 )
--- a/internal/crashwatch/crashwatch.go
+++ b/internal/crashwatch/crashwatch.go
@@ -97,6 +97,20 @@
 // Tick drops endpoints that ended some time ago.
 func (w *Watch) Tick() { w.attempts.Tick(w.o.Clock()) }
 
+// IsDown reports whether nobody has answered the checks of an endpoint since a
+// connection to it broke. It stays down for some seconds after its end.
+func (w *Watch) IsDown(e port.Endpoint) bool {
+	down, _ := w.attempts.Down(keyOf(e))
+	return down
+}
+
+// IsUnanswered reports whether an endpoint is down and still being checked, so that
+// its return becomes known without a request.
+func (w *Watch) IsUnanswered(e port.Endpoint) bool {
+	down, checking := w.attempts.Down(keyOf(e))
+	return down && checking
+}
+
 // PendingChecks returns the number of endpoints that are being checked.
 func (w *Watch) PendingChecks() int { return w.attempts.Probing() }
 
@@ -113,11 +127,13 @@
 			w.attempts.Alive(keyOf(e))
 			return
 		case port.PresenceGone:
+			w.attempts.Unanswered(keyOf(e))
 			time.Sleep(lossDelay)
 			if w.reportEnd(e, "nothing listens there, or another one") {
 				return
 			}
 		case port.PresenceSilent:
+			w.attempts.Unanswered(keyOf(e))
 			silent++
 		}
 	}
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -53,6 +53,13 @@
 	b.backends.presence = map[string]port.Presence{"s0": p, "s1": p, "s2": p}
 }
 
+// setPresenceOf sets the result of probing one endpoint.
+func (b *harness) setPresenceOf(id string, p port.Presence) {
+	b.backends.mu.Lock()
+	defer b.backends.mu.Unlock()
+	b.backends.presence = map[string]port.Presence{id: p}
+}
+
 // fingerprintOf returns the fingerprint of a request made by send.
 func fingerprintOf(path string) quarantine.Fingerprint {
 	return quarantine.FingerprintOf("o", "POST", "h", path, nil)
@@ -66,6 +73,57 @@
 	}
 }
 
+// Guards against requests to an endpoint that has lost one and whose health checks nobody answers.
+func TestEndpointThatIsDownGetsNoRequests(t *testing.T) {
+	for _, c := range []struct{ path, endpoint string }{{"/safe/x", "s0"}, {"/once/x", "s0"}, {"/stream/x", "e0"}} {
+		t.Run(c.path, func(t *testing.T) {
+			b := newHarness(t)
+			countSends(b)
+			b.useStaleCoordinator("e0", "e1")
+			accept := b.backends.handlers[c.endpoint]
+			b.backends.handlers[c.endpoint] = failure(port.ErrEndpointLost)
+			b.setPresenceOf(c.endpoint, port.PresenceSilent)
+			for b.countArrivals(c.endpoint) == 0 {
+				_ = b.send(t, c.path, &fakeCaller{})
+			}
+			at, _ := b.endpointTable.get(c.endpoint)
+			eventually.True(t, "the endpoint is down", func() bool { return b.crashWatch.IsDown(at.Endpoint) })
+			if n := b.sendMany(t, 30, c.path, c.endpoint); n > 0 {
+				t.Errorf("%d requests reached it", n)
+			}
+			b.backends.handlers[c.endpoint] = accept
+			b.setPresenceOf(c.endpoint, port.PresenceServing)
+			eventually.True(t, "the endpoint is up", func() bool { return !b.crashWatch.IsDown(at.Endpoint) })
+			if n := b.sendMany(t, 30, c.path, c.endpoint); n == 0 {
+				t.Error("no request reached it although it answers again")
+			}
+		})
+	}
+}
+
+// Guards against calls at endpoints whose checks will show when they are back, and against refusing them once the checks have ended.
+func TestCallsWhileAllEndpointsAreDown(t *testing.T) {
+	b := newHarness(t)
+	b.setHandlers("s", failure(port.ErrEndpointLost))
+	b.setPresence(port.PresenceSilent)
+	for _, id := range []string{"s0", "s1", "s2"} {
+		at, _ := b.endpointTable.get(id)
+		for !b.crashWatch.IsDown(at.Endpoint) {
+			_ = b.send(t, "/once/x", &fakeCaller{})
+		}
+	}
+	b.setHandlers("s", reply(200, "fine"))
+	for _, path := range []string{"/safe/x", "/once/x"} {
+		if refusal := b.send(t, path, &fakeCaller{}); refusal == nil || refusal.Outcome != outcome.NotRun || refusal.RetryAfter <= 0 {
+			t.Errorf("%s during the checks: %+v", path, refusal)
+		}
+	}
+	eventually.True(t, "the checks have ended", func() bool { return b.crashWatch.PendingChecks() == 0 })
+	if refusal := b.send(t, "/safe/x", &fakeCaller{}); refusal != nil {
+		t.Errorf("an idempotent call after the checks: %+v", refusal)
+	}
+}
+
 // Guards against sending a request that is known to crash endpoints.
 func TestQuarantinedRequestIsNotSent(t *testing.T) {
 	for _, path := range []string{"/safe/fatal", "/once/fatal", "/stream/fatal"} {
--- a/internal/gateway/eligibility.go
+++ b/internal/gateway/eligibility.go
@@ -20,6 +20,7 @@
 	ineligibleLeaving   ineligibility = "it is leaving"
 	ineligiblePaused    ineligibility = "it has asked this host for a pause"
 	ineligibleRestarted ineligibility = "it has restarted after a notice and has not been asked yet"
+	ineligibleDown      ineligibility = "a connection to it broke and nobody has answered its health checks since"
 )
 
 // whyIneligible returns why this daemon sends nothing further to an endpoint. Each
@@ -39,6 +40,24 @@
 	return eligible
 }
 
+// whyIneligibleForRun returns why this daemon starts no further runs at a runner. Calls
+// may be sent to an endpoint that is down if no other is left.
+func (g *Gateway) whyIneligibleForRun(e port.Endpoint) ineligibility {
+	why := g.whyIneligible(e)
+	if why == eligible && g.crashWatch.IsDown(e) {
+		return ineligibleDown
+	}
+	return why
+}
+
+// whyIneligible returns why an endpoint that was chosen for an attempt must not get it.
+func (p *placement) whyIneligible(g *Gateway) ineligibility {
+	if p.generation {
+		return g.whyIneligibleForRun(p.endpoint)
+	}
+	return g.whyIneligible(p.endpoint)
+}
+
 // maxCoordinatorDelay is the time after which every coordinator has received that an
 // endpoint left.
 const maxCoordinatorDelay = 30 * time.Second
@@ -48,7 +67,7 @@
 func (g *Gateway) ineligibleIDs(pool string) []string {
 	var out []string
 	for _, e := range g.endpointTable.recentlyLiveIn(pool, g.Clock().Add(-maxCoordinatorDelay)) {
-		if g.whyIneligible(e) != eligible {
+		if g.whyIneligibleForRun(e) != eligible {
 			out = append(out, e.ID)
 		}
 	}
@@ -69,7 +88,7 @@
 		if refusal != nil {
 			return nil, refusal
 		}
-		if why = x.g.whyIneligible(p.endpoint); why == eligible {
+		if why = p.whyIneligible(x.g); why == eligible {
 			return p, nil
 		}
 		x.record(verdictWithdraw, "the endpoint in failure domain "+strconv.Quote(p.endpoint.FailureDomain)+" is not eligible: "+string(why), "", nil)
--- a/internal/gateway/moves.go
+++ b/internal/gateway/moves.go
@@ -103,7 +103,7 @@
 
 // isDestinationAllowed reports whether the run may still be sent to the
 // destination.
-func (m *mover) isDestinationAllowed() bool { return m.g.whyIneligible(m.to) == eligible }
+func (m *mover) isDestinationAllowed() bool { return m.g.whyIneligibleForRun(m.to) == eligible }
 
 // copyIfAllowed copies once, unless the destination has become ineligible in the
 // meantime.
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -133,7 +133,9 @@
 		case slices.Contains(x.tried, e.ID):
 		case g.IsPaused(e):
 			excluded = append(excluded, excludedByPause(e))
-		case e.Unreachable || g.breakers.Open(now, e.ID):
+		case g.crashWatch.IsUnanswered(e):
+			excluded = append(excluded, port.CandidateScore{Endpoint: e.ID, Excluded: routing.ExcludedUnanswered})
+		case e.Unreachable || g.breakers.Open(now, e.ID) || g.crashWatch.IsDown(e):
 			suspect = append(suspect, e)
 		case g.refusals.Open(now, e.ID):
 			refusing = append(refusing, e)
