The cold time in an endpoint's answer is published to all daemons

Callers: none noticed; a cold runner got more than it bears, and ended. Cause: what a cold endpoint accepts is shared among all daemons, but only its registry entry made it cold for all; the store refused that entry then. Change: the first answer that makes an endpoint cold for a daemon becomes a part of its replicated state, with a count that makes it newer than the entry; the next entry replaces it. Daemons of the build before ignore the count.

--- a/internal/adapter/grpcpeer/convert.go
+++ b/internal/adapter/grpcpeer/convert.go
@@ -51,7 +51,7 @@
 		FencesOrders: e.FencesOrders, Models: e.Models,
 		Version: e.Observation, Unreachable: e.Unreachable, Confirmed: e.Confirmed,
 		Revision: uint64(e.Revision), Said: string(e.ReportedState), StillListed: e.StillListed, Slots: uint32(e.Slots),
-		RateLimit: e.RateLimit, LimitChanges: e.LimitChanges, ColdMillis: e.ColdFor.Milliseconds(),
+		RateLimit: e.RateLimit, LimitChanges: e.LimitChanges, ColdMillis: e.ColdFor.Milliseconds(), ColdReports: e.ColdReports,
 	}
 	if e.EntryRevision != e.Revision {
 		out.EntryRevision = proto.Uint64(uint64(e.EntryRevision))
@@ -71,7 +71,7 @@
 			FailureDomain: e.GetFailureDomain(), Incarnation: e.GetIncarnation(),
 			State: port.EndpointState(e.GetState()), FencesOrders: e.GetFencesOrders(), Models: e.GetModels(),
 			Unreachable: e.GetUnreachable(), Revision: revision, Slots: int(e.GetSlots()),
-			RateLimit: rateLimitFromWire(e.GetRateLimit()), ColdFor: coldFromWire(e.GetColdMillis()),
+			RateLimit: rateLimitFromWire(e.GetRateLimit()), ColdFor: coldFromWire(e.GetColdMillis()), ColdReports: e.GetColdReports(),
 		},
 		EntryRevision: entry,
 		ReportedState: port.EndpointState(e.GetSaid()),
--- a/internal/adapter/grpcpeer/convert_test.go
+++ b/internal/adapter/grpcpeer/convert_test.go
@@ -18,7 +18,7 @@
 	announced := membership.WithRateLimit(membership.WithReport(listed, &port.LoadReport{
 		EndpointID: "e", Incarnation: 2, State: port.EndpointLeaving, Models: []string{"m"},
 	}), 2.5)
-	restored := announced
+	restored := membership.WithColdTime(announced, time.Minute)
 	restored.EntryRevision = 9
 	for name, e := range map[string]membership.Endpoint{"listed": listed, "announced its leaving": announced, "restored": restored} {
 		if got := endpointFromWire(endpointToWire(e)); !reflect.DeepEqual(got, e) {
--- a/internal/core/coldstart/coldstart.go
+++ b/internal/core/coldstart/coldstart.go
@@ -27,9 +27,8 @@
 // endpointState is the state of one endpoint.
 type endpointState struct {
 	incarnation uint64
-	// revision and announced are those of the last entry that was applied.
-	revision  port.StoreRevision
-	announced time.Duration
+	// announced is the last entry that was applied.
+	announced announcement
 	// coldUntil is when the endpoint becomes warm, by its latest announcement.
 	coldUntil time.Time
 	// reportedWarm is set when Warmed has returned the endpoint. The state is
@@ -37,6 +36,17 @@
 	reportedWarm bool
 }
 
+// announcement identifies the cold time of an entry.
+type announcement struct {
+	revision port.StoreRevision
+	reports  uint32
+	coldFor  time.Duration
+}
+
+func announcementOf(e *port.Endpoint) announcement {
+	return announcement{revision: e.Revision, reports: e.ColdReports, coldFor: e.ColdFor}
+}
+
 // NewTracker returns a tracker without endpoints.
 func NewTracker() *Tracker { return &Tracker{endpoints: make(map[string]*endpointState)} }
 
@@ -56,14 +66,14 @@
 		t.drop(e.ID)
 	default:
 		updated := t.entry(e)
-		updated.revision, updated.announced = e.Revision, e.ColdFor
+		updated.announced = announcementOf(e)
 		updated.coldUntil, updated.reportedWarm = now.Add(min(MaxColdTime, e.ColdFor)), false
 	}
 }
 
 // alreadyApplied reports whether an entry was applied before.
 func (k *endpointState) alreadyApplied(e *port.Endpoint) bool {
-	return k.incarnation == e.Incarnation && k.revision == e.Revision && k.announced == e.ColdFor
+	return k.incarnation == e.Incarnation && k.announced == announcementOf(e)
 }
 
 // ApplyAnswer applies the remaining cold time that an endpoint states with an answer,
@@ -94,7 +104,7 @@
 func (t *Tracker) entry(e *port.Endpoint) *endpointState {
 	state := t.endpoints[e.ID]
 	if state == nil || state.incarnation != e.Incarnation {
-		state = &endpointState{incarnation: e.Incarnation, revision: e.Revision, announced: e.ColdFor}
+		state = &endpointState{incarnation: e.Incarnation, announced: announcementOf(e)}
 		t.endpoints[e.ID] = state
 		t.count.Store(int64(len(t.endpoints)))
 	}
--- a/internal/core/coldstart/coldstart_test.go
+++ b/internal/core/coldstart/coldstart_test.go
@@ -44,6 +44,24 @@
 	}
 }
 
+// Guards against ignoring a cold time that another daemon has received, because the entry is known.
+func TestReportOfAnotherDaemonIsApplied(t *testing.T) {
+	tr := NewTracker()
+	e := listed(1, 5, 2*time.Second)
+	tr.ApplyEntry(start, e)
+	now := start.Add(3 * time.Second)
+	reported := *e
+	reported.ColdReports = 1
+	tr.ApplyEntry(now, &reported)
+	if !tr.IsCold(now, &reported) || tr.IsCold(now.Add(2*time.Second), &reported) {
+		t.Error("the reported cold time is not in force")
+	}
+	tr.ApplyEntry(now.Add(2*time.Second), &reported)
+	if tr.IsCold(now.Add(2*time.Second), &reported) {
+		t.Error("the same report is applied twice")
+	}
+}
+
 // Guards against an announcement that keeps an endpoint cold for too long.
 func TestColdTimeIsBounded(t *testing.T) {
 	tr := NewTracker()
--- a/internal/core/membership/endpoint.go
+++ b/internal/core/membership/endpoint.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"time"
 
 	"github.com/dragonflyrail/dragonflyrail/internal/core/spread"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
@@ -136,6 +137,7 @@
 		cmp.Compare(a.FailureDomain, b.FailureDomain),
 		compareBools(a.FencesOrders, b.FencesOrders),
 		cmp.Compare(a.Slots, b.Slots),
+		cmp.Compare(a.ColdReports, b.ColdReports),
 		cmp.Compare(a.ColdFor, b.ColdFor),
 	)
 }
@@ -205,6 +207,9 @@
 	if e.StillListed {
 		h.Bool(e.StillListed)
 	}
+	if e.ColdReports != 0 {
+		h.Uint64(uint64(e.ColdReports))
+	}
 	return h.Sum()
 }
 
@@ -266,6 +271,7 @@
 		next.State, next.ReportedState, next.StillListed = port.EndpointLive, "", false
 		next.Observation, next.LimitChanges = 0, 0
 		next.Unreachable, next.RateLimit = false, 0
+		next.ColdFor, next.ColdReports = 0, 0
 	}
 	next = WithReportedState(next, r.State)
 	models := slices.Sorted(slices.Values(r.Models))
@@ -299,6 +305,15 @@
 	return next
 }
 
+// WithColdTime returns the state after the endpoint reported that it stays cold for a
+// time.
+func WithColdTime(known Endpoint, coldFor time.Duration) Endpoint {
+	next := known
+	next.ColdFor = coldFor
+	next.ColdReports++
+	return next
+}
+
 // WithUnreachable returns the state after the number of consecutive failed probes that
 // makes an endpoint unreachable.
 func WithUnreachable(known Endpoint) Endpoint {
--- a/internal/core/membership/registry_test.go
+++ b/internal/core/membership/registry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
@@ -16,6 +17,9 @@
 	if rapid.Bool().Draw(t, "reports leaving") {
 		e = WithReport(e, &port.LoadReport{EndpointID: "e", Incarnation: e.Incarnation, State: port.EndpointLeaving})
 	}
+	if rapid.Bool().Draw(t, "reports that it is cold") {
+		e = WithColdTime(e, rapid.SampledFrom([]time.Duration{time.Second, time.Minute}).Draw(t, "cold"))
+	}
 	return e
 }
 
--- a/internal/gateway/coldness.go
+++ b/internal/gateway/coldness.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"time"
 
+	"github.com/dragonflyrail/dragonflyrail/internal/core/coldstart"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
 
@@ -24,11 +25,15 @@
 }
 
 // observeColdness applies the time for which an endpoint reports that it stays
-// cold.
+// cold, and announces that it has become cold: what it accepts is shared among all
+// daemons.
 func (g *Gateway) observeColdness(at port.Endpoint, coldFor *time.Duration) {
 	if coldFor == nil || !g.coldTracker.ApplyAnswer(g.Clock(), &at, coldFor) {
 		return
 	}
+	if *coldFor > 0 {
+		g.Notices.PublishCold(at.ID, at.Incarnation, min(*coldFor, coldstart.MaxColdTime))
+	}
 	g.refreshEndpoints(at.ID)
 }
 
--- a/internal/gateway/coldness_test.go
+++ b/internal/gateway/coldness_test.go
@@ -132,6 +132,14 @@
 		h, _ := b.endpointTable.get("s0")
 		return h.ColdRate == coldPerSecond
 	})
+	eventually.True(t, "the other daemons are informed", func() bool {
+		for _, e := range b.view.Endpoints() {
+			if e.ID == "s0" && e.ColdFor == coldFor {
+				return true
+			}
+		}
+		return false
+	})
 }
 
 // Guards against ignoring the coldness that an endpoint reports in its answers.
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -287,6 +287,17 @@
 	v.leavingPublished = append(v.leavingPublished, fmt.Sprint(endpoint, "/", incarnation))
 }
 
+func (v *fakeView) PublishCold(endpoint string, incarnation uint64, coldFor time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for i := range v.endpoints {
+		if e := &v.endpoints[i]; e.ID == endpoint && e.Incarnation == incarnation {
+			e.ColdFor = coldFor
+			e.ColdReports++
+		}
+	}
+}
+
 func discardLogger() *log.Logger { return &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}} }
 
 // harness is a gateway with fake dependencies.
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
@@ -10,6 +11,8 @@
 type NoticePublisher interface {
 	// PublishLeaving announces that an incarnation of an endpoint is leaving.
 	PublishLeaving(endpoint string, incarnation uint64)
+	// PublishCold announces that an incarnation of an endpoint stays cold for a time.
+	PublishCold(endpoint string, incarnation uint64, coldFor time.Duration)
 }
 
 // ObserveNotice evaluates what an endpoint states about itself in an answer to
--- a/internal/keeper/hosts.go
+++ b/internal/keeper/hosts.go
@@ -92,6 +92,15 @@
 	}
 }
 
+// PublishCold announces to all daemons that an incarnation of an endpoint has stated
+// that it stays cold for a time.
+func (k *Keeper) PublishCold(endpoint string, incarnation uint64, coldFor time.Duration) {
+	known, ok := k.node.Endpoints.Get(endpoint)
+	if ok && known.Incarnation == incarnation {
+		k.node.PutEndpoint(membership.WithColdTime(known, coldFor))
+	}
+}
+
 // forgetDepartedEndpoints removes the endpoints that left long ago. It does
 // nothing unless the endpoints have changed, since nothing else adds departed
 // ones.
--- a/internal/keeper/notices_test.go
+++ b/internal/keeper/notices_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/dragonflyrail/dragonflyrail/internal/core/membership"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
@@ -31,6 +32,27 @@
 	checkState(port.EndpointLive)
 }
 
+// Guards against a cold time that only the daemon which received it knows, and against one that outlasts the endpoint's next entry.
+func TestPublishedColdTimeIsReplicated(t *testing.T) {
+	r := &registry{entries: map[string]port.ListedEndpoint{}}
+	k := newRegistryKeeper(r)
+	w := newWatch(k, kindEndpoints, &endpointSource{keeper: k})
+	entry := registryEntry("e", 1, port.EndpointLive)
+	entry.ColdFor = time.Minute
+	r.put(entry)
+	w.step(t.Context())
+	k.PublishCold("e", 2, time.Hour)
+	k.PublishCold("e", 1, time.Second)
+	if e, _ := k.node.Endpoints.Get("e"); e.ColdFor != time.Second {
+		t.Fatalf("the endpoint is cold for %v", e.ColdFor)
+	}
+	r.put(registryEntry("e", 1, port.EndpointLive))
+	w.step(t.Context())
+	if e, _ := k.node.Endpoints.Get("e"); e.ColdFor != 0 {
+		t.Fatalf("the endpoint is cold for %v after its next entry", e.ColdFor)
+	}
+}
+
 // Guards against probes of an endpoint that asked for a pause, also during a round of probes.
 func TestPausedEndpointIsNotProbed(t *testing.T) {
 	k, _ := newTestKeeper(newFakePlatform())
