A load report of a restarted runner doesn't end its cold time

A runner that has just restarted is cold rather than warm. Change: the count alone starts anew. Result: TestRestartKeepsTheColdTimeOfTheEntry failed (cold for 0s) and passes.

--- a/internal/core/membership/endpoint.go
+++ b/internal/core/membership/endpoint.go
@@ -271,7 +271,7 @@
 		next.State, next.ReportedState, next.StillListed = port.EndpointLive, "", false
 		next.Observation, next.LimitChanges = 0, 0
 		next.Unreachable, next.RateLimit = false, 0
-		next.ColdFor, next.ColdReports = 0, 0
+		next.ColdReports = 0
 	}
 	next = WithReportedState(next, r.State)
 	models := slices.Sorted(slices.Values(r.Models))
--- a/internal/core/membership/lattice_test.go
+++ b/internal/core/membership/lattice_test.go
@@ -132,6 +132,15 @@
 	}
 }
 
+// Guards against taking a runner for warm whose load report shows that it has just restarted.
+func TestRestartKeepsTheColdTimeOfTheEntry(t *testing.T) {
+	known := WithColdTime(Listed(port.Endpoint{ID: "e", Incarnation: 1, Revision: 3}), time.Minute)
+	e := WithReport(known, &port.LoadReport{EndpointID: "e", Incarnation: 2, State: port.EndpointLive})
+	if e.ColdFor != time.Minute || e.ColdReports != 0 {
+		t.Fatalf("cold for %v after %d reports", e.ColdFor, e.ColdReports)
+	}
+}
+
 // Probes fail for a while because a link is broken. When the endpoint answers
 // again it must be reachable again, and an older state "unreachable" from another
 // keeper must not undo that.
