--- a/internal/gateway/eligibility.go
+++ b/internal/gateway/eligibility.go
@@ -24,7 +24,7 @@
 )
 
 // whyIneligible returns why this daemon sends nothing further to an endpoint. Each
-// choice of an endpoint that rests on older or less information, such as that of
+// choice of an endpoint that is based on older or less information, such as that of
 // another daemon, is checked against it right before a request is sent.
 func (g *Gateway) whyIneligible(e port.Endpoint) ineligibility {
 	switch {
--- a/internal/gateway/evacuations_test.go
+++ b/internal/gateway/evacuations_test.go
@@ -46,8 +46,7 @@
 	b.apply()
 }
 
-// Guards against requests that a starting daemon sends into an evacuated domain
-// because it has received the routes and not yet the evacuations.
+// Guards against requests of a starting daemon into an evacuated domain, when it has the routes and not yet the evacuations.
 func TestRequestsAreRefusedUntilRecordsAreComplete(t *testing.T) {
 	b := newIdleHarness()
 	b.view.setIncomplete(true)
--- a/internal/gateway/notices_test.go
+++ b/internal/gateway/notices_test.go
@@ -211,7 +211,7 @@
 	}
 }
 
-// Guards against a generation at a runner that the registry or another daemon has said to be leaving, chosen by a coordinator without that news.
+// Guards against a generation at a runner that the registry or another daemon lists as leaving, chosen by a coordinator that has not received that.
 func TestPlacementAtEndpointReportedLeavingIsWithdrawn(t *testing.T) {
 	b := newHarness(t)
 	got := countSends(b)
@@ -257,7 +257,7 @@
 	}
 }
 
-// Guards against refusing a placement that rests on a newer entry or incarnation than this daemon has.
+// Guards against refusing a placement by a newer entry or incarnation than this daemon has.
 func TestPlacementByNewerStateIsKept(t *testing.T) {
 	for name, renew := range map[string]func(*port.Endpoint){
 		"entry":       func(e *port.Endpoint) { e.Revision += 5 },
--- a/internal/port/endpoint.go
+++ b/internal/port/endpoint.go
@@ -55,8 +55,8 @@
 	// ColdFor is how long the endpoint stays cold after its registry entry was
 	// written. A cold endpoint accepts only few requests.
 	ColdFor time.Duration `json:"cold_for,omitempty"`
-	// ColdReports counts the times that the endpoint itself stated ColdFor anew
-	// since its registry entry was written.
+	// ColdReports counts the values of ColdFor that the endpoint itself stated since
+	// its registry entry was written.
 	ColdReports uint32 `json:"cold_reports,omitempty"`
 	// ColdRate is the number of requests per second that the endpoint accepts from
 	// all daemons together while it is cold; zero if it is not cold. Each daemon
