Each daemon tracks and logs which endpoints it has a path to

Cause: no log line or metric said which daemon reaches which endpoint, since when and by what evidence; a cut could only be inferred by counting 'retry' lines per daemon and endpoint, and with reset connections not be told from a crash. Change: core/reachability holds the path of this daemon to each endpoint, from what all calls to it show: a failed connect, an answer on a new connection. A first failure with no fresh answer of the pool has all its paths checked, so that one failure is enough to find out that the pool is out of reach; lost paths are checked until they are back. Each change is a decision record of subject 'path' or 'pool_path', with the evidence; gauges endpoint_paths_lost and pool_paths_lost, counter path_checks_total. No decision on a request uses it yet.

--- a/cmd/dragonfly-entry/assemble.go
+++ b/cmd/dragonfly-entry/assemble.go
@@ -66,6 +66,9 @@
 		DialTimeout: s.ConnectTimeout, LoadTimeout: s.ReportTimeout,
 		IdleConnections: idleConnections, IdleTimeout: s.IdleTimeout,
 		OnNotice: func(e port.Endpoint, n port.EndpointNotice) { a.gateway.ObserveNotice(e, n) },
+		OnPath: func(e port.Endpoint, evidence port.PathEvidence, err error) {
+			a.gateway.ObservePath(e, evidence, err)
+		},
 	})
 	a.keeper = newKeeper(s, &keeperSources{
 		store: a.store, runners: runners,
--- a/internal/adapter/httpengine/httpengine.go
+++ b/internal/adapter/httpengine/httpengine.go
@@ -171,7 +171,7 @@
 		return nil, merry.Wrap(port.ErrNotSent, merry.WithCause(err))
 	}
 	r.Header = header
-	return e.client.Do(r, body)
+	return e.client.Do(r, body, nil)
 }
 
 // statusError returns the error for a response's status. Only 409, 503 and the
--- a/internal/adapter/httporders/httporders.go
+++ b/internal/adapter/httporders/httporders.go
@@ -79,7 +79,7 @@
 		return 0, nil, merry.Wrap(port.ErrNotSent, merry.WithCause(err))
 	}
 	r.Header.Set("Content-Type", "application/json")
-	res, err := c.client.Do(r, body)
+	res, err := c.client.Do(r, body, nil)
 	if err != nil {
 		return 0, nil, err
 	}
--- a/internal/adapter/httpservice/httpservice.go
+++ b/internal/adapter/httpservice/httpservice.go
@@ -72,7 +72,7 @@
 	}
 	r.Header.Set(router.HeaderRequestID, s.RequestID)
 	r.Header.Set(router.HeaderOrganisation, s.Organisation)
-	resp, err := c.client.Do(r, s.Body)
+	resp, err := c.client.Do(r, s.Body, nil)
 	if err != nil {
 		return nil, err
 	}
@@ -102,7 +102,7 @@
 	if err != nil {
 		return port.LoadReport{}, merry.Wrap(port.ErrNotSent, merry.WithCause(err))
 	}
-	resp, err := c.client.Do(r, nil)
+	resp, err := c.client.Do(r, nil, nil)
 	if err != nil {
 		return port.LoadReport{}, err
 	}
--- a/internal/adapter/oncehttp/oncehttp.go
+++ b/internal/adapter/oncehttp/oncehttp.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -67,6 +68,9 @@
 	}}
 }
 
+// Observer receives the evidence that a request gives of the path to its endpoint.
+type Observer func(evidence port.PathEvidence, err error)
+
 // Do sends the request with the body, which may be empty. It fails with
 // port.ErrNotSent if no byte left this process, otherwise with
 // port.ErrEndpointLost.
@@ -77,14 +81,19 @@
 // endpoint may have run the first copy: the caller would see one answer, and
 // the request would have run twice. The body set here is never nil and can't be
 // rewound, so net/http never retries, whatever the method and headers.
-func (c *Client) Do(r *http.Request, body []byte) (*http.Response, error) {
-	var sent sentTrace
+//
+// observe receives what the request shows of the path to the endpoint; nil for
+// nothing. A connect that fails is also observed if the request uses another
+// connection.
+func (c *Client) Do(r *http.Request, body []byte, observe Observer) (*http.Response, error) {
+	sent := sentTrace{observe: observe}
 	r = r.WithContext(httptrace.WithClientTrace(r.Context(), sent.clientTrace()))
 	r.Body = io.NopCloser(onlyReader{bytes.NewReader(body)})
 	r.GetBody = nil
 	r.ContentLength = int64(len(body))
 	resp, err := c.transport.RoundTrip(r)
 	if err == nil {
+		sent.observeAnswer()
 		return resp, nil
 	}
 	if sent.nothingSent() {
@@ -120,10 +129,34 @@
 	before atomic.Int64
 	// undetermined is set if the bytes sent can't be determined.
 	undetermined atomic.Bool
+	// reused is set if the connection had been used before.
+	reused  atomic.Bool
+	observe Observer
+}
+
+func (t *sentTrace) observeAnswer() {
+	switch {
+	case t.observe == nil:
+	case t.reused.Load():
+		t.observe(port.PathAnswered, nil)
+	default:
+		t.observe(port.PathReached, nil)
+	}
+}
+
+func (t *sentTrace) connectDone(_, _ string, err error) {
+	switch {
+	case t.observe == nil, errors.Is(err, context.Canceled):
+	case err == nil:
+		t.observe(port.PathConnected, nil)
+	default:
+		t.observe(port.PathConnectFailed, err)
+	}
 }
 
 func (t *sentTrace) clientTrace() *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+	return &httptrace.ClientTrace{ConnectDone: t.connectDone, GotConn: func(info httptrace.GotConnInfo) {
+		t.reused.Store(info.Reused)
 		c, ok := info.Conn.(*countedConn)
 		if !ok || t.conn.Load() != nil {
 			// If a second connection is used, the first may have sent bytes.
--- a/internal/adapter/oncehttp/oncehttp_test.go
+++ b/internal/adapter/oncehttp/oncehttp_test.go
@@ -141,7 +141,7 @@
 			for reused := 0; reused == 0; {
 				openIdleConnection(t, tr, client)
 				tr.arm()
-				resp, err := client.Do(tr.request(t, c.method, c.key), c.body)
+				resp, err := client.Do(tr.request(t, c.method, c.key), c.body, nil)
 				if err == nil {
 					resp.Body.Close()
 					t.Fatal("got an answer, although the server closed the connection")
@@ -161,7 +161,7 @@
 
 func openIdleConnection(t *testing.T, tr *closingServer, client *Client) {
 	t.Helper()
-	resp, err := client.Do(tr.request(t, http.MethodGet, ""), nil)
+	resp, err := client.Do(tr.request(t, http.MethodGet, ""), nil, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -180,7 +180,7 @@
 	}
 	tr := &closingServer{listener: l}
 	l.Close()
-	resp, err := newClient().Do(tr.request(t, http.MethodPost, ""), []byte("x"))
+	resp, err := newClient().Do(tr.request(t, http.MethodPost, ""), []byte("x"), nil)
 	if err == nil {
 		resp.Body.Close()
 	}
@@ -189,7 +189,7 @@
 	}
 	server := newClosingServer(t)
 	server.arm()
-	resp, err = newClient().Do(server.request(t, http.MethodPost, ""), []byte("x"))
+	resp, err = newClient().Do(server.request(t, http.MethodPost, ""), []byte("x"), nil)
 	if err == nil {
 		resp.Body.Close()
 	}
@@ -209,7 +209,7 @@
 	go func() { _ = server.Serve(l) }()
 	t.Cleanup(func() { server.Close() })
 	tr := &closingServer{listener: l}
-	resp, err := newClient().Do(tr.request(t, http.MethodPost, ""), []byte("x"))
+	resp, err := newClient().Do(tr.request(t, http.MethodPost, ""), []byte("x"), nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/core/reachability/tracker.go
@@ -0,0 +1,339 @@
+// Package reachability tracks which endpoints this daemon has a network path to. A
+// path belongs to a pair of daemon and endpoint: that this daemon can't reach an
+// endpoint says nothing about the endpoint itself. The package does no I/O; its caller
+// reports observations and performs the checks that the package asks for.
+package reachability
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/dragonflyrail/dragonflyrail/internal/port"
+)
+
+// Limits of the checks.
+const (
+	// sampleSize is the number of lost paths in a larger pool after which the pool
+	// counts as lost, if no other path is known to work.
+	sampleSize = 8
+	// freshness is the age up to which an answer of another endpoint shows that this
+	// daemon isn't cut off from the pool.
+	freshness = 250 * time.Millisecond
+	// firstCheckPause is the time between a failure and the first check of the path,
+	// and between two checks; it doubles with each failed check up to maxCheckPause.
+	// While the whole pool is lost, the pause is lostPoolCheckPause.
+	firstCheckPause    = 250 * time.Millisecond
+	maxCheckPause      = 4 * time.Second
+	lostPoolCheckPause = 750 * time.Millisecond
+	// maxChecks bounds the checks that one call of DueChecks returns.
+	maxChecks = 16
+)
+
+// path is what is known of the path to one endpoint.
+type path struct {
+	pool string
+	// lostSince is the time of the first failure after which no new connection has
+	// been answered; zero if there is none. evidence describes it.
+	lostSince time.Time
+	evidence  port.PathEvidence
+	// reachedAt is when the endpoint last answered on a new connection, and
+	// connectedAt when a connection to it was last established.
+	reachedAt, connectedAt time.Time
+	// nextCheck is when the path is checked next; zero for never. forceCheck is set if
+	// an answer of another endpoint doesn't make the check needless.
+	nextCheck  time.Time
+	forceCheck bool
+	checkPause time.Duration
+}
+
+// pool is what is known of the paths to one pool.
+type pool struct {
+	// suspectSince is the time of the first failure after which no endpoint of the
+	// pool has answered on a new connection; zero if there is none.
+	suspectSince time.Time
+	// lostSince is when all paths to the pool were found lost; zero if they aren't.
+	lostSince time.Time
+	// answeredAt is when an endpoint last answered on any connection, and reachedAt
+	// when one last answered on a new connection.
+	answeredAt, reachedAt time.Time
+}
+
+// Change is a change of what this daemon reaches.
+type Change struct {
+	// Endpoint is empty if the change is that of a whole pool.
+	Endpoint, Pool string
+	Lost           bool
+	// Evidence is the last observation that led to the change.
+	Evidence port.PathEvidence
+	// For is how long the path or the pool had been lost, for one that is restored.
+	For time.Duration
+}
+
+// Tracker tracks the paths of one daemon. It is safe for concurrent use.
+type Tracker struct {
+	mu    sync.Mutex
+	paths map[string]*path
+	pools map[string]*pool
+	// endpoints returns the ids of the endpoints of a pool that may get requests.
+	endpoints func(pool string) []string
+}
+
+// NewTracker returns a tracker. endpoints returns the ids of the endpoints of a pool
+// that may get requests; it must not call the tracker.
+func NewTracker(endpoints func(pool string) []string) *Tracker {
+	return &Tracker{paths: make(map[string]*path), pools: make(map[string]*pool), endpoints: endpoints}
+}
+
+// Observe records an observation of the path to an endpoint and returns the changes
+// that follow from it.
+func (t *Tracker) Observe(now time.Time, id, poolName string, evidence port.PathEvidence) []Change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p, o := t.path(id, poolName), t.pool(poolName)
+	switch evidence {
+	case port.PathConnected:
+		p.connectedAt = now
+		return nil
+	case port.PathAnswered:
+		o.answeredAt = now
+		return nil
+	case port.PathReached:
+		p.reachedAt, o.answeredAt, o.reachedAt = now, now, now
+		return t.restore(now, id, p, o)
+	}
+	return t.lose(now, id, p, o, evidence)
+}
+
+// restore records that an endpoint has answered on a new connection.
+func (t *Tracker) restore(now time.Time, id string, p *path, o *pool) []Change {
+	var changes []Change
+	if !o.lostSince.IsZero() {
+		changes = append(changes, Change{Pool: p.pool, Evidence: port.PathReached, For: now.Sub(o.lostSince)})
+		// The other paths were lost together with this one and are as likely back.
+		t.expediteLost(now, p.pool)
+	}
+	if !p.lostSince.IsZero() {
+		changes = append(changes, Change{Endpoint: id, Pool: p.pool, Evidence: port.PathReached, For: now.Sub(p.lostSince)})
+	}
+	p.lostSince = time.Time{}
+	o.suspectSince, o.lostSince = time.Time{}, time.Time{}
+	return changes
+}
+
+// expediteLost makes the lost paths to a pool due for a check at once.
+func (t *Tracker) expediteLost(now time.Time, poolName string) {
+	for _, p := range t.paths {
+		if p.pool == poolName && !p.lostSince.IsZero() {
+			p.nextCheck, p.checkPause = now, firstCheckPause
+		}
+	}
+}
+
+// lose records that no connection to an endpoint could be used.
+func (t *Tracker) lose(now time.Time, id string, p *path, o *pool, evidence port.PathEvidence) []Change {
+	var changes []Change
+	if p.lostSince.IsZero() {
+		p.lostSince, p.checkPause, p.nextCheck = now, firstCheckPause, now.Add(firstCheckPause)
+		changes = append(changes, Change{Endpoint: id, Pool: p.pool, Lost: true, Evidence: evidence})
+	}
+	p.evidence = evidence
+	if o.suspectSince.IsZero() && now.Sub(o.reachedAt) > freshness {
+		o.suspectSince = now
+		t.expediteChecks(now, p.pool)
+	}
+	if o.lostSince.IsZero() && !o.suspectSince.IsZero() && t.allLost(p.pool) {
+		o.lostSince = now
+		changes = append(changes, Change{Pool: p.pool, Lost: true, Evidence: evidence})
+	}
+	return changes
+}
+
+// expediteChecks makes the paths of a suspect pool due for a check at once.
+func (t *Tracker) expediteChecks(now time.Time, poolName string) {
+	for _, id := range t.endpoints(poolName) {
+		if p := t.path(id, poolName); p.lostSince.IsZero() {
+			p.nextCheck = now
+		}
+	}
+}
+
+// allLost reports whether the paths to all endpoints of a pool, or to a sample of a
+// larger one, are lost.
+func (t *Tracker) allLost(poolName string) bool {
+	ids := t.endpoints(poolName)
+	lost := 0
+	for _, id := range ids {
+		if p := t.paths[id]; p != nil && !p.lostSince.IsZero() {
+			lost++
+		}
+	}
+	return lost > 0 && lost >= min(len(ids), sampleSize)
+}
+
+// Lost reports whether this daemon has no path to any endpoint of a pool.
+func (t *Tracker) Lost(poolName string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.lost(poolName)
+}
+
+// lost reports whether the paths to a pool were found lost and no endpoint has joined
+// it since.
+func (t *Tracker) lost(poolName string) bool {
+	o := t.pools[poolName]
+	return o != nil && !o.lostSince.IsZero() && t.allLost(poolName)
+}
+
+// LostPools returns the names of the pools to which this daemon has no path, in
+// ascending order.
+func (t *Tracker) LostPools() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []string
+	for _, name := range slices.Sorted(maps.Keys(t.pools)) {
+		if t.lost(name) {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+// IsLost reports whether the path to an endpoint is lost.
+func (t *Tracker) IsLost(id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.paths[id]
+	return p != nil && !p.lostSince.IsZero()
+}
+
+// LostIn returns the ids of the endpoints of a pool to which the path is lost.
+func (t *Tracker) LostIn(poolName string) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []string
+	for id, p := range t.paths {
+		if p.pool == poolName && !p.lostSince.IsZero() {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// LostPaths returns the number of endpoints to which the path is lost.
+func (t *Tracker) LostPaths() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, p := range t.paths {
+		if !p.lostSince.IsZero() {
+			n++
+		}
+	}
+	return n
+}
+
+// IsSuspect reports whether the path to a pool is in doubt: a failure was observed,
+// and no endpoint of the pool has answered on a new connection since. Failures of its
+// endpoints are then no evidence against them.
+func (t *Tracker) IsSuspect(poolName string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	o := t.pools[poolName]
+	return o != nil && !o.suspectSince.IsZero()
+}
+
+// AnsweredSince reports whether an endpoint of a pool has answered on any connection
+// after a time.
+func (t *Tracker) AnsweredSince(poolName string, after time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	o := t.pools[poolName]
+	return o != nil && o.answeredAt.After(after)
+}
+
+// ConnectedSince reports whether a connection to an endpoint was established after a
+// time.
+func (t *Tracker) ConnectedSince(id string, after time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.paths[id]
+	return p != nil && p.connectedAt.After(after)
+}
+
+// RequestCheck makes the path to an endpoint due for a check. Unless the check is
+// forced, an endpoint of its pool that has just answered makes it needless.
+func (t *Tracker) RequestCheck(now time.Time, id, poolName string, force bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p, o := t.path(id, poolName), t.pool(poolName)
+	if p.lostSince.IsZero() && (force || now.Sub(o.reachedAt) > freshness) {
+		p.nextCheck, p.forceCheck = now, force
+	}
+}
+
+// DueChecks returns the ids of the endpoints whose paths should be checked now, of
+// those that exist. Each is returned once per check.
+func (t *Tracker) DueChecks(now time.Time, exists func(id string) bool) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []string
+	for id, p := range t.paths {
+		if len(out) == maxChecks {
+			break
+		}
+		if p.nextCheck.IsZero() || now.Before(p.nextCheck) {
+			continue
+		}
+		o := t.pool(p.pool)
+		needless := p.lostSince.IsZero() && !p.forceCheck && now.Sub(o.reachedAt) <= freshness
+		if needless || !exists(id) {
+			p.nextCheck = time.Time{}
+			continue
+		}
+		t.scheduleNext(now, p, o)
+		out = append(out, id)
+	}
+	return out
+}
+
+// scheduleNext sets the time of the check after one that begins now.
+func (t *Tracker) scheduleNext(now time.Time, p *path, o *pool) {
+	p.forceCheck = false
+	switch {
+	case p.lostSince.IsZero():
+		p.nextCheck = time.Time{}
+	case !o.lostSince.IsZero():
+		p.nextCheck = now.Add(lostPoolCheckPause)
+	default:
+		p.nextCheck = now.Add(p.checkPause)
+		p.checkPause = min(2*p.checkPause, maxCheckPause)
+	}
+}
+
+// Forget drops an endpoint that was removed or has restarted.
+func (t *Tracker) Forget(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.paths, id)
+}
+
+func (t *Tracker) path(id, poolName string) *path {
+	p := t.paths[id]
+	if p == nil {
+		p = &path{}
+		t.paths[id] = p
+	}
+	p.pool = poolName
+	return p
+}
+
+func (t *Tracker) pool(name string) *pool {
+	o := t.pools[name]
+	if o == nil {
+		o = &pool{}
+		t.pools[name] = o
+	}
+	return o
+}
--- /dev/null
+++ b/internal/core/reachability/tracker_test.go
@@ -0,0 +1,171 @@
+package reachability
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/dragonflyrail/dragonflyrail/internal/port"
+	_ "github.com/dragonflyrail/dragonflyrail/internal/testkit/fixedseed"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+const testPool = "p"
+
+func ids(n int) []string {
+	out := make([]string, n)
+	for i := range out {
+		out[i] = fmt.Sprint("e", i)
+	}
+	return out
+}
+
+func newTestTracker(endpoints []string) *Tracker {
+	return NewTracker(func(string) []string { return endpoints })
+}
+
+func exists(string) bool { return true }
+
+// world performs the checks that a tracker asks for, at endpoints of which some are
+// reachable.
+type world struct {
+	*Tracker
+	now       time.Time
+	reachable map[string]bool
+	checks    int
+}
+
+// run lets time pass in the steps of the gateway's ticks.
+func (w *world) run(d time.Duration) {
+	const step = 50 * time.Millisecond
+	for end := w.now.Add(d); w.now.Before(end); w.now = w.now.Add(step) {
+		for _, id := range w.DueChecks(w.now, exists) {
+			w.checks++
+			w.observe(id)
+		}
+	}
+}
+
+// observe reports the result of using the path to an endpoint.
+func (w *world) observe(id string) {
+	evidence := port.PathConnectFailed
+	if w.reachable[id] {
+		evidence = port.PathReached
+	}
+	w.Observe(w.now, id, testPool, evidence)
+}
+
+// Guards against a cut daemon that finds out only after a failure at each endpoint.
+func TestOneFailureFindsLostPool(t *testing.T) {
+	for _, n := range []int{1, 3, 14, 300} {
+		w := &world{Tracker: newTestTracker(ids(n)), now: start}
+		w.observe("e0")
+		w.run(300 * time.Millisecond)
+		if !w.Lost(testPool) || !slices.Equal(w.LostPools(), []string{testPool}) {
+			t.Errorf("%d endpoints: the pool is not lost after %d checks", n, w.checks)
+		}
+	}
+}
+
+// Guards against taking an endpoint that is down for a lost path to its whole pool.
+func TestFailedEndpointDoesNotLosePool(t *testing.T) {
+	for _, n := range []int{2, 3, 14, 300} {
+		w := &world{Tracker: newTestTracker(ids(n)), now: start, reachable: map[string]bool{}}
+		for _, id := range ids(n)[1:] {
+			w.reachable[id] = true
+		}
+		w.observe("e0")
+		w.run(2 * time.Second)
+		if w.Lost(testPool) || w.IsSuspect(testPool) || !w.IsLost("e0") || w.LostPaths() != 1 {
+			t.Errorf("%d endpoints: lost pool %v, suspect %v, %d lost paths", n, w.Lost(testPool), w.IsSuspect(testPool), w.LostPaths())
+		}
+		w.reachable["e0"] = true
+		w.run(maxCheckPause + 100*time.Millisecond)
+		if w.LostPaths() != 0 {
+			t.Errorf("%d endpoints: the path is still lost after the endpoint is back", n)
+		}
+	}
+}
+
+// Guards against a daemon that uses its paths late after they are back.
+func TestHealedPoolIsFoundWithinASecond(t *testing.T) {
+	for _, n := range []int{1, 3, 14, 300} {
+		w := &world{Tracker: newTestTracker(ids(n)), now: start, reachable: map[string]bool{}}
+		w.observe("e0")
+		w.run(10 * time.Second)
+		for _, id := range ids(n) {
+			w.reachable[id] = true
+		}
+		w.run(time.Second)
+		if w.Lost(testPool) || w.LostPaths() != 0 {
+			t.Errorf("%d endpoints: pool lost %v, %d paths lost a second after healing", n, w.Lost(testPool), w.LostPaths())
+		}
+	}
+}
+
+// Guards against a pool that stays lost when its endpoints have been replaced.
+func TestReplacedEndpointsEndLostPool(t *testing.T) {
+	current := ids(3)
+	tracker := NewTracker(func(string) []string { return current })
+	w := &world{Tracker: tracker, now: start}
+	w.observe("e0")
+	w.run(time.Second)
+	for _, id := range current {
+		w.Forget(id)
+	}
+	current = []string{"new"}
+	if w.Lost(testPool) {
+		t.Fatal("a new endpoint is not tried")
+	}
+}
+
+// An answer on a connection from before the cut shows no path for new ones.
+func TestAnswerOnOpenConnectionKeepsPoolLost(t *testing.T) {
+	w := &world{Tracker: newTestTracker(ids(3)), now: start}
+	w.observe("e0")
+	w.run(time.Second)
+	w.Observe(w.now, "e1", testPool, port.PathAnswered)
+	if !w.Lost(testPool) || !w.AnsweredSince(testPool, w.now.Add(-time.Millisecond)) {
+		t.Fatal("the pool is not lost, or its answer is not known")
+	}
+}
+
+// Compares the tracker with the state of the paths, which is drawn and changes: after
+// quiet seconds with traffic it knows which paths are lost, and it never asks for more
+// checks than its pauses allow.
+func TestTrackerFollowsPaths(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		endpoints := ids(rapid.IntRange(1, 12).Draw(t, "endpoints"))
+		w := &world{Tracker: newTestTracker(endpoints), now: start, reachable: map[string]bool{}}
+		for range rapid.IntRange(1, 6).Draw(t, "phases") {
+			reached := 0
+			for _, id := range endpoints {
+				w.reachable[id] = rapid.Bool().Draw(t, "reachable")
+				if w.reachable[id] {
+					reached++
+				}
+			}
+			w.checks = 0
+			const phase = 4 * time.Second
+			for range 8 {
+				for _, id := range endpoints {
+					w.observe(id)
+				}
+				w.run(phase / 8)
+			}
+			if w.Lost(testPool) != (reached == 0 && len(endpoints) > 0) {
+				t.Fatalf("%d of %d endpoints reached, pool lost: %v", reached, len(endpoints), w.Lost(testPool))
+			}
+			if w.LostPaths() != len(endpoints)-reached {
+				t.Fatalf("%d of %d endpoints reached, %d paths lost", reached, len(endpoints), w.LostPaths())
+			}
+			if allowed := len(endpoints) * (4 + int(phase/firstCheckPause)); w.checks > allowed {
+				t.Fatalf("%d checks of %d endpoints in %v, allowed %d", w.checks, len(endpoints), phase, allowed)
+			}
+		}
+	})
+}
--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -86,6 +86,9 @@
 	g.Scheduler.ChangeEndpoints(now, runnersOf(changed))
 	for _, e := range changed {
 		before, existed := g.endpointTable.put(e, now)
+		if existed && before.Incarnation != e.Incarnation {
+			g.paths.Forget(e.ID)
+		}
 		g.recordEndpointChange(before, existed, &e)
 		g.recordLimitChange(before.RateLimit, &e)
 		g.recordColdnessChange(before.ColdRate, &e)
@@ -106,6 +109,7 @@
 	g.limitBackoffs.reset(id)
 	g.breakers.Forget(id)
 	g.refusals.Forget(id)
+	g.paths.Forget(id)
 }
 
 // removeEndpoints removes endpoints that left long ago and are no longer in the
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -33,7 +33,9 @@
 func (x *exchange) attempt(ctx context.Context, p *placement) stream.RunOutcome {
 	x.beginAttempt(p)
 	began := x.g.Clock()
+	stopCheck := x.checkPathIfSilent(p)
 	answer, err := x.send(ctx, x.outbound(p))
+	stopCheck()
 	if err != nil {
 		return x.handleSendError(ctx, p, answer, err)
 	}
@@ -121,6 +123,10 @@
 		kind = port.FinishCancelled
 	}
 	x.connectionLost = kind == port.FinishFailed
+	if x.connectionLost {
+		// A lost path breaks connections just as a crash of the endpoint does.
+		x.g.paths.RequestCheck(x.g.Clock(), p.endpoint.ID, p.endpoint.Pool, true)
+	}
 	x.reason = withCause(err)
 	x.g.metrics.attemptFailed(name)
 	x.endAttempt(p, kind)
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -19,13 +19,17 @@
 // probe requests an endpoint's health check, also while it is paused: probes follow
 // a lost connection, and the first one that reaches the endpoint is the last.
 func (g *Gateway) probe(ctx context.Context, e port.Endpoint) port.Presence {
-	path := "/"
+	return g.Endpoints.CheckPresence(ctx, e, g.healthPath(e.Pool))
+}
+
+// healthPath returns the path of the health checks of a pool's endpoints.
+func (g *Gateway) healthPath(pool string) string {
 	if index := g.index.Load(); index != nil {
-		if p, ok := index.Pool(e.Pool); ok && p.HealthPath != "" {
-			path = p.HealthPath
+		if p, ok := index.Pool(pool); ok && p.HealthPath != "" {
+			return p.HealthPath
 		}
 	}
-	return g.Endpoints.CheckPresence(ctx, e, path)
+	return "/"
 }
 
 func (g *Gateway) isLeaving(e port.Endpoint) bool {
--- a/internal/gateway/decisions.go
+++ b/internal/gateway/decisions.go
@@ -35,9 +35,19 @@
 	verdictCheck = "check"
 	// verdictLimit: an endpoint has a new rate limit, or none any more.
 	verdictLimit = "limit"
+	// verdictPathLost and verdictPathRestored: this daemon has lost or regained its
+	// path to an endpoint or to all endpoints of a pool.
+	verdictPathLost     = "path_lost"
+	verdictPathRestored = "path_restored"
 )
 
-const subjectRequest = "request"
+// Subjects of decisions. The subject of a path decision is an endpoint, that of a pool
+// path decision is a pool.
+const (
+	subjectRequest  = "request"
+	subjectPath     = "path"
+	subjectPoolPath = "pool_path"
+)
 
 // randomIndex is the balancer's source of random numbers.
 func randomIndex(n int) int { return rand.IntN(n) }
--- a/internal/gateway/endpoint_table.go
+++ b/internal/gateway/endpoint_table.go
@@ -109,6 +109,24 @@
 	return h, ok
 }
 
+// isLive reports whether an endpoint is live.
+func (k *endpointTable) isLive(id string) bool {
+	h, found := k.get(id)
+	return found && h.State == port.EndpointLive
+}
+
+// usableIDs returns the ids of the endpoints of a pool that are live and not
+// evacuated.
+func (k *endpointTable) usableIDs(pool string) []string {
+	var out []string
+	for _, e := range k.matching(func(e *port.Endpoint) bool {
+		return e.Pool == pool && e.State == port.EndpointLive && !e.Evacuated
+	}) {
+		out = append(out, e.ID)
+	}
+	return out
+}
+
 // hasLeft reports whether the table shows that an endpoint, as an earlier decision or
 // another daemon described it, is no longer live. A description by a newer entry or
 // of a newer incarnation than the table has counts as live.
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -102,6 +102,10 @@
 	return port.PresenceServing
 }
 
+func (e *fakeEndpoints) CheckPath(ctx context.Context, at port.Endpoint, path string) port.Presence {
+	return e.CheckPresence(ctx, at, path)
+}
+
 func (e *fakeEndpoints) Release(_ context.Context, at port.Endpoint, handle string) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/dragonflyrail/dragonflyrail/internal/core/membership"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/pause"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/ratelimit"
+	"github.com/dragonflyrail/dragonflyrail/internal/core/reachability"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/route"
 	"github.com/dragonflyrail/dragonflyrail/internal/crashwatch"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
@@ -128,6 +129,8 @@
 	pauses        pause.Tracker
 	limitObserver *ratelimit.Observer
 	coldTracker   *coldstart.Tracker
+	// paths holds which endpoints this daemon reaches.
+	paths *reachability.Tracker
 	// limitBackoffs holds the endpoints and pools that accept no requests for
 	// now, because of their rate limits.
 	limitBackoffs limitBackoffs
@@ -170,6 +173,7 @@
 	}
 	g.o.Store(&o)
 	g.evacuated.Store(&evacuation.Set{})
+	g.paths = reachability.NewTracker(g.endpointTable.usableIDs)
 	g.crashWatch = g.watchCrashes()
 	g.budgets = newBudgets(g.options, g.daemonCount)
 	g.endpointChanges = p.View.FollowEndpoints()
@@ -208,6 +212,7 @@
 			g.recordEndedPauses()
 			g.Scheduler.Tick(g.Clock())
 			g.crashWatch.Tick()
+			g.checkPaths()
 		}
 	}
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -35,6 +35,9 @@
 	pauseNotices   gometrics.Counter
 	paused         gometrics.Gauge
 	evacuated      gometrics.Gauge
+	pathsLost      gometrics.Gauge
+	poolsLost      gometrics.Gauge
+	pathChecks     gometrics.Counter
 }
 
 func newInstruments(r gometrics.Registry) *instruments {
@@ -62,6 +65,9 @@
 		pauseNotices:   counter("endpoint_pause_notices_total"),
 		paused:         gometrics.GetOrRegisterGauge("endpoints_paused", r),
 		evacuated:      gometrics.GetOrRegisterGauge("evacuated_failure_domains", r),
+		pathsLost:      gometrics.GetOrRegisterGauge("endpoint_paths_lost", r),
+		poolsLost:      gometrics.GetOrRegisterGauge("pool_paths_lost", r),
+		pathChecks:     counter("path_checks_total"),
 	}
 }
 
--- /dev/null
+++ b/internal/gateway/paths.go
@@ -0,0 +1,85 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/dragonflyrail/dragonflyrail/internal/core/reachability"
+	"github.com/dragonflyrail/dragonflyrail/internal/port"
+)
+
+const (
+	// pathCheckTimeout bounds one check of a path. It is much longer than a round trip
+	// to an endpoint in another failure domain.
+	pathCheckTimeout = 300 * time.Millisecond
+	// silenceUntilCheck is how long an attempt may go without a sign of the endpoint
+	// until the path to it is checked.
+	silenceUntilCheck = 200 * time.Millisecond
+)
+
+// ObservePath evaluates what a call to an endpoint shows of the path to it.
+func (g *Gateway) ObservePath(e port.Endpoint, evidence port.PathEvidence, err error) {
+	known, found := g.endpointTable.get(e.ID)
+	if !found || known.State == port.EndpointGone {
+		return
+	}
+	g.applyPathChanges(g.paths.Observe(g.Clock(), e.ID, e.Pool, evidence), err)
+}
+
+func (g *Gateway) applyPathChanges(changes []reachability.Change, err error) {
+	for _, c := range changes {
+		g.recordPathChange(c, err)
+	}
+	if len(changes) > 0 {
+		g.metrics.pathsLost.Update(int64(g.paths.LostPaths()))
+		g.metrics.poolsLost.Update(int64(len(g.paths.LostPools())))
+	}
+}
+
+// recordPathChange records that this daemon has lost or regained its path to an
+// endpoint or to all endpoints of a pool.
+func (g *Gateway) recordPathChange(c reachability.Change, err error) {
+	verdict, reason := verdictPathRestored, c.Evidence.String()+"; lost for "+c.For.Round(time.Millisecond).String()
+	if c.Lost {
+		verdict, reason = verdictPathLost, c.Evidence.String()
+		if err != nil {
+			reason += ": " + err.Error()
+		}
+	}
+	subject, id := subjectPath, c.Endpoint
+	if id == "" {
+		subject, id = subjectPoolPath, c.Pool
+	}
+	g.recordDecision(&port.DecisionRecord{Subject: subject, SubjectID: id, Verdict: verdict, Reason: reason, Endpoint: c.Endpoint})
+}
+
+// checkPaths starts the checks of paths that are due.
+func (g *Gateway) checkPaths() {
+	for _, id := range g.paths.DueChecks(g.Clock(), g.endpointTable.isLive) {
+		if e, found := g.endpointTable.get(id); found && !g.IsPaused(e.Endpoint) {
+			g.metrics.pathChecks.Inc(1)
+			go g.checkPath(e.Endpoint)
+		}
+	}
+}
+
+// checkPath checks the path to an endpoint; the client reports the result to
+// ObservePath.
+func (g *Gateway) checkPath(e port.Endpoint) port.Presence {
+	ctx, cancel := context.WithTimeout(context.Background(), pathCheckTimeout)
+	defer cancel()
+	return g.Endpoints.CheckPath(ctx, e, g.healthPath(e.Pool))
+}
+
+// checkPathIfSilent checks the path to an attempt's endpoint if there is no sign of it
+// for a while. The caller calls stop once the endpoint has answered.
+func (x *exchange) checkPathIfSilent(p *placement) (stop func() bool) {
+	began := x.g.Clock()
+	timer := time.AfterFunc(silenceUntilCheck, func() {
+		// An engine may take seconds until it answers.
+		if !p.generation || !x.g.paths.ConnectedSince(p.endpoint.ID, began) {
+			x.g.paths.RequestCheck(x.g.Clock(), p.endpoint.ID, p.endpoint.Pool, false)
+		}
+	})
+	return timer.Stop
+}
--- a/internal/port/exchange.go
+++ b/internal/port/exchange.go
@@ -170,6 +170,46 @@
 	}
 }
 
+// PathEvidence is an observation of the network path between this daemon and an
+// endpoint.
+type PathEvidence int
+
+// The observations.
+const (
+	// PathConnected means that a new connection was established. A proxy or a busy
+	// host may have accepted it, so it doesn't show that the endpoint is reached.
+	PathConnected PathEvidence = iota
+	// PathAnswered means that the endpoint answered on a connection that was open
+	// before.
+	PathAnswered
+	// PathReached means that the endpoint answered on a new connection.
+	PathReached
+	// PathConnectFailed means that no connection could be established.
+	PathConnectFailed
+	// PathBroken means that a new connection ended without an answer to a check.
+	PathBroken
+	// PathSilent means that a check was not answered in time.
+	PathSilent
+)
+
+// String returns the name of the value.
+func (e PathEvidence) String() string {
+	switch e {
+	case PathConnected:
+		return "connected"
+	case PathAnswered:
+		return "answered on an open connection"
+	case PathReached:
+		return "answered on a new connection"
+	case PathConnectFailed:
+		return "connect failed"
+	case PathBroken:
+		return "connection ended without an answer"
+	default:
+		return "no answer in time"
+	}
+}
+
 // Exchanger communicates with the endpoints of routes. Its errors are ErrNotSent,
 // ErrRefused, ErrMisdirected, ErrForeignAnswer, ErrEndpointLost and, for
 // copies, ErrNoGeneration and ErrNoRoom.
@@ -186,6 +226,10 @@
 	// CheckPresence checks over a new connection whether an endpoint serves; path is the
 	// path of its health check.
 	CheckPresence(ctx context.Context, e Endpoint, path string) Presence
+	// CheckPath checks over a new connection whether this daemon has a path to an
+	// endpoint; path is the path of its health check. The result is also reported as
+	// PathEvidence.
+	CheckPath(ctx context.Context, e Endpoint, path string) Presence
 	// Release frees a copy that will not be used.
 	Release(ctx context.Context, e Endpoint, handle string) error
 }
