--- a/cmd/dragonfly-entry/settings.go
+++ b/cmd/dragonfly-entry/settings.go
@@ -38,8 +38,11 @@
 	SilenceAfter   time.Duration `json:"silence_after" validate:"min=200ms,max=1m,gtfield=HeartbeatEvery"`
 	// ProbeEvery is the time between two probes of a runner while the store is
 	// unavailable. They find out whether the runner is leaving.
-	ProbeEvery     time.Duration `json:"probe_every" validate:"min=10ms,max=1m"`
-	EntryValidity  time.Duration `json:"entry_validity" validate:"min=10ms,max=1h"`
+	ProbeEvery    time.Duration `json:"probe_every" validate:"min=10ms,max=1m"`
+	EntryValidity time.Duration `json:"entry_validity" validate:"min=10ms,max=1h"`
+	// EndpointSource is the IP address from which this host connects to endpoints;
+	// empty for the host's choice.
+	EndpointSource string        `json:"endpoint_source" validate:"omitempty,ip"`
 	ConnectTimeout time.Duration `json:"connect_timeout" validate:"min=10ms,max=1m"`
 	ReportTimeout  time.Duration `json:"report_timeout" validate:"min=10ms,max=1m"`
 	// IdleTimeout is how long an unused connection to an endpoint is kept.
--- a/internal/adapter/oncehttp/oncehttp.go
+++ b/internal/adapter/oncehttp/oncehttp.go
@@ -31,6 +31,8 @@
 	// DefaultIdleTimeout.
 	IdleConnections int
 	IdleTimeout     time.Duration
+	// LocalAddress is the IP address to connect from; empty for the host's choice.
+	LocalAddress string
 	// DisableKeepAlives disables the reuse of connections.
 	DisableKeepAlives bool
 }
@@ -50,6 +52,9 @@
 		o.IdleTimeout = DefaultIdleTimeout
 	}
 	dialer := net.Dialer{Timeout: o.DialTimeout, KeepAlive: 15 * time.Second}
+	if ip := net.ParseIP(o.LocalAddress); ip != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: ip}
+	}
 	return &Client{transport: &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			c, err := dialer.DialContext(ctx, network, address)
--- a/internal/testkit/faultproxy/faultproxy.go
+++ b/internal/testkit/faultproxy/faultproxy.go
@@ -32,10 +32,12 @@
 	listener net.Listener
 	target   string
 
-	mu      sync.Mutex
-	harm    Faults
-	changed chan struct{}
-	links   map[*link]bool
+	mu   sync.Mutex
+	harm Faults
+	// bySource holds the faults of clients with their own; they replace harm.
+	bySource map[string]Faults
+	changed  chan struct{}
+	links    map[*link]bool
 }
 
 // link is one connection through the proxy.
@@ -68,6 +70,33 @@
 	p.notifyChanged()
 }
 
+// SetFrom replaces the faults applied to the connections of the clients that connect
+// from one IP address. They no longer depend on Set.
+func (p *Proxy) SetFrom(source string, h Faults) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.bySource == nil {
+		p.bySource = map[string]Faults{}
+	}
+	p.bySource[source] = h
+	p.notifyChanged()
+}
+
+// faultsOf returns the faults applied to a client's connection. The caller must hold
+// p.mu.
+func (p *Proxy) faultsOf(client net.Conn) Faults {
+	if own, set := p.bySource[sourceOf(client)]; set {
+		return own
+	}
+	return p.harm
+}
+
+// sourceOf returns the IP address that a client connects from.
+func sourceOf(client net.Conn) string {
+	host, _, _ := net.SplitHostPort(client.RemoteAddr().String())
+	return host
+}
+
 // Reset closes every open connection with a TCP reset. New connections are not
 // affected.
 func (p *Proxy) Reset() {
@@ -76,6 +105,16 @@
 	}
 }
 
+// ResetFrom closes the open connections of the clients that connect from one IP
+// address with a TCP reset.
+func (p *Proxy) ResetFrom(source string) {
+	for _, l := range p.openLinks() {
+		if sourceOf(l.client) == source {
+			l.reset()
+		}
+	}
+}
+
 // Stall permanently stops forwarding on every open connection, without closing
 // it. New connections are not affected.
 func (p *Proxy) Stall() {
@@ -122,7 +161,7 @@
 
 func (p *Proxy) serve(client net.Conn) {
 	p.mu.Lock()
-	refuse := p.harm.Refuse
+	refuse := p.faultsOf(client).Refuse
 	p.mu.Unlock()
 	if refuse {
 		reset(client)
@@ -176,7 +215,7 @@
 func (p *Proxy) waitAllowed(l *link, upstream bool) bool {
 	for {
 		p.mu.Lock()
-		harm, changed, stalled, open := p.harm, p.changed, l.stalled, p.links[l]
+		harm, changed, stalled, open := p.faultsOf(l.client), p.changed, l.stalled, p.links[l]
 		p.mu.Unlock()
 		if !open {
 			return false
