Daemons that all stop keep a rate limit together; a coordinator that takes over grants no burst

Each leaving daemon took itself for the coordinator if no other was live, so that all of a fleet that stops at once admitted the whole limit each. And a limiter that had been idle while another daemon coordinated granted a burst again. Change: leaving daemons choose one coordinator among themselves while none is live; the limiter starts without a burst when its daemon becomes coordinator. Result: TestStoppingDaemonsKeepRateLimitTogether: before, 96 requests admitted by four daemons in 8 s, 41 allowed; TestDaemonsTogetherKeepRateLimit with stopping daemons drawn: 24 within 4 s, 23 allowed. Both pass now (go test ./internal/scheduling).

--- a/internal/core/ratelimit/limiter.go
+++ b/internal/core/ratelimit/limiter.go
@@ -93,6 +93,16 @@
 	return Grant{Endpoint: chosen.Endpoint, Wait: soonest}
 }
 
+// TakeOver records that another daemon has admitted requests to the endpoints until
+// now, so that none of them is due a burst.
+func (l *Limiter) TakeOver() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, m := range l.m {
+		m.stale = true
+	}
+}
+
 // postpone spreads the retries of refused daemons over the times at which the
 // endpoint accepts requests. Otherwise all would ask at once, and all but one would
 // be refused again.
--- a/internal/core/ratelimit/meter.go
+++ b/internal/core/ratelimit/meter.go
@@ -48,6 +48,8 @@
 type Meter struct {
 	// due is when the endpoint will have processed all admitted requests.
 	due time.Time
+	// stale is set if another daemon has admitted requests since the last one here.
+	stale bool
 }
 
 // Wait returns the time until the next request may be sent, zero for now.
@@ -55,9 +57,10 @@
 	if l.PerSecond <= 0 {
 		return 0
 	}
-	if m.due.IsZero() {
-		m.due = now.Add(l.burst())
+	if noBurst := now.Add(l.burst()); m.due.IsZero() || m.stale && m.due.Before(noBurst) {
+		m.due = noBurst
 	}
+	m.stale = false
 	return max(0, m.due.Add(-l.burst()).Sub(now))
 }
 
--- a/internal/scheduling/admit.go
+++ b/internal/scheduling/admit.go
@@ -46,6 +46,8 @@
 // the daemons that cannot reach it admit requests as well.
 func (c *Client) AdmitLocally(pool string, asks []ratelimit.Candidate, maxWait time.Duration) ratelimit.Grant {
 	now := c.opts.Clock()
+	// Notices a change of the coordinator, also if only others send requests.
+	c.coordinator(pool)
 	if c.isListedCoordinator(pool) {
 		return c.limiter.Admit(now, asks, maxWait)
 	}
--- a/internal/scheduling/admit_test.go
+++ b/internal/scheduling/admit_test.go
@@ -43,6 +43,7 @@
 		for now := startedAt; now.Sub(startedAt) < duration; now = f.clock.Now() {
 			if now.Sub(startedAt)%(8*time.Second) == 0 {
 				f.down[f.names[rapid.IntRange(1, 3).Draw(t, "daemon")]] = rapid.Bool().Draw(t, "down")
+				f.leaving[f.names[rapid.IntRange(0, 3).Draw(t, "stopping daemon")]] = rapid.Bool().Draw(t, "stopping")
 			}
 			for _, name := range f.names {
 				if f.down[name] || now.Before(nextAttempt[name]) {
@@ -71,6 +72,28 @@
 	})
 }
 
+// Guards against daemons that each admit up to the whole limit because all of them are stopping.
+func TestStoppingDaemonsKeepRateLimitTogether(t *testing.T) {
+	f := newFleet("a", "b", "c", "d")
+	for _, name := range f.names {
+		f.leaving[name] = true
+	}
+	admitted, coordinators := 0, map[string]bool{}
+	const duration, step = 8 * time.Second, 50 * time.Millisecond
+	for range int(duration / step) {
+		for _, name := range f.names {
+			if _, g := f.admit(name, 0); g.Endpoint != "" {
+				admitted++
+				coordinators[g.Coordinator] = true
+			}
+		}
+		f.clock.advance(step)
+	}
+	if minimum := int(limit * duration.Seconds() / 2); admitted > maxWithin(duration) || admitted < minimum || len(coordinators) != 1 {
+		t.Fatalf("%d requests admitted by %v, want %d to %d by one daemon", admitted, coordinators, minimum, maxWithin(duration))
+	}
+}
+
 // A daemon that can reach no other daemon keeps to its share of the limit.
 func TestPartitionedDaemonsKeepToTheirShare(t *testing.T) {
 	f := newFleet("a", "b", "c", "d")
--- a/internal/scheduling/coordinator.go
+++ b/internal/scheduling/coordinator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -26,6 +27,9 @@
 	id := s.ring.Lookup(pool)
 	if previous := c.lastCoordinators[pool]; previous != id {
 		c.lastCoordinators[pool] = id
+		if id == c.opts.Self {
+			c.limiter.TakeOver()
+		}
 		c.opts.Logger.Info().Str("event", "coordinator_changed").Str("pool", pool).Str("from", previous).Str("to", id).Msg("")
 	}
 	return daemon{id: id, address: s.addresses[id]}
@@ -48,7 +52,7 @@
 	validUntil time.Time
 	ring       *rendezvous.Rendezvous
 	addresses  map[string]string
-	// listedRing also contains the daemons that are now avoided.
+	// listedRing does not leave out the daemons that are now avoided.
 	listedRing *rendezvous.Rendezvous
 }
 
@@ -62,34 +66,54 @@
 		return s
 	}
 	s := &candidates{memberList: members, validUntil: now.Add(candidatesTTL), addresses: make(map[string]string)}
-	var ids, avoided []string
-	leaving := false
+	var live, leaving memberGroup
 	for i := range members {
 		m := &members[i]
+		group := &live
+		if m.State == port.MemberLeaving {
+			group = &leaving
+		}
 		switch {
 		case m.ID == c.opts.Self:
-			leaving = m.State == port.MemberLeaving
-		case m.CallerAddress == "" || m.State != port.MemberLive:
+			group.add(m.ID, true)
+		case m.CallerAddress == "" || m.State != port.MemberLive && m.State != port.MemberLeaving:
 		case now.Before(c.avoidUntil[m.ID]):
-			avoided = append(avoided, m.ID)
+			group.add(m.ID, false)
 			s.validUntil = earlier(s.validUntil, c.avoidUntil[m.ID])
 		default:
-			ids = append(ids, m.ID)
+			group.add(m.ID, true)
 			s.addresses[m.ID] = m.PeerAddress
 		}
 	}
-	if !leaving || len(ids) == 0 {
-		ids = append(ids, c.opts.Self)
-	}
-	s.ring = rendezvous.New(ids, xxhash.Sum64String)
-	s.listedRing = s.ring
-	if len(avoided) > 0 {
-		s.listedRing = rendezvous.New(append(avoided, ids...), xxhash.Sum64String)
+	if !slices.Contains(leaving.listed, c.opts.Self) && !slices.Contains(live.listed, c.opts.Self) {
+		live.add(c.opts.Self, true)
 	}
+	s.ring = rendezvous.New(firstNonEmpty(live.reachable, leaving.reachable), xxhash.Sum64String)
+	s.listedRing = rendezvous.New(firstNonEmpty(live.listed, leaving.listed), xxhash.Sum64String)
 	c.cachedCandidates = s
 	return s
 }
 
+// memberGroup holds the daemons in one state: all, and those that are not avoided
+// now.
+type memberGroup struct{ listed, reachable []string }
+
+func (g *memberGroup) add(id string, reachable bool) {
+	g.listed = append(g.listed, id)
+	if reachable {
+		g.reachable = append(g.reachable, id)
+	}
+}
+
+// firstNonEmpty returns the live daemons, or the leaving ones if none is live. A daemon
+// that is leaving coordinates only while no live one can.
+func firstNonEmpty(live, leaving []string) []string {
+	if len(live) > 0 {
+		return live
+	}
+	return leaving
+}
+
 // candidatesTTL bounds the time for which computed candidates are used.
 const candidatesTTL = time.Minute
 
--- a/internal/scheduling/scheduling_test.go
+++ b/internal/scheduling/scheduling_test.go
@@ -42,7 +42,7 @@
 type fleet struct {
 	clock             *clock
 	names             []string
-	down              map[string]bool
+	down, leaving     map[string]bool
 	schedulers        map[string]*PoolScheduler
 	routingSchedulers map[string]*routing.Scheduler
 	clients           map[string]*Client
@@ -68,7 +68,7 @@
 
 func newFleet(names ...string) *fleet {
 	f := &fleet{
-		clock: &clock{now: start}, names: names, down: map[string]bool{}, schedulers: map[string]*PoolScheduler{},
+		clock: &clock{now: start}, names: names, down: map[string]bool{}, leaving: map[string]bool{}, schedulers: map[string]*PoolScheduler{},
 		routingSchedulers: map[string]*routing.Scheduler{}, clients: map[string]*Client{}, nextFault: func() int { return 0 },
 	}
 	for _, name := range names {
@@ -83,14 +83,18 @@
 	return f
 }
 
-// Members lists all daemons, those that are down as dead. A daemon's name is also
+// Members lists all daemons, those that are down as dead and the others that stop as
+// leaving. A daemon's name is also
 // its address.
 func (f *fleet) Members() []port.Member {
 	var out []port.Member
 	for _, name := range f.names {
 		state := port.MemberLive
-		if f.down[name] {
+		switch {
+		case f.down[name]:
 			state = port.MemberDead
+		case f.leaving[name]:
+			state = port.MemberLeaving
 		}
 		out = append(out, port.Member{ID: name, State: state, CallerAddress: name, PeerAddress: name})
 	}
