--- a/internal/adapter/grpcpeer/convert.go
+++ b/internal/adapter/grpcpeer/convert.go
@@ -94,6 +94,7 @@
 		Host: m.Host, CallerAddress: m.CallerAddress, AdminAddress: m.AdminAddress, PeerAddress: m.PeerAddress,
 		State: string(m.State), Sequence: m.Sequence, HeardBy: m.DecidedBy,
 		Condition: string(m.Condition), Left: m.Left, Blind: m.PlatformUnreachable,
+		LostPools: m.LostPools,
 	}
 }
 
@@ -104,6 +105,7 @@
 		AdminAddress: m.GetAdminAddress(), PeerAddress: m.GetPeerAddress(),
 		State: port.MemberState(m.GetState()), Sequence: m.GetSequence(), DecidedBy: m.GetHeardBy(),
 		Condition: membership.Condition(m.GetCondition()), Left: m.GetLeft(), PlatformUnreachable: m.GetBlind(),
+		LostPools: m.GetLostPools(),
 	}
 }
 
--- a/internal/adapter/grpcpeer/identity.go
+++ b/internal/adapter/grpcpeer/identity.go
@@ -62,6 +62,14 @@
 	i.mu.Unlock()
 }
 
+// SetLostPools sets the pools that later heartbeats report as lost, in ascending order.
+// The slice must not be modified afterwards.
+func (i *Identity) SetLostPools(pools []string) {
+	i.mu.Lock()
+	i.member.LostPools = pools
+	i.mu.Unlock()
+}
+
 // ExceedIncarnation raises the incarnation above one that other daemons hold for this id, and
 // reports whether it did. A larger incarnation comes from an earlier process whose
 // clock was ahead. If it were not exceeded, other daemons would treat the heartbeats
--- a/internal/adapter/grpcpeer/subscriber.go
+++ b/internal/adapter/grpcpeer/subscriber.go
@@ -11,6 +11,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 
 	peerv1 "github.com/dragonflyrail/dragonflyrail/api/peer/v1"
+	"github.com/dragonflyrail/dragonflyrail/internal/core/membership"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/spread/node"
 )
 
@@ -189,7 +190,8 @@
 func changedMember(last, current *selfReport) *peerv1.Member {
 	before, after := last.member, current.member
 	before.Sequence = after.Sequence
-	if before != after {
+	order := membership.MemberOrder{}
+	if order.Hash(before) != order.Hash(after) {
 		w := memberToWire(after)
 		w.HighestVersion, w.RecordsDigest = current.highest, current.digest
 		return w
--- a/internal/core/membership/lattice_test.go
+++ b/internal/core/membership/lattice_test.go
@@ -44,6 +44,7 @@
 		Left:                rapid.Bool().Draw(t, "left"),
 		PlatformUnreachable: rapid.Bool().Draw(t, "blind"),
 		Host:                oneOf("h1", "h2").Draw(t, "host"),
+		LostPools:           oneOf(nil, []string{"p"}, []string{"p", "q"}).Draw(t, "lost pools"),
 	}
 })
 
--- a/internal/core/membership/member.go
+++ b/internal/core/membership/member.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"slices"
 
 	"github.com/dragonflyrail/dragonflyrail/internal/core/spread"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
@@ -51,6 +52,9 @@
 	DecidedBy string
 	// PlatformUnreachable is set by a keeper that can't reach the platform.
 	PlatformUnreachable bool
+	// LostPools are the pools of which the member reaches no endpoint, in ascending
+	// order. It is not modified.
+	LostPools []string
 }
 
 func stateRank(s port.MemberState) int {
@@ -98,6 +102,7 @@
 		cmp.Compare(a.Condition, b.Condition),
 		cmp.Compare(a.DecidedBy, b.DecidedBy),
 		compareBools(a.PlatformUnreachable, b.PlatformUnreachable),
+		slices.Compare(a.LostPools, b.LostPools),
 		cmp.Compare(a.PeerAddress, b.PeerAddress),
 		cmp.Compare(a.CallerAddress, b.CallerAddress),
 		cmp.Compare(a.AdminAddress, b.AdminAddress),
@@ -124,6 +129,11 @@
 	h.String(string(m.Condition))
 	h.String(m.DecidedBy)
 	h.Bool(m.PlatformUnreachable)
+	// Daemons of earlier builds compute the hash without the lost pools, so that it
+	// only differs while there are any.
+	for _, pool := range m.LostPools {
+		h.String(pool)
+	}
 	return h.Sum()
 }
 
@@ -147,10 +157,16 @@
 		ID: m.ID, Role: m.Role, Incarnation: m.Incarnation,
 		FailureDomain: m.FailureDomain, Host: m.Host,
 		CallerAddress: m.CallerAddress, AdminAddress: m.AdminAddress, PeerAddress: m.PeerAddress,
-		State: m.Effective(),
+		State: m.Effective(), LostPools: m.LostPools,
 	}
 }
 
+// SameReport reports whether a member reports the same about itself in two entries.
+func (m *Member) SameReport(other *Member) bool {
+	return m.Incarnation == other.Incarnation && m.Left == other.Left &&
+		m.PlatformUnreachable == other.PlatformUnreachable && slices.Equal(m.LostPools, other.LostPools)
+}
+
 // NewMemberTable returns an empty table of members.
 func NewMemberTable() *spread.Table[Member] {
 	return spread.NewTable[Member](MemberOrder{}, spread.HashKey)
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -275,6 +275,17 @@
 
 func (v *fakeView) SetLeaving() {}
 
+// PublishLostPools sets the lost pools of the member with the harness's own id.
+func (v *fakeView) PublishLostPools(pools []string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for i := range v.members {
+		if v.members[i].ID == "g" {
+			v.members[i].LostPools = pools
+		}
+	}
+}
+
 func (v *fakeView) PublishLimit(endpoint string, incarnation uint64, perSecond float64) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,9 +21,12 @@
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
 
-// Announcer announces to the other daemons that this one is leaving.
+// Announcer announces to the other daemons the state of this one.
 type Announcer interface {
 	SetLeaving()
+	// PublishLostPools announces the pools of which this daemon reaches no endpoint, in
+	// ascending order.
+	PublishLostPools(pools []string)
 }
 
 // Placer places generations. It is informed of their progress and their end.
@@ -131,6 +134,8 @@
 	coldTracker   *coldstart.Tracker
 	// paths holds which endpoints this daemon reaches.
 	paths *reachability.Tracker
+	// publishedLostPools holds the lost pools as published last.
+	publishedLostPools lostPools
 	// limitBackoffs holds the endpoints and pools that accept no requests for
 	// now, because of their rate limits.
 	limitBackoffs limitBackoffs
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/dragonflyrail/dragonflyrail/internal/core/reachability"
@@ -32,10 +34,30 @@
 	}
 	if len(changes) > 0 {
 		g.metrics.pathsLost.Update(int64(g.paths.LostPaths()))
-		g.metrics.poolsLost.Update(int64(len(g.paths.LostPools())))
+		g.publishLostPools()
 	}
 }
 
+// lostPools holds the lost pools as published last.
+type lostPools struct {
+	mu        sync.Mutex
+	published []string
+}
+
+// publishLostPools announces the lost pools to the other daemons if they have changed.
+func (g *Gateway) publishLostPools() {
+	p := &g.publishedLostPools
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	lost := g.paths.LostPools()
+	if slices.Equal(lost, p.published) {
+		return
+	}
+	p.published = lost
+	g.metrics.poolsLost.Update(int64(len(lost)))
+	g.Announcer.PublishLostPools(lost)
+}
+
 // recordPathChange records that this daemon has lost or regained its path to an
 // endpoint or to all endpoints of a pool.
 func (g *Gateway) recordPathChange(c reachability.Change, err error) {
@@ -55,6 +77,8 @@
 
 // checkPaths starts the checks of paths that are due.
 func (g *Gateway) checkPaths() {
+	// Endpoints that join or leave a pool change whether it is lost.
+	g.publishLostPools()
 	for _, id := range g.paths.DueChecks(g.Clock(), g.endpointTable.isLive) {
 		if e, found := g.endpointTable.get(id); found && !g.IsPaused(e.Endpoint) {
 			g.metrics.pathChecks.Inc(1)
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -300,6 +300,13 @@
 	k.putSelf()
 }
 
+// PublishLostPools announces to the other daemons the pools of which this daemon reaches
+// no endpoint, in ascending order. The slice must not be modified afterwards.
+func (k *Keeper) PublishLostPools(pools []string) {
+	k.identity.SetLostPools(pools)
+	k.putSelf()
+}
+
 // Records returns the records in force, without deleted ones.
 func (k *Keeper) Records() []port.Record { return grpcpeer.LiveRecords(k.node) }
 
--- a/internal/keeper/members.go
+++ b/internal/keeper/members.go
@@ -100,8 +100,7 @@
 		k.options.Logger.Warn().Str("event", "incarnation_raised").Uint64("seen", known.Incarnation).Msg("")
 	}
 	own := k.identity.Current()
-	if held && known.Incarnation == own.Incarnation && known.Left == own.Left &&
-		known.PlatformUnreachable == own.PlatformUnreachable && known.State == port.MemberLive {
+	if held && known.SameReport(&own) && known.State == port.MemberLive {
 		return
 	}
 	if held {
@@ -119,9 +118,8 @@
 	known, held := k.node.Members.Get(m.ID)
 	// An entry whose only source is the member itself is taken over by this
 	// keeper; otherwise no keeper would notice that the member falls silent.
-	current := held && known.Incarnation == m.Incarnation && known.Left == m.Left &&
-		known.PlatformUnreachable == m.PlatformUnreachable && known.State == port.MemberLive && known.Condition == membership.ConditionNone &&
-		known.DecidedBy != m.ID
+	current := held && known.SameReport(&m) && known.State == port.MemberLive &&
+		known.Condition == membership.ConditionNone && known.DecidedBy != m.ID
 	if current && !first {
 		return
 	}
--- a/internal/port/record.go
+++ b/internal/port/record.go
@@ -46,6 +46,9 @@
 	HighestVersion uint64      `json:"highest_version"`
 	RecordsDigest  uint64      `json:"records_digest"`
 	HeardAgeMillis int64       `json:"heard_age_millis"`
+	// LostPools are the pools of which the daemon reaches no endpoint, in ascending
+	// order.
+	LostPools []string `json:"lost_pools,omitempty"`
 }
 
 // StateView is a router's view of the system, received through the keepers. It is
