Requests are passed on to a daemon that has a path to their endpoints

Change: a daemon that has lost its paths to a pool passes the request on, over gRPC, to one that has not: one hop at most; method, target, header, body and key unchanged, admitted anew there by routes that are not older; the caller's remaining time; the attempts of both counted as one; the peer runs nothing before it is told to, so 'not run' is known until then, and unknown after it if the connection breaks. The caller's end cancels the peer's work. If no daemon has a path the request is refused at once (503, no_path, not run, Retry-After 0.5 to 1 s). A pool that is found lost has the other pools checked, whose endpoints may take seconds to answer. Decisions of verdict 'relay', counters relays_sent, _declined, _served.

--- a/cmd/dragonfly-entry/assemble.go
+++ b/cmd/dragonfly-entry/assemble.go
@@ -15,6 +15,7 @@
 
 	"github.com/dragonflyrail/dragonflyrail/internal/adapter/decisions"
 	"github.com/dragonflyrail/dragonflyrail/internal/adapter/grpcpeer"
+	"github.com/dragonflyrail/dragonflyrail/internal/adapter/grpcrelay"
 	"github.com/dragonflyrail/dragonflyrail/internal/adapter/httpadmin"
 	"github.com/dragonflyrail/dragonflyrail/internal/adapter/httprecords"
 	"github.com/dragonflyrail/dragonflyrail/internal/adapter/httpserver"
@@ -42,6 +43,7 @@
 	store    *platform.StoreClient
 	keeper   *keeper.Keeper
 	placer   *scheduling.Client
+	relays   *grpcrelay.Client
 	gateway  *gateway.Gateway
 	callers  *http.Server
 	servers  []httpListener
@@ -86,12 +88,14 @@
 		Dial: func(address string) scheduling.Peer { return grpcpeer.DialScheduling(address) },
 	}, pools)
 	(&grpcpeer.SchedulingService{Scheduler: pools, Admitter: a.placer}).Register(a.peers)
+	a.relays = grpcrelay.NewClient()
 	a.gateway = gateway.New(s.options(), gateway.Ports{
 		Endpoints: runners,
 		Scheduler: scheduler, Placer: a.placer,
 		PlatformAge: func() time.Duration { return a.keeper.PlatformAge(time.Now()) },
-		View:        a.keeper, Quarantine: a.keeper.Quarantine(), Limits: a.keeper, Notices: a.keeper, Announcer: a.keeper, Sink: store, Policy: record.Policy, Evacuations: record.Evacuations, Metrics: registry,
+		View:        a.keeper, Quarantine: a.keeper.Quarantine(), Limits: a.keeper, Notices: a.keeper, Announcer: a.keeper, Relayer: a.relays, Sink: store, Policy: record.Policy, Evacuations: record.Evacuations, Metrics: registry,
 	})
+	(&grpcrelay.Service{App: a.gateway}).Register(a.peers)
 	a.callers = httpserver.New(&platform.CallerHandler{App: a.gateway, Logger: logger})
 	a.servers = []httpListener{
 		{"listen.callers", s.Listen.Callers, a.callers},
@@ -205,5 +209,6 @@
 		}
 	}
 	a.peers.Stop()
+	a.relays.Close()
 	a.logger.Info().Str("event", "stopped").Int("open_requests", a.gateway.OpenRequests()).Msg("")
 }
--- a/internal/core/reachability/tracker.go
+++ b/internal/core/reachability/tracker.go
@@ -145,6 +145,7 @@
 	}
 	if o.lostSince.IsZero() && !o.suspectSince.IsZero() && t.allLost(p.pool) {
 		o.lostSince = now
+		t.checkOtherPools(now, p.pool)
 		changes = append(changes, Change{Pool: p.pool, Lost: true, Evidence: evidence})
 	}
 	return changes
@@ -159,6 +160,22 @@
 	}
 }
 
+// checkOtherPools makes one path to each other pool due for a check: what has cut this
+// daemon off from one pool has most likely cut it off from the others.
+func (t *Tracker) checkOtherPools(now time.Time, lostPool string) {
+	for name, o := range t.pools {
+		if name == lostPool || !o.lostSince.IsZero() {
+			continue
+		}
+		for _, id := range t.endpoints(name) {
+			if p := t.path(id, name); p.lostSince.IsZero() {
+				p.nextCheck, p.forceCheck = now, true
+				break
+			}
+		}
+	}
+}
+
 // allLost reports whether the paths to all endpoints of a pool, or to a sample of a
 // larger one, are lost.
 func (t *Tracker) allLost(poolName string) bool {
--- a/internal/core/reachability/tracker_test.go
+++ b/internal/core/reachability/tracker_test.go
@@ -134,6 +134,30 @@
 	}
 }
 
+// Guards against a second pool that is found lost late because its endpoints take long
+// to answer anyway.
+func TestLostPoolHasOtherPoolsChecked(t *testing.T) {
+	pools := map[string][]string{"p": {"e0", "e1"}, "q": {"f0", "f1", "f2"}}
+	tracker := NewTracker(func(pool string) []string { return pools[pool] })
+	tracker.Observe(start, "f1", "q", port.PathReached)
+	w := &world{Tracker: tracker, now: start.Add(10 * time.Millisecond)}
+	for _, id := range pools["p"] {
+		w.observe(id)
+	}
+	for end := w.now.Add(time.Second); w.now.Before(end); w.now = w.now.Add(50 * time.Millisecond) {
+		for _, id := range w.DueChecks(w.now, exists) {
+			pool := "p"
+			if id[0] == 'f' {
+				pool = "q"
+			}
+			w.Observe(w.now, id, pool, port.PathSilent)
+		}
+	}
+	if got := w.LostPools(); !slices.Equal(got, []string{"p", "q"}) {
+		t.Fatalf("lost pools %v", got)
+	}
+}
+
 // Compares the tracker with the state of the paths, which is drawn and changes: after
 // quiet seconds with traffic it knows which paths are lost, and it never asks for more
 // checks than its pauses allow.
--- a/internal/gateway/decisions.go
+++ b/internal/gateway/decisions.go
@@ -16,6 +16,8 @@
 	verdictCopy   = "copy"
 	verdictResume = "resume"
 	verdictPanic  = "panic"
+	// verdictRelay: a request is passed on to another daemon, or comes from one.
+	verdictRelay = "relay"
 	// verdictCrash: an endpoint crashed with the requests that it was running.
 	verdictCrash = "crash"
 	// verdictRelease: a copy of a run is released.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -56,15 +56,23 @@
 	placedAtIneligible bool
 	// quarantined: the request is not sent because it crashes endpoints.
 	quarantined bool
+	// relayedFrom is the id of the daemon that passed the request on, empty if it came
+	// from a caller.
+	relayedFrom string
 	// print caches the fingerprint, which the method fingerprint computes.
 	print *quarantine.Fingerprint
 }
 
 // Serve answers one request. It returns nil once the caller has received the
 // whole of an endpoint's answer, else the refusal.
-func (g *Gateway) Serve(ctx context.Context, req *Request, out Responder) (refusal *Refusal) {
-	x := g.newExchange(req, out)
-	if refusal = g.openRequest(req); refusal != nil {
+func (g *Gateway) Serve(ctx context.Context, req *Request, out Responder) *Refusal {
+	return g.newExchange(req, out).serveOpen(ctx)
+}
+
+// serveOpen counts the request as open while it is served.
+func (x *exchange) serveOpen(ctx context.Context) (refusal *Refusal) {
+	g := x.g
+	if refusal = g.openRequest(x.req); refusal != nil {
 		return x.refuse(refusal)
 	}
 	defer g.lifecycle.exit()
@@ -99,7 +107,7 @@
 		x.deadline = req.Arrived.Add(req.CallerTimeout)
 	}
 	x.ledger.Idempotent = r.Repeat == route.RepeatSafe
-	x.pool = r.Target(hashFraction(req.ID))
+	x.pool = g.poolOf(&req.Admission, req.ID)
 	if index := g.index.Load(); index != nil {
 		if p, ok := index.Pool(x.pool); ok {
 			x.engine = p.Engine
@@ -110,8 +118,15 @@
 
 // serve tries endpoints until one answers or no further attempt is allowed.
 func (x *exchange) serve(ctx context.Context) *Refusal {
-	x.g.budgets.pool(x.pool).FirstTry()
+	if x.relayedFrom == "" {
+		x.g.budgets.pool(x.pool).FirstTry()
+	}
 	for {
+		if x.needsRelay() {
+			if refusal, ended := x.relay(ctx); ended {
+				return refusal
+			}
+		}
 		p, refusal := x.placeUnlessQuarantined(ctx)
 		if refusal != nil {
 			return x.refuseOrDeliverFailure(refusal)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -73,7 +73,9 @@
 	Quarantine crashwatch.Quarantine
 	Limits     LimitPublisher
 	Notices    NoticePublisher
-	Sink       port.DecisionSink
+	// Relayer passes requests on to other daemons; nil if they can't be.
+	Relayer Relayer
+	Sink    port.DecisionSink
 	// PlatformAge returns how long ago any daemon last got an answer from the
 	// platform, as far as this daemon knows; negative if none ever did. It may
 	// be nil.
@@ -136,6 +138,7 @@
 	paths *reachability.Tracker
 	// publishedLostPools holds the lost pools as published last.
 	publishedLostPools lostPools
+	relays             relays
 	// limitBackoffs holds the endpoints and pools that accept no requests for
 	// now, because of their rate limits.
 	limitBackoffs limitBackoffs
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -38,6 +38,9 @@
 	pathsLost      gometrics.Gauge
 	poolsLost      gometrics.Gauge
 	pathChecks     gometrics.Counter
+	relaysSent     gometrics.Counter
+	relaysDeclined gometrics.Counter
+	relaysServed   gometrics.Counter
 }
 
 func newInstruments(r gometrics.Registry) *instruments {
@@ -68,6 +71,9 @@
 		pathsLost:      gometrics.GetOrRegisterGauge("endpoint_paths_lost", r),
 		poolsLost:      gometrics.GetOrRegisterGauge("pool_paths_lost", r),
 		pathChecks:     counter("path_checks_total"),
+		relaysSent:     counter("relays_sent_total"),
+		relaysDeclined: counter("relays_declined_total"),
+		relaysServed:   counter("relays_served_total"),
 	}
 }
 
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -107,3 +107,16 @@
 	})
 	return timer.Stop
 }
+
+// CheckEndpoint checks for another daemon whether this one reaches an endpoint. It can't
+// tell if it doesn't know that incarnation, or if its own paths are in doubt.
+func (g *Gateway) CheckEndpoint(id string, incarnation uint64) (reached, known bool) {
+	e, found := g.endpointTable.get(id)
+	if !found || e.Incarnation != incarnation {
+		return false, false
+	}
+	if g.checkPath(e.Endpoint) == port.PresenceServing {
+		return true, true
+	}
+	return false, !g.paths.IsSuspect(e.Pool)
+}
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -26,7 +26,10 @@
 	CauseEvacuated Cause = "evacuated"
 	// CausePaused: all endpoints that could run the request have asked this host
 	// for a pause.
-	CausePaused      Cause = "endpoints_paused"
+	CausePaused Cause = "endpoints_paused"
+	// CauseNoPath: neither this daemon nor another one that could serve the request has
+	// a network path to an endpoint.
+	CauseNoPath      Cause = "no_path"
 	CauseTimeout     Cause = "timeout"
 	CauseStopping    Cause = "daemon_stopping"
 	CauseTooManyOpen Cause = "too_many_open_requests"
--- /dev/null
+++ b/internal/gateway/relay.go
@@ -0,0 +1,338 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/dragonflyrail/dragonflyrail/internal/core/outcome"
+	"github.com/dragonflyrail/dragonflyrail/internal/core/stream"
+	"github.com/dragonflyrail/dragonflyrail/internal/port"
+)
+
+// Errors of a Relayer.
+var (
+	// ErrRelayNotAccepted means that the peer was not told to run the request.
+	ErrRelayNotAccepted = merry.Sentinel("relay: the peer has not accepted the request")
+	// ErrRelayLost means that the connection to the peer broke after the peer was told
+	// to run the request.
+	ErrRelayLost = merry.Sentinel("relay: connection to the peer lost")
+	// ErrRelayCallerGone means that the answer could not be written to the caller.
+	ErrRelayCallerGone = merry.Sentinel("relay: the caller has gone")
+)
+
+// Relayer passes requests on to other daemons.
+type Relayer interface {
+	// Relay passes a request on to a peer and its answer on to out, until the answer
+	// ends.
+	Relay(ctx context.Context, peer *port.Member, r *RelayedRequest, out Responder) (*RelayResult, error)
+	// CheckEndpoint asks a peer whether it reaches an endpoint. known is false if the
+	// peer can't tell.
+	CheckEndpoint(ctx context.Context, peer *port.Member, e port.Endpoint) (reached, known bool)
+}
+
+// RelayedRequest is a request that one daemon passes on to another, with what the first
+// one has tried. The attempts of both count as those of one request.
+type RelayedRequest struct {
+	Request
+	// From is the id of the daemon that received the request from its caller, and
+	// SenderVersion the version of the routes there.
+	From          string
+	SenderVersion uint64
+	// Attempts counts the endpoints tried, MayHaveRun those of them that may have run
+	// the request, and Tried holds their ids.
+	Attempts   int
+	MayHaveRun int
+	Tried      []string
+	// BodyBytes is the announced size of the body.
+	BodyBytes uint64
+}
+
+// RelayResult is the end of a request that was passed on.
+type RelayResult struct {
+	// Refusal is nil if the caller has received the whole answer.
+	Refusal *Refusal
+	// Endpoint is the id of the last endpoint that the peer tried.
+	Endpoint string
+}
+
+const (
+	// maxRelayPeers bounds the peers that are asked to serve one request.
+	maxRelayPeers = 3
+	// avoidPeerFor is how long a peer that did not accept a request is asked last.
+	avoidPeerFor = time.Second
+	// relayGrace is the time after the deadline in which the peer's own refusal, which
+	// says whether the request has run, is awaited.
+	relayGrace = 100 * time.Millisecond
+	// maxRelayedBody is the largest body that is accepted from another daemon if the
+	// configuration sets no limit.
+	maxRelayedBody = 4 << 20
+	// noPathRetry is the least time after which a caller may retry if no daemon has a
+	// path; up to noPathRetrySpread is added, so that the callers don't return at once.
+	noPathRetry       = 500 * time.Millisecond
+	noPathRetrySpread = 500 * time.Millisecond
+	// recentAnswer is the age up to which an answer on an open connection shows that
+	// calls can still be served here although new connections fail.
+	recentAnswer = time.Second
+)
+
+// relays tracks the requests that this daemon passes on.
+type relays struct {
+	mu sync.Mutex
+	// open counts the requests under way by the id of the peer.
+	open       map[string]int
+	avoidUntil map[string]time.Time
+}
+
+func (r *relays) begin(peer string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.open == nil {
+		r.open, r.avoidUntil = make(map[string]int), make(map[string]time.Time)
+	}
+	r.open[peer]++
+}
+
+func (r *relays) end(peer string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.open[peer]--; r.open[peer] <= 0 {
+		delete(r.open, peer)
+	}
+}
+
+// avoid has a peer asked last for avoidPeerFor.
+func (r *relays) avoid(now time.Time, peer string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id, until := range r.avoidUntil {
+		if now.After(until) {
+			delete(r.avoidUntil, id)
+		}
+	}
+	r.avoidUntil[peer] = now.Add(avoidPeerFor)
+}
+
+// choose returns up to n of the peers in the order in which they should be asked: those
+// that are not avoided first, and of two drawn the one with fewer requests under way.
+func (r *relays) choose(now time.Time, peers []port.Member, n int) []port.Member {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	slices.SortStableFunc(peers, func(a, b port.Member) int {
+		return compareBool(now.Before(r.avoidUntil[a.ID]), now.Before(r.avoidUntil[b.ID]))
+	})
+	if len(peers) > 1 && r.open[peers[1].ID] < r.open[peers[0].ID] && !now.Before(r.avoidUntil[peers[1].ID]) {
+		peers[0], peers[1] = peers[1], peers[0]
+	}
+	return peers[:min(n, len(peers))]
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// peersWithPath returns the other daemons that may have a path to a pool.
+func (g *Gateway) peersWithPath(pool string) []port.Member {
+	var out []port.Member
+	for _, m := range g.View.Members() {
+		if m.ID != g.options().ID && m.State == port.MemberLive && m.PeerAddress != "" && m.CallerAddress != "" &&
+			!slices.Contains(m.LostPools, pool) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// needsRelay reports whether this daemon can't make the next attempt itself.
+func (x *exchange) needsRelay() bool { return x.g.Relayer != nil && x.g.paths.Lost(x.pool) }
+
+// relay has another daemon make the remaining attempts. It reports false if an attempt
+// should be made here.
+func (x *exchange) relay(ctx context.Context) (refusal *Refusal, ended bool) {
+	if refusal := x.quarantineRefusal(); refusal != nil {
+		return x.refuseOrDeliverFailure(refusal), true
+	}
+	if x.relayedFrom != "" {
+		// A request is passed on once only, so that it can't circulate.
+		return x.refuseOrDeliverFailure(x.noPath()), true
+	}
+	now := x.g.Clock()
+	for _, peer := range x.g.relays.choose(now, x.g.peersWithPath(x.pool), maxRelayPeers) {
+		result, err := x.relayTo(ctx, &peer)
+		switch {
+		case err == nil && isRelayDeclined(result):
+			x.declined(now, &peer, result.Refusal.Error())
+		case err == nil:
+			return x.endRelayed(&peer, result), true
+		case errors.Is(err, ErrRelayNotAccepted) && ctx.Err() == nil:
+			x.declined(now, &peer, err.Error())
+		default:
+			return x.relayFailed(ctx, err)
+		}
+	}
+	if x.g.paths.AnsweredSince(x.pool, x.g.Clock().Add(-recentAnswer)) {
+		return nil, false
+	}
+	return x.refuseOrDeliverFailure(x.noPath()), true
+}
+
+// isRelayDeclined reports whether a peer refused a request only for its own sake, so
+// that another one may serve it.
+func isRelayDeclined(r *RelayResult) bool {
+	if r.Refusal == nil || r.Refusal.Outcome != outcome.NotRun || r.Refusal.ResponseStarted {
+		return false
+	}
+	switch r.Refusal.Cause {
+	case CauseNotSynced, CauseNoPath, CauseStopping, CauseTooManyOpen:
+		return true
+	}
+	return false
+}
+
+func (x *exchange) declined(now time.Time, peer *port.Member, reason string) {
+	x.g.relays.avoid(now, peer.ID)
+	x.g.metrics.relaysDeclined.Inc(1)
+	x.record(verdictRelay, "declined by "+peer.ID+": "+reason, "", nil)
+}
+
+// relayTo passes the request on to one peer.
+func (x *exchange) relayTo(ctx context.Context, peer *port.Member) (*RelayResult, error) {
+	x.g.relays.begin(peer.ID)
+	defer x.g.relays.end(peer.ID)
+	x.g.metrics.relaysSent.Inc(1)
+	x.record(verdictRelay, "no path to pool "+x.pool+"; passed on to "+peer.ID, "", nil)
+	relayCtx, cancel := withGrace(ctx, relayGrace)
+	defer cancel()
+	return x.g.Relayer.Relay(relayCtx, peer, &RelayedRequest{
+		Request: *x.req, From: x.g.options().ID, Attempts: x.attempts, MayHaveRun: x.mayHaveRun, Tried: x.tried,
+	}, relayResponder{x})
+}
+
+// withGrace returns a context that ends some time after the deadline of another one,
+// but at once if that is cancelled.
+func withGrace(ctx context.Context, grace time.Duration) (context.Context, context.CancelFunc) {
+	out, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	stop := context.AfterFunc(ctx, func() {
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			time.AfterFunc(grace, cancel)
+			return
+		}
+		cancel()
+	})
+	return out, func() { stop(); cancel() }
+}
+
+// relayResponder notes that the answer has begun.
+type relayResponder struct{ x *exchange }
+
+func (r relayResponder) Begin(status int, header http.Header, length int64) error {
+	r.x.responseStarted, r.x.status = true, status
+	return r.x.responder.Begin(status, header, length)
+}
+
+func (r relayResponder) Write(p []byte) error { return r.x.responder.Write(p) }
+func (r relayResponder) Flush() error         { return r.x.responder.Flush() }
+
+// endRelayed ends a request that a peer has answered or refused.
+func (x *exchange) endRelayed(peer *port.Member, result *RelayResult) *Refusal {
+	x.endpoint = result.Endpoint
+	if result.Refusal == nil {
+		x.finish(outcome.Done, "served through "+peer.ID)
+		return nil
+	}
+	result.Refusal.Detail += " (at " + peer.ID + ")"
+	return x.refuseOrDeliverFailure(result.Refusal)
+}
+
+// relayFailed ends or repeats a request whose peer was lost while it may have run it.
+func (x *exchange) relayFailed(ctx context.Context, err error) (refusal *Refusal, ended bool) {
+	x.reason = err.Error()
+	if errors.Is(err, ErrRelayCallerGone) {
+		return x.refuse(&Refusal{Cause: CauseCallerGone, Detail: x.reason, ResponseStarted: true}), true
+	}
+	fate := stream.OutcomeNotSent
+	if !errors.Is(err, ErrRelayNotAccepted) {
+		fate = stream.OutcomeUnknown
+		x.attempts++
+		x.mayHaveRun++
+	}
+	x.ledger.Add(fate, x.responseStarted)
+	x.g.metrics.attemptFailed("relay_lost")
+	if refusal := x.retryRefusal(ctx, fate); refusal != nil {
+		return x.refuseOrDeliverFailure(refusal), true
+	}
+	x.record(verdictRetry, x.reason, fate.String(), nil)
+	return x.relay(ctx)
+}
+
+// noPath returns the refusal of a request for which no daemon has a path to an endpoint.
+func (x *exchange) noPath() *Refusal {
+	return &Refusal{
+		Cause: CauseNoPath, Detail: "no daemon that could serve the request has a path to an endpoint of pool " + x.pool,
+		RetryAfter: noPathRetry + rand.N(noPathRetrySpread),
+	}
+}
+
+// AcceptRelayed admits a request that another daemon passes on, or returns why this
+// daemon does not serve it.
+func (g *Gateway) AcceptRelayed(r *RelayedRequest) *Refusal {
+	admission, refusal := g.Admit(r.Host, r.Path, r.KeySHA256)
+	switch {
+	case refusal != nil && refusal.Version >= r.SenderVersion:
+	case admission.Version < r.SenderVersion:
+		refusal = &Refusal{Cause: CauseNotSynced, Detail: fmt.Sprintf("the routes here have version %d, the sender's %d", admission.Version, r.SenderVersion)}
+	case g.Leaving():
+		refusal = &Refusal{Cause: CauseStopping, Detail: "this daemon stops"}
+	case r.BodyBytes > relayedBodyLimit(admission):
+		refusal = &Refusal{Cause: CauseTooManyOpen, Detail: "the body is longer than the limit here"}
+	case g.paths.Lost(g.poolOf(&admission, r.ID)):
+		refusal = &Refusal{Cause: CauseNoPath, Detail: "no path from here either"}
+	}
+	if refusal != nil {
+		refusal.Outcome = outcome.NotRun
+		refusal.setRetryAfter(true)
+		return refusal
+	}
+	r.Admission = admission
+	return nil
+}
+
+func relayedBodyLimit(a Admission) uint64 {
+	if a.Limits.MaxBodyBytes > 0 {
+		return uint64(a.Limits.MaxBodyBytes)
+	}
+	return maxRelayedBody
+}
+
+// poolOf returns the pool that a request is sent to.
+func (g *Gateway) poolOf(a *Admission, requestID string) string {
+	return a.Route.Target(hashFraction(requestID))
+}
+
+// ServeRelayed serves a request that AcceptRelayed has admitted. endpoint is the id of
+// the last endpoint that was tried.
+func (g *Gateway) ServeRelayed(ctx context.Context, r *RelayedRequest, out Responder) (endpoint string, refusal *Refusal) {
+	g.metrics.relaysServed.Inc(1)
+	x := g.newExchange(&r.Request, out)
+	x.relayedFrom = r.From
+	x.attempts, x.mayHaveRun, x.tried = r.Attempts, r.MayHaveRun, slices.Clone(r.Tried)
+	x.record(verdictRelay, "passed on by "+r.From, "", nil)
+	refusal = x.serveOpen(ctx)
+	return x.endpoint, refusal
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -13,7 +13,11 @@
 	Method string
 	// Target is the path and query exactly as sent by the caller.
 	Target string
-	Host   string
+	// Path is the escaped path that selects the route.
+	Path string
+	Host string
+	// KeySHA256 is the hash of the caller's key, in hex; empty if it sent none.
+	KeySHA256 string
 	// Header holds the headers to pass on to the endpoint.
 	Header http.Header
 	Body   []byte
