A lost path is not counted as a crash of the endpoint

Cause: a crash was concluded from a broken connection and four unanswered probes of one daemon. A cut of its paths breaks all connections at once and leaves all probes unanswered, so each endpoint counted as crashed, with the requests that ran there as suspects for the quarantine. Ruled out: counting only refused connects (a cut refuses them too). Change: the end of an endpoint is confirmed before it is counted: up to three daemons are asked whether they reach it; if none can tell, this one must reach another endpoint of the pool. A pool of one endpoint goes by other pools.

--- a/internal/core/reachability/tracker.go
+++ b/internal/core/reachability/tracker.go
@@ -253,12 +253,25 @@
 
 // IsSuspect reports whether the path to a pool is in doubt: a failure was observed,
 // and no endpoint of the pool has answered on a new connection since. Failures of its
-// endpoints are then no evidence against them.
+// endpoints are then no evidence against them. For a pool of one endpoint the answers of
+// other pools count.
 func (t *Tracker) IsSuspect(poolName string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	o := t.pools[poolName]
-	return o != nil && !o.suspectSince.IsZero()
+	if o == nil || o.suspectSince.IsZero() {
+		return false
+	}
+	return len(t.endpoints(poolName)) > 1 || !t.othersReachedSince(poolName, o.suspectSince)
+}
+
+func (t *Tracker) othersReachedSince(poolName string, after time.Time) bool {
+	for name, o := range t.pools {
+		if name != poolName && o.reachedAt.After(after) {
+			return true
+		}
+	}
+	return false
 }
 
 // AnsweredSince reports whether an endpoint of a pool has answered on any connection
--- a/internal/crashwatch/crashwatch.go
+++ b/internal/crashwatch/crashwatch.go
@@ -46,6 +46,9 @@
 	// IsLeaving reports whether an endpoint was known to be leaving, so that its
 	// end is no crash.
 	IsLeaving func(e port.Endpoint) bool
+	// ConfirmEnd reports whether an endpoint that doesn't answer this daemon has really
+	// ended, rather than the network path to it being lost; nil means that it has.
+	ConfirmEnd func(e port.Endpoint) bool
 	// OnCrash is called for an endpoint that has crashed; lost is the number
 	// of requests of this daemon that ran there.
 	OnCrash func(e port.Endpoint, reason string, lost int)
@@ -151,8 +154,11 @@
 
 // reportEnd reports the end of an endpoint, as a crash unless it was leaving.
 // It returns false, without reporting, if an older attempt at the endpoint is
-// still open, as the endpoint may then still run.
+// still open, as the endpoint may then still run, or if the end is not confirmed.
 func (w *Watch) reportEnd(e port.Endpoint, reason string) bool {
+	if w.o.ConfirmEnd != nil && !w.o.ConfirmEnd(e) {
+		return false
+	}
 	now := w.o.Clock()
 	lost, uncertain := w.attempts.Ended(now, keyOf(e))
 	if uncertain {
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"github.com/dragonflyrail/dragonflyrail/internal/core/quarantine"
 	"github.com/dragonflyrail/dragonflyrail/internal/crashwatch"
@@ -12,10 +13,61 @@
 // watchCrashes returns a crash watch for this gateway's attempts.
 func (g *Gateway) watchCrashes() *crashwatch.Watch {
 	return crashwatch.New(crashwatch.Options{
-		Quarantine: g.Quarantine, CheckPresence: g.probe, IsLeaving: g.isLeaving, OnCrash: g.recordCrash, Clock: g.Clock,
+		Quarantine: g.Quarantine, CheckPresence: g.probe, IsLeaving: g.isLeaving, ConfirmEnd: g.confirmEnd, OnCrash: g.recordCrash, Clock: g.Clock,
 	})
 }
 
+// Limits on confirming the end of an endpoint.
+const (
+	// maxConfirmingPeers bounds the peers that are asked.
+	maxConfirmingPeers = 3
+	// pathSettleTime is how long this daemon takes to find out whether it is its path
+	// to a pool that is lost.
+	pathSettleTime = 2 * pathCheckTimeout
+)
+
+// confirmEnd reports whether an endpoint that doesn't answer this daemon has ended. A
+// lost path breaks all connections at once just as a crash does, so other daemons are
+// asked; if none can tell, this daemon must reach other endpoints of the pool.
+func (g *Gateway) confirmEnd(e port.Endpoint) bool {
+	reached, known := g.askPeers(e)
+	if !known {
+		for began := time.Now(); g.paths.IsSuspect(e.Pool) && time.Since(began) < pathSettleTime; {
+			time.Sleep(tickInterval)
+		}
+		reached = g.paths.IsSuspect(e.Pool)
+	}
+	if reached {
+		g.recordChange(subjectPath, e.ID, verdictPathLost, "its connections broke, but that is no sign of its end: others reach it or nothing else is reached from here", 0)
+	}
+	return !reached
+}
+
+// askPeers asks other daemons whether they reach an endpoint. known is false if none
+// can tell.
+func (g *Gateway) askPeers(e port.Endpoint) (reached, known bool) {
+	if g.Relayer == nil {
+		return false, false
+	}
+	type reply struct{ reached, known bool }
+	peers := g.relays.choose(g.Clock(), g.peersWithPath(e.Pool), maxConfirmingPeers)
+	replies := make(chan reply, len(peers))
+	for _, peer := range peers {
+		go func() {
+			reached, known := g.Relayer.CheckEndpoint(context.Background(), &peer, e)
+			replies <- reply{reached, known}
+		}()
+	}
+	for range peers {
+		r := <-replies
+		if r.reached {
+			return true, true
+		}
+		known = known || r.known
+	}
+	return false, known
+}
+
 // probe requests an endpoint's health check, also while it is paused: probes follow
 // a lost connection, and the first one that reaches the endpoint is the last.
 func (g *Gateway) probe(ctx context.Context, e port.Endpoint) port.Presence {
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -287,3 +287,50 @@
 		}
 	}
 }
+
+// Guards against counting a cut of this daemon's paths as crashes of the endpoints, which
+// would quarantine the requests that ran there.
+func TestLostPathIsNoCrash(t *testing.T) {
+	for _, peers := range []int{0, 1, 3} {
+		t.Run(fmt.Sprint(peers, " peers"), func(t *testing.T) {
+			b, net := newRelayHarness(t, peers)
+			for _, peer := range net.peers {
+				peer.setPresence(port.PresenceServing)
+			}
+			e, _ := b.endpointTable.get("s0")
+			for range 3 {
+				if b.confirmEnd(e.Endpoint) {
+					t.Fatal("the end of an endpoint is confirmed whose path is lost")
+				}
+			}
+		})
+	}
+}
+
+// Guards against the same where only the path to this endpoint is lost.
+func TestLostPathToOneEndpointIsNoCrash(t *testing.T) {
+	b, net := newRelayHarness(t, 2)
+	e, _ := b.endpointTable.get("s0")
+	other, _ := b.endpointTable.get("s1")
+	b.ObservePath(other.Endpoint, port.PathReached, nil)
+	net.peers["peer0"].setPresenceOf("s0", port.PresenceGone)
+	if b.confirmEnd(e.Endpoint) {
+		t.Fatal("the end of an endpoint is confirmed that a peer reaches")
+	}
+}
+
+// Guards against a crash that is taken for a lost path.
+func TestCrashIsConfirmed(t *testing.T) {
+	for _, peers := range []int{0, 2} {
+		b, net := newRelayHarness(t, peers)
+		for _, peer := range net.peers {
+			peer.setPresenceOf("s0", port.PresenceGone)
+		}
+		e, _ := b.endpointTable.get("s0")
+		other, _ := b.endpointTable.get("s1")
+		b.ObservePath(other.Endpoint, port.PathReached, nil)
+		if !b.confirmEnd(e.Endpoint) {
+			t.Errorf("%d peers: the end of an endpoint is not confirmed", peers)
+		}
+	}
+}
--- a/test/paths_test.go
+++ b/test/paths_test.go
@@ -1,6 +1,7 @@
 package test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -160,6 +161,16 @@
 	}
 	stop()
 	background.Wait()
+	f.checkNoCrashCounted()
+}
+
+// checkNoCrashCounted checks that no daemon took a lost path for a crash of an endpoint.
+func (f *fleetTest) checkNoCrashCounted() {
+	for _, d := range f.Daemons {
+		if n := bytes.Count(d.Log(), []byte(`"verdict":"crash"`)); n > 0 {
+			f.t.Errorf("%s counted %d crashes of endpoints, none has ended", d.ID, n)
+		}
+	}
 }
 
 func startPathFleet(t *testing.T) *fleetTest {
