A placement that reached no endpoint spends no retry budget

Change: a placement says whether any earlier attempt of the request was sent; one that was not is no retry.

--- a/internal/adapter/grpcpeer/scheduling.go
+++ b/internal/adapter/grpcpeer/scheduling.go
@@ -205,6 +205,7 @@
 		PromptTokens: uint32(r.PromptTokens), MaxTokens: uint32(r.MaxTokens), PrefixHashes: r.PrefixHashes,
 		Excluded: r.Excluded, Attempt: uint32(r.Attempt), Route: r.Route, LengthHint: uint32(r.LengthHint),
 		ObjectiveMillis: r.Objective.Milliseconds(), Rank: int32(r.Rank), TokenGapMicros: r.TokenGap.Microseconds(),
+		NotSent: r.NotSent,
 	}
 }
 
@@ -214,7 +215,7 @@
 		PromptTokens: int(g.GetPromptTokens()), MaxTokens: int(g.GetMaxTokens()), PrefixHashes: g.GetPrefixHashes(),
 		Excluded: g.GetExcluded(), Attempt: int(g.GetAttempt()), Route: g.GetRoute(), LengthHint: int(g.GetLengthHint()),
 		Objective: millis(g.GetObjectiveMillis()), Rank: int(g.GetRank()),
-		TokenGap: time.Duration(g.GetTokenGapMicros()) * time.Microsecond,
+		TokenGap: time.Duration(g.GetTokenGapMicros()) * time.Microsecond, NotSent: g.GetNotSent(),
 	}
 }
 
--- a/internal/core/routing/held.go
+++ b/internal/core/routing/held.go
@@ -49,9 +49,11 @@
 	if !r.Deadline.IsZero() && !now.Before(r.Deadline) {
 		return s.scheduler.refusal(ReasonRefusedDeadline, 0)
 	}
-	if r.Attempt <= 1 {
+	switch {
+	case r.Attempt <= 1:
 		s.retries.FirstTry()
-	} else if !s.retries.Retry() {
+	case r.NotSent:
+	case !s.retries.Retry():
 		return s.scheduler.refusal(ReasonRefusedRetry, retryBudgetWait)
 	}
 	e := s.newEntry(now, r)
--- a/internal/core/routing/policy_test.go
+++ b/internal/core/routing/policy_test.go
@@ -348,3 +348,20 @@
 	}
 	return high
 }
+
+// Guards against a retry budget that is spent on placements that reached no endpoint.
+func TestPlacementsNotSentSpendNoRetries(t *testing.T) {
+	s := newTestScheduler(t, 4, nil)
+	refused := 0
+	for i := range 200 {
+		r := request(fmt.Sprint("r", i), 100)
+		r.Attempt, r.NotSent = 2, true
+		if d := s.Submit(at(time.Second), r); d.Reason == ReasonRefusedRetry {
+			refused++
+		}
+		s.Finished(at(time.Second), r.RequestID, 0, port.FinishCancelled)
+	}
+	if refused > 0 {
+		t.Fatalf("%d placements refused because the retry budget is spent", refused)
+	}
+}
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -103,7 +103,7 @@
 		Route: x.req.Admission.Route.Name, Objective: x.req.Admission.Route.Objective, Rank: x.req.Admission.Rank,
 		TokenGap:     x.req.Admission.Route.GapObjective / time.Duration(max(1, x.engine.EventTokens)),
 		PromptTokens: params.PromptTokens, MaxTokens: params.MaxTokens, LengthHint: params.LengthHint, PrefixHashes: prefixHashes(params.Parts),
-		Excluded: x.excluded(), Attempt: x.attempts + 1,
+		Excluded: x.excluded(), Attempt: x.attempts + 1, NotSent: x.attempts > 0 && !x.reachedEndpoint,
 		Arrived: x.req.Arrived, Deadline: x.req.Arrived.Add(timeLeft / placementDivisor),
 	}
 }
--- a/internal/port/scheduler.go
+++ b/internal/port/scheduler.go
@@ -31,7 +31,10 @@
 	// Excluded names endpoints that already failed this request.
 	Excluded []string
 	// Attempt is 1 on the first try.
-	Attempt  int
+	Attempt int
+	// NotSent is set if no earlier attempt was sent to its endpoint, so that this one
+	// is no retry.
+	NotSent  bool
 	Arrived  time.Time
 	Deadline time.Time
 }
