Failures of a daemon without a path don't count against a runner at the scheduler

Cause: one failure closes a runner to the placements of all daemons for a while; a daemon without paths reported one for each runner in turn. Change: a failure is reported as such only if this daemon reaches another endpoint of the pool: one that answered within 50 ms, or one of two that are asked now. Otherwise the run counts as cancelled. Result: TestOnlyCredibleFailuresCountAgainstRunners: a runner excluded after a failure without a path, before; none now, and still one where others answer.

--- a/internal/core/reachability/tracker.go
+++ b/internal/core/reachability/tracker.go
@@ -274,6 +274,19 @@
 	return false
 }
 
+// OtherReachedSince reports whether an endpoint of a pool other than the given one has
+// answered on a new connection after a time.
+func (t *Tracker) OtherReachedSince(poolName, except string, after time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, p := range t.paths {
+		if p.pool == poolName && id != except && p.reachedAt.After(after) {
+			return true
+		}
+	}
+	return false
+}
+
 // AnsweredSince reports whether an endpoint of a pool has answered on any connection
 // after a time.
 func (t *Tracker) AnsweredSince(poolName string, after time.Time) bool {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"time"
 
 	gometrics "github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/dragonflyrail/dragonflyrail/internal/core/balance"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/breaker"
@@ -138,6 +139,7 @@
 	paths *reachability.Tracker
 	// publishedLostPools holds the lost pools as published last.
 	publishedLostPools lostPools
+	otherCheckCalls    singleflight.Group
 	relays             relays
 	// limitBackoffs holds the endpoints and pools that accept no requests for
 	// now, because of their rate limits.
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -108,6 +108,54 @@
 	return timer.Stop
 }
 
+const (
+	// recentReach is the age up to which an answer shows that a path works now.
+	recentReach = 50 * time.Millisecond
+	// otherChecks is the number of other endpoints that are asked.
+	otherChecks = 2
+)
+
+// reachesOthers reports whether this daemon has a path to other endpoints of the pool of
+// one that failed, so that the failure is that endpoint's. The only endpoint of a pool
+// counts as failed.
+func (g *Gateway) reachesOthers(failed port.Endpoint) bool {
+	if g.paths.IsSuspect(failed.Pool) {
+		return false
+	}
+	if g.paths.OtherReachedSince(failed.Pool, failed.ID, g.Clock().Add(-recentReach)) {
+		return true
+	}
+	others := slices.DeleteFunc(g.endpointTable.usableIDs(failed.Pool), func(id string) bool { return id == failed.ID })
+	if len(others) == 0 {
+		return true
+	}
+	shuffle(others)
+	others = others[:min(otherChecks, len(others))]
+	serving := make(chan bool, len(others))
+	for _, id := range others {
+		go func() { serving <- g.checkOther(id) }()
+	}
+	for range others {
+		if <-serving {
+			return true
+		}
+	}
+	return false
+}
+
+// checkOther checks the path to an endpoint. Concurrent calls for one share a check.
+func (g *Gateway) checkOther(id string) bool {
+	result, _, _ := g.otherCheckCalls.Do(id, func() (any, error) {
+		e, found := g.endpointTable.get(id)
+		if !found || g.IsPaused(e.Endpoint) {
+			return false, nil
+		}
+		g.metrics.pathChecks.Inc(1)
+		return g.checkPath(e.Endpoint) == port.PresenceServing, nil
+	})
+	return result.(bool)
+}
+
 // CheckEndpoint checks for another daemon whether this one reaches an endpoint. It can't
 // tell if it doesn't know that incarnation, or if its own paths are in doubt.
 func (g *Gateway) CheckEndpoint(id string, incarnation uint64) (reached, known bool) {
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -199,7 +199,7 @@
 	x.inFlight = nil
 	g.crashWatch.End(p.watched, x.connectionLost)
 	if p.generation {
-		g.Placer.Finished(x.req.ID, p.tokens, kind)
+		g.Placer.Finished(x.req.ID, p.tokens, g.credibleFinish(p, kind))
 		return
 	}
 	g.balancer.End(p.endpoint.ID)
@@ -213,3 +213,14 @@
 		g.breakers.Failure(g.Clock(), p.endpoint.ID)
 	}
 }
+
+// credibleFinish returns how an attempt ended as far as the endpoint is concerned. The
+// scheduler places nothing more at an endpoint that failed, for all daemons, so a failure
+// that may be due to this daemon's path doesn't count.
+func (g *Gateway) credibleFinish(p *placement, kind port.FinishKind) port.FinishKind {
+	unreached := kind == port.FinishNotStarted && !p.refused || kind == port.FinishFailed
+	if unreached && !g.reachesOthers(p.endpoint) {
+		return port.FinishCancelled
+	}
+	return kind
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -332,6 +332,7 @@
 	x := g.newExchange(&r.Request, out)
 	x.relayedFrom = r.From
 	x.attempts, x.mayHaveRun, x.tried = r.Attempts, r.MayHaveRun, slices.Clone(r.Tried)
+	x.reachedEndpoint = r.MayHaveRun > 0
 	x.record(verdictRelay, "passed on by "+r.From, "", nil)
 	refusal = x.serveOpen(ctx)
 	return x.endpoint, refusal
