Endpoints that only this daemon can't reach get none of its requests

Cause: a coordinator places generations at endpoints that the asking daemon may not reach, and calls went on trying; each attempt took a connect's time-out. Breakers that had opened for lost paths stayed open for up to 4 s after the paths were back. Change: a placement excludes the endpoints to which this daemon's path is lost, and is withdrawn where one is chosen all the same; calls use them only if none other is left. An answer over a new connection after a loss closes the breaker. A generation, which needs a new connection, isn't tried here when nobody has a path.

--- a/internal/gateway/eligibility.go
+++ b/internal/gateway/eligibility.go
@@ -20,6 +20,7 @@
 	ineligibleLeaving   ineligibility = "it is leaving"
 	ineligiblePaused    ineligibility = "it has asked this host for a pause"
 	ineligibleRestarted ineligibility = "it has restarted after a notice and has not been asked yet"
+	ineligibleUnreached ineligibility = "this daemon has no path to it"
 	ineligibleDown      ineligibility = "a connection to it broke and nobody has answered its health checks since"
 )
 
@@ -44,8 +45,12 @@
 // may be sent to an endpoint that is down if no other is left.
 func (g *Gateway) whyIneligibleForRun(e port.Endpoint) ineligibility {
 	why := g.whyIneligible(e)
-	if why == eligible && g.crashWatch.IsDown(e) {
-		return ineligibleDown
+	switch {
+	case why != eligible:
+	case g.crashWatch.IsDown(e):
+		why = ineligibleDown
+	case g.paths.IsLost(e.ID):
+		why = ineligibleUnreached
 	}
 	return why
 }
@@ -101,14 +106,15 @@
 
 // excluded returns the ids of the endpoints at which the request must not be
 // placed. They include the paused ones, because an endpoint asks each host for a
-// pause of its own and the coordinator may run on another host. After a placement
+// pause of its own and the coordinator may run on another host, and those to which
+// only this daemon may have lost its path. After a placement
 // at an ineligible endpoint they include all ineligible ones of the pool, because the
 // coordinator does not know of them yet.
 func (x *exchange) excluded() []string {
 	if x.placedAtIneligible {
 		return slices.Concat(x.tried, x.g.ineligibleIDs(x.pool))
 	}
-	return slices.Concat(x.tried, x.g.pauses.Active(x.g.Clock()))
+	return slices.Concat(x.tried, x.g.pauses.Active(x.g.Clock()), x.g.paths.LostIn(x.pool))
 }
 
 // refuseIneligible returns the refusal of a request that was placed at
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -31,6 +31,10 @@
 func (g *Gateway) applyPathChanges(changes []reachability.Change, err error) {
 	for _, c := range changes {
 		g.recordPathChange(c, err)
+		if !c.Lost && c.Endpoint != "" {
+			// Its failures were those of the path.
+			g.breakers.Success(c.Endpoint)
+		}
 	}
 	if len(changes) > 0 {
 		g.metrics.pathsLost.Update(int64(g.paths.LostPaths()))
--- a/internal/gateway/paths_test.go
+++ b/internal/gateway/paths_test.go
@@ -41,3 +41,41 @@
 		})
 	}
 }
+
+// Guards against attempts at endpoints that only this daemon can't reach, while it reaches
+// others of the pool.
+func TestUnreachedEndpointsGetNoRequests(t *testing.T) {
+	b := newHarness(t)
+	b.setHandlers("e", reply(200, "fine"))
+	b.setHandlers("s", reply(200, "fine"))
+	for _, id := range []string{"e0", "s0", "e1"} {
+		e, _ := b.endpointTable.get(id)
+		b.ObservePath(e.Endpoint, port.PathConnectFailed, errReset)
+	}
+	for range 20 {
+		for _, path := range []string{"/stream/", "/once/"} {
+			if refusal := b.send(t, path, &fakeCaller{}); refusal != nil {
+				t.Fatalf("%s: %v", path, refusal)
+			}
+		}
+	}
+	for _, id := range b.backends.arrivals() {
+		if id == "e0" || id == "e1" || id == "s0" {
+			t.Fatalf("a request was sent to %s", id)
+		}
+	}
+}
+
+// Guards against a breaker that keeps calls from an endpoint after its path is back.
+func TestRestoredPathClosesBreaker(t *testing.T) {
+	b := newHarness(t)
+	e, _ := b.endpointTable.get("s0")
+	for range 1000 {
+		b.breakers.Failure(b.Clock(), "s0")
+	}
+	b.ObservePath(e.Endpoint, port.PathConnectFailed, errReset)
+	b.ObservePath(e.Endpoint, port.PathReached, nil)
+	if b.breakers.Open(b.Clock(), "s0") {
+		t.Fatal("the breaker is still open")
+	}
+}
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -135,7 +135,7 @@
 			excluded = append(excluded, excludedByPause(e))
 		case g.crashWatch.IsUnanswered(e):
 			excluded = append(excluded, port.CandidateScore{Endpoint: e.ID, Excluded: routing.ExcludedUnanswered})
-		case e.Unreachable || g.breakers.Open(now, e.ID) || g.crashWatch.IsDown(e):
+		case e.Unreachable || g.breakers.Open(now, e.ID) || g.crashWatch.IsDown(e) || g.paths.IsLost(e.ID):
 			suspect = append(suspect, e)
 		case g.refusals.Open(now, e.ID):
 			refusing = append(refusing, e)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -186,7 +186,8 @@
 			return x.relayFailed(ctx, err)
 		}
 	}
-	if x.g.paths.AnsweredSince(x.pool, x.g.Clock().Add(-recentAnswer)) {
+	// A generation needs a new connection.
+	if x.req.Generation == nil && x.g.paths.AnsweredSince(x.pool, x.g.Clock().Add(-recentAnswer)) {
 		return nil, false
 	}
 	return x.refuseOrDeliverFailure(x.noPath()), true
