All daemons together keep to what brittle endpoints withstand to refuse

Cause: an endpoint may state in all its answers (Server-Brittle) that it crashes when it refuses more than N calls within a second for want of room. Nobody read it; each daemon sent until it was refused, and the refused call went on to the next endpoint and spent that one's N as well. Change: the statement is read from the answers to all calls. While it holds, calls to such an endpoint are admitted in one place, the pool's coordinator, by the limiter that rate limits and cold endpoints use: nine tenths of its slots over the time of a call, both from its answers, with a burst of half a call's time. Daemons report refusals with their next question; each lowers the endpoint's rate by 0.3 of it, 0.1 a second comes back, and once half of N is spent within a second nothing is admitted for one. Without a coordinator a daemon keeps to its share of half, and of N. A refused call isn't sent to a further brittle endpoint. Weighed: an even part of N for each daemon (N = 8 of 66 daemons is one refusal in eight seconds); a limit on open calls by the coordinator (a message for each end of a call too).

--- a/internal/adapter/grpcpeer/scheduling.go
+++ b/internal/adapter/grpcpeer/scheduling.go
@@ -76,7 +76,8 @@
 	asks := mapSlice(r.GetEndpoints(), func(e *peerv1.LimitedEndpoint) ratelimit.Candidate {
 		return ratelimit.Candidate{Endpoint: e.GetId(), Limit: ratelimit.Limit{
 			PerSecond: rateLimitFromWire(e.GetRateLimit()), IsCold: e.GetCold(),
-		}}
+			Burst: time.Duration(e.GetBurstMicros()) * time.Microsecond, MaxRefusals: int(e.GetMaxRefusals()),
+		}, Refused: int(e.GetRefused())}
 	})
 	g := s.Admitter.AdmitLocally(r.GetPool(), asks, millis(r.GetPatienceMillis()))
 	return &peerv1.AdmitReply{Endpoint: g.Endpoint, WaitMicros: g.Wait.Microseconds()}, nil
@@ -184,7 +185,10 @@
 	reply, err := peerv1.NewSchedulingClient(p.conn).Admit(ctx, &peerv1.AdmitRequest{
 		Pool: pool,
 		Endpoints: mapSlice(asks, func(a ratelimit.Candidate) *peerv1.LimitedEndpoint {
-			return &peerv1.LimitedEndpoint{Id: a.Endpoint, RateLimit: a.PerSecond, Cold: a.IsCold}
+			return &peerv1.LimitedEndpoint{
+				Id: a.Endpoint, RateLimit: a.PerSecond, Cold: a.IsCold,
+				BurstMicros: a.Burst.Microseconds(), MaxRefusals: uint32(a.MaxRefusals), Refused: uint32(a.Refused),
+			}
 		}),
 		PatienceMillis: patience.Milliseconds(),
 	})
--- a/internal/core/ratelimit/limiter.go
+++ b/internal/core/ratelimit/limiter.go
@@ -29,6 +29,9 @@
 	Endpoint string
 	// Limit is the current limit of the endpoint.
 	Limit
+	// Refused is the number of refusals of a brittle endpoint that the daemon has got
+	// since it last asked.
+	Refused int
 }
 
 // Grant is the decision on one request: where it may be sent, and when.
@@ -55,6 +58,7 @@
 	Meter
 	// lastRetry is the latest retry time given to a refused daemon.
 	lastRetry time.Time
+	refusals  refusals
 }
 
 // NewLimiter returns a limiter that admits requests for all daemons.
@@ -79,6 +83,7 @@
 		if m == nil {
 			continue
 		}
+		m.applyRefusals(now, &a)
 		if wait := m.Wait(now, a.Limit); best == nil || wait < soonest {
 			best, chosen, soonest = m, a, wait
 		}
@@ -103,6 +108,20 @@
 	}
 }
 
+// applyRefusals records the refusals that a daemon reports and reduces the limit by all
+// recent ones. Once half of the budget is spent nothing is admitted until it is renewed.
+func (m *endpointMeter) applyRefusals(now time.Time, a *Candidate) {
+	if a.MaxRefusals <= 0 {
+		return
+	}
+	if a.Refused > 0 && m.refusals.record(now, a.Refused, a.MaxRefusals) {
+		if resume := now.Add(refusalWindow + a.burst()); m.due.Before(resume) {
+			m.due = resume
+		}
+	}
+	a.Limit = m.refusals.reduce(now, a.Limit)
+}
+
 // postpone spreads the retries of refused daemons over the times at which the
 // endpoint accepts requests. Otherwise all would ask at once, and all but one would
 // be refused again.
--- a/internal/core/ratelimit/meter.go
+++ b/internal/core/ratelimit/meter.go
@@ -22,23 +22,38 @@
 	PerSecond float64
 	// IsCold is set if the endpoint is cold.
 	IsCold bool
+	// Burst replaces the usual burst; zero means the usual one.
+	Burst time.Duration
+	// MaxRefusals is the number of refusals within a second that a brittle endpoint
+	// withstands; zero if it is not brittle.
+	MaxRefusals int
 }
 
-// LimitOf returns the limit of an endpoint: the rate that it states, the rate of a cold
-// endpoint, or the lower of both.
+// LimitOf returns the limit of an endpoint: the lowest of the rate that it states, the
+// rate of a cold endpoint and that of a brittle one.
 func LimitOf(e *port.Endpoint) Limit {
 	l := Limit{PerSecond: e.RateLimit, IsCold: e.ColdRate > 0}
 	if l.IsCold && (l.PerSecond <= 0 || e.ColdRate < l.PerSecond) {
 		l.PerSecond = e.ColdRate
 	}
+	if b := e.Brittle; b.Refusals > 0 {
+		l.MaxRefusals, l.Burst = b.Refusals, b.Burst
+		if l.PerSecond <= 0 || b.PerSecond < l.PerSecond {
+			l.PerSecond = b.PerSecond
+		}
+	}
 	return l
 }
 
 func (l Limit) burst() time.Duration {
+	usual := burst
 	if l.IsCold {
-		return coldBurst
+		usual = coldBurst
+	}
+	if l.Burst > 0 {
+		return min(l.Burst, usual)
 	}
-	return burst
+	return usual
 }
 
 // Meter admits requests to one endpoint within its limit, by the generic cell rate
--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -109,6 +109,7 @@
 	g.limitBackoffs.reset(id)
 	g.breakers.Forget(id)
 	g.refusals.Forget(id)
+	g.brittle.Forget(id)
 	g.paths.Forget(id)
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 
@@ -47,7 +48,7 @@
 	if answer.Status == http.StatusOK && eventstream.IsEventStream(answer.Header.Get("Content-Type")) {
 		return x.relayEvents(ctx, p, answer)
 	}
-	return x.relayBody(ctx, p, answer)
+	return x.relayBody(ctx, p, answer, began)
 }
 
 // send sends a request once and evaluates the rate limit and the coldness that
@@ -107,6 +108,7 @@
 		fate, kind, name = stream.OutcomeRefused, port.FinishNotStarted, "refused"
 		x.reachedEndpoint = true
 		p.refused = !refusedByLimit(refusal)
+		x.refusedByBrittle = p.refused && !p.generation && x.g.brittle.Refused(x.g.Clock(), &p.endpoint)
 		if !p.refused {
 			kind = port.FinishCancelled
 		}
@@ -150,8 +152,11 @@
 }
 
 // relayBody relays an answer that is not a stream of events.
-func (x *exchange) relayBody(ctx context.Context, p *placement, a *port.Answer) stream.RunOutcome {
+func (x *exchange) relayBody(ctx context.Context, p *placement, a *port.Answer, began time.Time) stream.RunOutcome {
 	b, err := readAnswer(a)
+	if err == nil && !p.generation {
+		x.g.brittle.ObserveCall(&p.endpoint, x.g.Clock().Sub(began), a.Load)
+	}
 	if err != nil {
 		x.reason = "the answer broke off: " + err.Error()
 		x.connectionLost = ctx.Err() == nil
--- a/internal/gateway/decisions.go
+++ b/internal/gateway/decisions.go
@@ -37,6 +37,8 @@
 	verdictCheck = "check"
 	// verdictLimit: an endpoint has a new rate limit, or none any more.
 	verdictLimit = "limit"
+	// verdictBrittle: an endpoint states that too many refusals crash it.
+	verdictBrittle = "brittle"
 	// verdictPathLost and verdictPathRestored: this daemon has lost or regained its
 	// path to an endpoint or to all endpoints of a pool.
 	verdictPathLost     = "path_lost"
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -50,6 +50,8 @@
 	// keptFailure is an endpoint's own 5xx answer, which the caller gets if no
 	// later attempt succeeds.
 	keptFailure *bufferedAnswer
+	// refusedByBrittle: the last attempt's endpoint refused it and is brittle.
+	refusedByBrittle bool
 	// connectionLost: the connection to the last attempt's endpoint broke.
 	connectionLost bool
 	// placedAtIneligible: the request was placed at an ineligible endpoint before.
@@ -197,6 +199,8 @@
 	case !x.ledger.MayRetry():
 	case x.mayHaveRun >= max(1, x.req.Admission.Route.MaxAttempts):
 	case x.attempts-x.mayHaveRun >= x.g.options().MaxRefusals:
+	case x.refusedByBrittle:
+		// The next endpoint of the pool is brittle too, and would refuse in its turn.
 	case fate != stream.OutcomeNotSent && !x.g.budgets.pool(x.pool).Retry():
 		refusal.Detail += "; the retry budget is spent"
 	default:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 
 	"github.com/dragonflyrail/dragonflyrail/internal/core/balance"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/breaker"
+	"github.com/dragonflyrail/dragonflyrail/internal/core/brittle"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/coldstart"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/evacuation"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/membership"
@@ -141,6 +142,8 @@
 	publishedLostPools lostPools
 	otherCheckCalls    singleflight.Group
 	relays             relays
+	// brittle holds the endpoints that crash when they refuse too much.
+	brittle *brittle.Tracker
 	// limitBackoffs holds the endpoints and pools that accept no requests for
 	// now, because of their rate limits.
 	limitBackoffs limitBackoffs
@@ -180,6 +183,7 @@
 		metrics:       newInstruments(p.Metrics),
 		limitObserver: ratelimit.NewObserver(),
 		coldTracker:   coldstart.NewTracker(),
+		brittle:       brittle.NewTracker(),
 	}
 	g.o.Store(&o)
 	g.evacuated.Store(&evacuation.Set{})
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -186,17 +186,17 @@
 	return p
 }
 
-func asksOf(es []port.Endpoint) []ratelimit.Candidate {
+func (g *Gateway) asksOf(es []port.Endpoint) []ratelimit.Candidate {
 	asks := make([]ratelimit.Candidate, len(es))
 	for i := range es {
-		asks[i] = ratelimit.Candidate{Endpoint: es[i].ID, Limit: ratelimit.LimitOf(&es[i])}
+		asks[i] = ratelimit.Candidate{Endpoint: es[i].ID, Limit: ratelimit.LimitOf(&es[i]), Refused: g.brittle.TakeRefused(es[i].ID)}
 	}
 	return asks
 }
 
 // admitCall requests admission for the call at an endpoint, without a wait.
 func (x *exchange) admitCall(ctx context.Context, e port.Endpoint) bool {
-	a := x.g.Placer.Admit(ctx, x.pool, asksOf([]port.Endpoint{e}), 0)
+	a := x.g.Placer.Admit(ctx, x.pool, x.g.asksOf([]port.Endpoint{e}), 0)
 	x.coordinator = a.Coordinator
 	if a.Endpoint == e.ID {
 		return true
@@ -214,7 +214,7 @@
 	if !scheduledRetry && x.g.limitBackoffs.active(now, poolKey(x.pool)) {
 		return nil, x.refuseAtLimits(now, limited)
 	}
-	a := x.g.Placer.Admit(ctx, x.pool, asksOf(limited), maxWait)
+	a := x.g.Placer.Admit(ctx, x.pool, x.g.asksOf(limited), maxWait)
 	x.coordinator = a.Coordinator
 	index := slices.IndexFunc(limited, func(e port.Endpoint) bool { return e.ID == a.Endpoint })
 	if index < 0 {
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -34,6 +34,9 @@
 		g.observeLimit(e, n.RateLimit)
 	}
 	g.observeColdness(e, n.ColdFor)
+	if n.Refusals != nil && *n.Refusals > 0 && g.brittle.Observe(g.Clock(), &e, *n.Refusals) {
+		g.recordNotice(e, verdictBrittle, fmt.Sprintf("withstands %d refusals a second, says %s", *n.Refusals, describeAnswer(n)))
+	}
 }
 
 func (g *Gateway) observeLeaveNotice(e port.Endpoint, n port.EndpointNotice) {
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -136,11 +136,11 @@
 		case g.crashWatch.IsUnanswered(e):
 			excluded = append(excluded, port.CandidateScore{Endpoint: e.ID, Excluded: routing.ExcludedUnanswered})
 		case e.Unreachable || g.breakers.Open(now, e.ID) || g.crashWatch.IsDown(e) || g.paths.IsLost(e.ID):
-			suspect = append(suspect, e)
+			suspect = append(suspect, g.brittle.Mark(now, e))
 		case g.refusals.Open(now, e.ID):
-			refusing = append(refusing, e)
+			refusing = append(refusing, g.brittle.Mark(now, e))
 		default:
-			candidates = append(candidates, e)
+			candidates = append(candidates, g.brittle.Mark(now, e))
 		}
 	}
 	if len(candidates) == 0 {
--- a/internal/port/endpoint.go
+++ b/internal/port/endpoint.go
@@ -62,12 +62,27 @@
 	// all daemons together while it is cold; zero if it is not cold. Each daemon
 	// sets it from its own state.
 	ColdRate float64 `json:"cold_rate,omitempty"`
+	// Brittle is set while the endpoint states that refusals crash it. Each daemon sets
+	// it from the answers that it got.
+	Brittle Brittleness `json:"brittle,omitzero"`
 	// Evacuated is set if nothing more may be sent to the endpoints of this
 	// endpoint's failure domain. Each daemon sets it from the evacuations that it
 	// knows.
 	Evacuated bool `json:"evacuated,omitempty"`
 }
 
+// Brittleness is how many calls an endpoint accepts that crashes when it refuses too
+// many for want of room. The zero value is that of any other endpoint.
+type Brittleness struct {
+	// Refusals is the number of calls of all daemons together that the endpoint
+	// withstands to refuse within a second.
+	Refusals int `json:"refusals"`
+	// PerSecond is the number of calls per second that it has room for, and Burst the
+	// time whose calls may come at once.
+	PerSecond float64       `json:"per_second"`
+	Burst     time.Duration `json:"burst"`
+}
+
 // LoadReport is an endpoint's report of its own load. It is always out of date.
 type LoadReport struct {
 	EndpointID  string        `json:"endpoint"`
--- a/internal/port/exchange.go
+++ b/internal/port/exchange.go
@@ -102,6 +102,9 @@
 	// them. They are not set for requests, whose Answer has them.
 	RateLimit *float64
 	ColdFor   *time.Duration
+	// Refusals is the number of calls of all daemons together that the endpoint
+	// withstands to refuse within a second; nil if it states none.
+	Refusals *int
 	// Call and Status are the kind of the call and the status of the response.
 	Call   EndpointCall
 	Status int
@@ -112,7 +115,7 @@
 
 // IsEmpty reports whether the endpoint states nothing about itself.
 func (n *EndpointNotice) IsEmpty() bool {
-	return !n.Leaving && n.PauseFor <= 0 && n.RateLimit == nil && n.ColdFor == nil
+	return !n.Leaving && n.PauseFor <= 0 && n.RateLimit == nil && n.ColdFor == nil && n.Refusals == nil
 }
 
 // LoadHint is the short load report in responses.
--- a/internal/scheduling/admit.go
+++ b/internal/scheduling/admit.go
@@ -72,6 +72,9 @@
 	for i, a := range asks {
 		shares[i] = a
 		shares[i].PerSecond /= float64(sharedLimitDivisor * max(1, daemons))
+		if a.MaxRefusals > 0 {
+			shares[i].MaxRefusals = max(1, a.MaxRefusals/max(1, daemons))
+		}
 	}
 	return shares
 }
