--- a/internal/testkit/faultproxy/faultproxy.go
+++ b/internal/testkit/faultproxy/faultproxy.go
@@ -71,7 +71,7 @@
 }
 
 // SetFrom replaces the faults applied to the connections of the clients that connect
-// from one IP address. They no longer depend on Set.
+// from one IP address. They don't depend on Set until ClearFrom is called.
 func (p *Proxy) SetFrom(source string, h Faults) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -82,6 +82,15 @@
 	p.notifyChanged()
 }
 
+// ClearFrom lets the connections of the clients that connect from one IP address depend
+// on Set again.
+func (p *Proxy) ClearFrom(source string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.bySource, source)
+	p.notifyChanged()
+}
+
 // faultsOf returns the faults applied to a client's connection. The caller must hold
 // p.mu.
 func (p *Proxy) faultsOf(client net.Conn) Faults {
--- a/internal/tools/soak/main.go
+++ b/internal/tools/soak/main.go
@@ -33,6 +33,9 @@
 	Notices bool          `long:"notices" description:"let runners ask for pauses and announce in answers that they leave"`
 	Domains bool          `long:"evacuations" description:"also evacuate failure domains"`
 	Cold    bool          `long:"cold" description:"let runners be cold when they join"`
+	Cuts    bool          `long:"cuts" description:"cut the paths of daemons to runners"`
+	Brittle bool          `long:"brittle" description:"let the plain service crash if it refuses too many requests"`
+	Quiet   bool          `long:"quiet" description:"inject none of the faults of the plan"`
 	BinDir  string        `long:"bin" default:"bin" description:"directory of the binaries"`
 	Logs    string        `long:"logs" default:"soak-logs" description:"directory for the logs of failed seeds"`
 	Keep    bool          `long:"keep-logs" description:"also keep the logs of seeds that passed"`
@@ -81,7 +84,7 @@
 	}
 	l := testfleet.SmallLayout(o.BinDir, ".", dir)
 	l.Daemons, l.Engines, l.Plain = o.Daemons, o.Engines, o.Plain
-	report, err := soak.Run(ctx, soak.Options{Seed: seed, Length: o.Length, Layout: l, Routes: o.Routes, Restores: o.Restore, Crashes: o.Crashes, Limits: o.Limits, Notices: o.Notices, Evacuations: o.Domains, Cold: o.Cold, Log: func(format string, args ...any) {
+	report, err := soak.Run(ctx, soak.Options{Seed: seed, Length: o.Length, Layout: l, Routes: o.Routes, Restores: o.Restore, Crashes: o.Crashes, Limits: o.Limits, Notices: o.Notices, Evacuations: o.Domains, Cold: o.Cold, Cuts: o.Cuts, Brittle: o.Brittle, Quiet: o.Quiet, Log: func(format string, args ...any) {
 		if o.Verbose {
 			fmt.Printf(format+"\n", args...)
 		}
