Keep-alive and time-outs of connections are decided in one place

Cause: keep-alive settings stood at four places without a common reason, and a request that was passed on would wait until its deadline for a peer whose host has vanished, as grpc-go probes no idle client connection. Change: adapter/tcpopt has the dialers of connections to endpoints, the store and peers and the parameters of the peer server, each with its reason. No TCP_USER_TIMEOUT is set on what we open; grpc-go sets it to 5 s on what peers open. New: connections to peers are probed after 2 s of silence, three times.

--- a/internal/adapter/grpcpeer/keeper.go
+++ b/internal/adapter/grpcpeer/keeper.go
@@ -6,10 +6,10 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/status"
 
 	peerv1 "github.com/dragonflyrail/dragonflyrail/api/peer/v1"
+	"github.com/dragonflyrail/dragonflyrail/internal/adapter/tcpopt"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/membership"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/spread/node"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
@@ -58,9 +58,7 @@
 		grpc.MaxRecvMsgSize(MaxMessageBytes),
 		grpc.InitialWindowSize(windowBytes),
 		grpc.InitialConnWindowSize(windowBytes),
-		// The connection of a frozen or cut-off subscriber stays open. Without
-		// keepalives, sending to it would block forever once its window is full.
-		grpc.KeepaliveParams(keepalive.ServerParameters{Time: 10 * time.Second, Timeout: 5 * time.Second}),
+		grpc.KeepaliveParams(tcpopt.PeerServer()),
 		grpc.ConnectionTimeout(5 * time.Second),
 	}
 }
--- a/internal/adapter/grpcpeer/subscriber.go
+++ b/internal/adapter/grpcpeer/subscriber.go
@@ -72,6 +72,7 @@
 		grpc.WithInitialConnWindowSize(windowBytes),
 		// Peers are addressed by IP and never reached through a proxy.
 		grpc.WithNoProxy(),
+		grpc.WithContextDialer(dialPeer),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: time.Second},
 			MinConnectTimeout: connectTimeout,
--- a/internal/adapter/grpcpeer/traffic.go
+++ b/internal/adapter/grpcpeer/traffic.go
@@ -7,8 +7,15 @@
 	"time"
 
 	"google.golang.org/grpc"
+
+	"github.com/dragonflyrail/dragonflyrail/internal/adapter/tcpopt"
 )
 
+// dialPeer connects to a peer address.
+func dialPeer(ctx context.Context, address string) (net.Conn, error) {
+	return tcpopt.PeerDialer().DialContext(ctx, "tcp", address)
+}
+
 // Traffic counts the bytes of the connections to one peer. It distinguishes a busy
 // link from a frozen peer: a message counts only once it is complete, so a link can
 // be considered silent while bytes still arrive.
@@ -21,9 +28,8 @@
 // DialOption returns an option that counts the traffic of the connections made with
 // it.
 func (t *Traffic) DialOption() grpc.DialOption {
-	var dialer net.Dialer
 	return grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
-		conn, err := dialer.DialContext(ctx, "tcp", address)
+		conn, err := dialPeer(ctx, address)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/adapter/httpplatform/client.go
+++ b/internal/adapter/httpplatform/client.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -18,6 +17,7 @@
 	gometrics "github.com/rcrowley/go-metrics"
 
 	"github.com/dragonflyrail/dragonflyrail/internal/adapter/httpanswer"
+	"github.com/dragonflyrail/dragonflyrail/internal/adapter/tcpopt"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
 
@@ -76,7 +76,7 @@
 		timeout: timeout,
 		http: &http.Client{
 			Transport: &http.Transport{
-				DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
+				DialContext:         tcpopt.StoreDialer(2 * time.Second).DialContext,
 				MaxIdleConnsPerHost: 16,
 				IdleConnTimeout:     30 * time.Second,
 			},
--- a/internal/adapter/oncehttp/oncehttp.go
+++ b/internal/adapter/oncehttp/oncehttp.go
@@ -15,6 +15,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/dragonflyrail/dragonflyrail/internal/adapter/tcpopt"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
 
@@ -51,7 +52,7 @@
 	if o.IdleTimeout <= 0 {
 		o.IdleTimeout = DefaultIdleTimeout
 	}
-	dialer := net.Dialer{Timeout: o.DialTimeout, KeepAlive: 15 * time.Second}
+	dialer := tcpopt.EndpointDialer(o.DialTimeout)
 	if ip := net.ParseIP(o.LocalAddress); ip != nil {
 		dialer.LocalAddr = &net.TCPAddr{IP: ip}
 	}
