Path changes are decisions on the endpoint, so that 'why endpoint' shows them

Cause: decisions of subject 'path' could be found in the logs only; dragonflyctl asks daemons for requests, endpoints and configurations. Change: a lost or regained path is a decision on the endpoint, that of a pool one on the pool. Result: TestDaemonsWithoutPathsServe asks another daemon 'why endpoint' and finds path_lost.

--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -161,7 +161,7 @@
 		reason = "was " + string(before.State)
 	}
 	g.recordDecision(&port.DecisionRecord{
-		Subject: "endpoint", SubjectID: e.ID, Verdict: string(e.State), Reason: reason,
+		Subject: subjectEndpoint, SubjectID: e.ID, Verdict: string(e.State), Reason: reason,
 		Endpoint: e.Address, Revision: e.Revision,
 	})
 }
--- a/internal/gateway/coldness.go
+++ b/internal/gateway/coldness.go
@@ -73,6 +73,6 @@
 		reason = "takes " + strconv.FormatFloat(e.ColdRate, 'g', 4, 64) + " requests a second from all daemons together while it is cold"
 	}
 	g.recordDecision(&port.DecisionRecord{
-		Subject: "endpoint", SubjectID: e.ID, Verdict: verdict, Reason: reason, Endpoint: e.Address, Revision: e.Revision,
+		Subject: subjectEndpoint, SubjectID: e.ID, Verdict: verdict, Reason: reason, Endpoint: e.Address, Revision: e.Revision,
 	})
 }
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -38,7 +38,7 @@
 		reached = g.paths.IsSuspect(e.Pool)
 	}
 	if reached {
-		g.recordChange(subjectPath, e.ID, verdictPathLost, "its connections broke, but that is no sign of its end: others reach it or nothing else is reached from here", 0)
+		g.recordChange(subjectEndpoint, e.ID, verdictPathLost, "its connections broke, but that is no sign of its end: others reach it or nothing else is reached from here", 0)
 	}
 	return !reached
 }
@@ -91,7 +91,7 @@
 
 func (g *Gateway) recordCrash(e port.Endpoint, reason string, lost int) {
 	g.metrics.crashes.Inc(1)
-	g.recordChange("endpoint", e.ID, verdictCrash, fmt.Sprintf("%s; %d requests were lost with it here", reason, lost), 0)
+	g.recordChange(subjectEndpoint, e.ID, verdictCrash, fmt.Sprintf("%s; %d requests were lost with it here", reason, lost), 0)
 }
 
 // quarantineRefusal returns the refusal of a request that crashes endpoints,
--- a/internal/gateway/decisions.go
+++ b/internal/gateway/decisions.go
@@ -45,12 +45,11 @@
 	verdictPathRestored = "path_restored"
 )
 
-// Subjects of decisions. The subject of a path decision is an endpoint, that of a pool
-// path decision is a pool.
+// Subjects of decisions.
 const (
 	subjectRequest  = "request"
-	subjectPath     = "path"
-	subjectPoolPath = "pool_path"
+	subjectEndpoint = "endpoint"
+	subjectPool     = "pool"
 )
 
 // randomIndex is the balancer's source of random numbers.
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -54,7 +54,7 @@
 		reason = "takes " + strconv.FormatFloat(e.RateLimit, 'g', 4, 64) + " requests a second from all daemons together"
 	}
 	g.recordDecision(&port.DecisionRecord{
-		Subject: "endpoint", SubjectID: e.ID, Verdict: verdictLimit, Reason: reason, Endpoint: e.Address, Revision: e.Revision,
+		Subject: subjectEndpoint, SubjectID: e.ID, Verdict: verdictLimit, Reason: reason, Endpoint: e.Address, Revision: e.Revision,
 	})
 }
 
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -81,6 +81,6 @@
 
 func (g *Gateway) recordNotice(e port.Endpoint, verdict, reason string) {
 	g.recordDecision(&port.DecisionRecord{
-		Subject: "endpoint", SubjectID: e.ID, Verdict: verdict, Reason: reason, Endpoint: e.Address, Revision: e.Revision,
+		Subject: subjectEndpoint, SubjectID: e.ID, Verdict: verdict, Reason: reason, Endpoint: e.Address, Revision: e.Revision,
 	})
 }
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -72,9 +72,9 @@
 			reason += ": " + err.Error()
 		}
 	}
-	subject, id := subjectPath, c.Endpoint
+	subject, id := subjectEndpoint, c.Endpoint
 	if id == "" {
-		subject, id = subjectPoolPath, c.Pool
+		subject, id = subjectPool, c.Pool
 	}
 	g.recordDecision(&port.DecisionRecord{Subject: subject, SubjectID: id, Verdict: verdict, Reason: reason, Endpoint: c.Endpoint})
 }
--- a/test/paths_test.go
+++ b/test/paths_test.go
@@ -189,6 +189,9 @@
 		cut[d] = true
 	}
 	time.Sleep(cutFor)
+	if service == "" {
+		f.checkCtlOutput("path_lost", "why", "endpoint", f.runnersOf(standin.PlainService)[0].ID)
+	}
 	healed := time.Now()
 	for _, d := range daemons {
 		f.HealPaths(d)
