--- a/test/paths_test.go
+++ b/test/paths_test.go
@@ -260,3 +260,42 @@
 	}
 	return atOnce, others
 }
+
+// Guards against a sound runner that falls silent for a second and is taken for crashed, or
+// gets nothing for long afterwards.
+func TestSilentRunnerIsUsedAgain(t *testing.T) {
+	t.Parallel()
+	f := startPathFleet(t)
+	ctx, stop := context.WithCancel(testContext(t))
+	defer stop()
+	var background sync.WaitGroup
+	load := f.startPathLoad(ctx, &background)
+	time.Sleep(time.Second)
+	for _, silent := range [][]*testfleet.Runner{f.runnersOf(standin.PlainService)[:1], f.runnersOf(standin.EngineService)[:1], f.runnersOf(standin.PlainService)} {
+		for _, r := range silent {
+			if err := r.Freeze(); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(time.Second)
+		thawed := time.Now()
+		for _, r := range silent {
+			if err := r.Thaw(); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(healedWithin + pathPatience + time.Second)
+		for _, r := range silent {
+			if len(runTimes(r, thawed.Add(time.Second), time.Now())) == 0 {
+				t.Errorf("%s gets nothing from a second after its silence on", r.ID)
+			}
+		}
+		_, after := load.between(thawed.Add(healedWithin), time.Now().Add(-pathPatience), nil)
+		if after.fraction() < 0.95 {
+			t.Errorf("after a silence of %d runners: %v", len(silent), &after)
+		}
+	}
+	stop()
+	background.Wait()
+	f.checkNoCrashCounted()
+}
