--- a/internal/adapter/grpcrelay/client.go
+++ b/internal/adapter/grpcrelay/client.go
@@ -172,7 +172,7 @@
 }
 
 // CheckEndpoint asks a peer whether it reaches an endpoint. known is false if the peer
-// can't tell.
+// gave no usable answer.
 func (c *Client) CheckEndpoint(ctx context.Context, peer *port.Member, e port.Endpoint) (reached, known bool) {
 	conn, err := c.conn(peer.PeerAddress)
 	if err != nil {
--- a/internal/adapter/grpcrelay/grpcrelay_test.go
+++ b/internal/adapter/grpcrelay/grpcrelay_test.go
@@ -98,7 +98,7 @@
 	return &gateway.RelayedRequest{
 		Request: gateway.Request{
 			ID: "r1", Method: "POST", Target: "/a%2Fb/c?x=1&y", Path: "/a%2Fb/c", Host: "h", KeySHA256: "aa", Body: body,
-			Header:        http.Header{"X-Two": {"1", "2"}, "Dragonflyrail-Request-Id": {"r1"}},
+			Header:        http.Header{"X-Two": {"1", "2"}, "X-Id": {"r1"}},
 			Arrived:       time.Now().Add(-300 * time.Millisecond),
 			CallerTimeout: 2 * time.Second,
 			Generation: &gateway.GenerationParams{
--- a/internal/adapter/tcpopt/tcpopt.go
+++ b/internal/adapter/tcpopt/tcpopt.go
@@ -1,8 +1,8 @@
 // Package tcpopt decides when the system's connections count as dead: the keep-alive
 // probes of the connections that it opens, and the pings and time-outs of those that it
 // accepts from peers. TCP_USER_TIMEOUT is set on none of those opened here: it also
-// decides when keep-alive probes give up, whatever their count, and would end a request
-// at an endpoint that is only slow to acknowledge.
+// ends the keep-alive probes, whatever their count, and would end a request at an endpoint
+// that is only slow to acknowledge.
 package tcpopt
 
 import (
@@ -35,8 +35,8 @@
 // PeerServer returns the keep-alive parameters of the server for other daemons. The
 // connection of a frozen or cut-off subscriber stays open, and sending to it would block
 // once its window is full. grpc-go sets TCP_USER_TIMEOUT to Timeout on these connections,
-// so data that a peer doesn't acknowledge closes them after 5 s as well; by then missing
-// heartbeats have long told that the peer is silent.
+// so data that a peer doesn't acknowledge closes them after 5 s as well. Missing heartbeats
+// show a silent peer earlier.
 func PeerServer() keepalive.ServerParameters {
 	return keepalive.ServerParameters{Time: 10 * time.Second, Timeout: 5 * time.Second}
 }
--- a/internal/adapter/tcpopt/tcpopt_test.go
+++ b/internal/adapter/tcpopt/tcpopt_test.go
@@ -10,8 +10,7 @@
 	"github.com/dragonflyrail/dragonflyrail/internal/adapter/tcpopt"
 )
 
-// Guards against a library that sets TCP_USER_TIMEOUT on connections opened here, which
-// would overrule the count of keep-alive probes.
+// Guards against TCP_USER_TIMEOUT on connections opened here, which overrules the probes.
 func TestDialersSetProbesAndNoUserTimeout(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/core/ratelimit/refusals_test.go
+++ b/internal/core/ratelimit/refusals_test.go
@@ -56,8 +56,7 @@
 	return most
 }
 
-// Guards against daemons that together have a brittle endpoint refuse more calls than it
-// withstands, whether its room is as stated or shrinks to a part of that.
+// Guards against daemons that together have a brittle endpoint refuse too many calls.
 func TestDaemonsShareBudgetOfRefusals(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		daemons := rapid.IntRange(1, 40).Draw(t, "daemons")
--- a/internal/core/reachability/tracker_test.go
+++ b/internal/core/reachability/tracker_test.go
@@ -134,8 +134,7 @@
 	}
 }
 
-// Guards against a second pool that is found lost late because its endpoints take long
-// to answer anyway.
+// Guards against a second pool that is found lost late as its endpoints answer slowly.
 func TestLostPoolHasOtherPoolsChecked(t *testing.T) {
 	pools := map[string][]string{"p": {"e0", "e1"}, "q": {"f0", "f1", "f2"}}
 	tracker := NewTracker(func(pool string) []string { return pools[pool] })
@@ -158,9 +157,7 @@
 	}
 }
 
-// Compares the tracker with the state of the paths, which is drawn and changes: after
-// quiet seconds with traffic it knows which paths are lost, and it never asks for more
-// checks than its pauses allow.
+// Guards against lost paths that are missed, and against too many checks, under drawn cuts.
 func TestTrackerFollowsPaths(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		endpoints := ids(rapid.IntRange(1, 12).Draw(t, "endpoints"))
--- a/internal/gateway/brittle_test.go
+++ b/internal/gateway/brittle_test.go
@@ -7,8 +7,7 @@
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
 
-// Guards against spending the refusals of one brittle endpoint after the other on a
-// request that none of them has room for.
+// Guards against spending the refusals of one brittle endpoint after the other.
 func TestRefusalByBrittleEndpointIsNotRetried(t *testing.T) {
 	for _, brittle := range []bool{false, true} {
 		b := newHarness(t)
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -28,7 +28,7 @@
 
 // confirmEnd reports whether an endpoint that doesn't answer this daemon has ended. A
 // lost path breaks all connections at once just as a crash does, so other daemons are
-// asked; if none can tell, this daemon must reach other endpoints of the pool.
+// asked; if none of them has an answer, this daemon must reach other endpoints of the pool.
 func (g *Gateway) confirmEnd(e port.Endpoint) bool {
 	reached, known := g.askPeers(e)
 	if !known {
@@ -44,7 +44,7 @@
 }
 
 // askPeers asks other daemons whether they reach an endpoint. known is false if none
-// can tell.
+// has an answer.
 func (g *Gateway) askPeers(e port.Endpoint) (reached, known bool) {
 	if g.Relayer == nil {
 		return false, false
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -288,8 +288,7 @@
 	}
 }
 
-// Guards against counting a cut of this daemon's paths as crashes of the endpoints, which
-// would quarantine the requests that ran there.
+// Guards against counting a cut of this daemon's paths as crashes of the endpoints.
 func TestLostPathIsNoCrash(t *testing.T) {
 	for _, peers := range []int{0, 1, 3} {
 		t.Run(fmt.Sprint(peers, " peers"), func(t *testing.T) {
--- a/internal/gateway/entry_test.go
+++ b/internal/gateway/entry_test.go
@@ -9,8 +9,7 @@
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
 
-// Guards against leading callers to daemons that reach no endpoint, and all of them to
-// the few that do.
+// Guards against leading callers to daemons without paths, or all to the few with one.
 func TestEntryPrefersDaemonsWithPaths(t *testing.T) {
 	plain, both := []string{"plain"}, []string{"engines", "plain"}
 	for _, c := range []struct {
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -160,8 +160,8 @@
 	return result.(bool)
 }
 
-// CheckEndpoint checks for another daemon whether this one reaches an endpoint. It can't
-// tell if it doesn't know that incarnation, or if its own paths are in doubt.
+// CheckEndpoint checks for another daemon whether this one reaches an endpoint. known is
+// false if it doesn't know that incarnation, or if its own paths are in doubt.
 func (g *Gateway) CheckEndpoint(id string, incarnation uint64) (reached, known bool) {
 	e, found := g.endpointTable.get(id)
 	if !found || e.Incarnation != incarnation {
--- a/internal/gateway/paths_test.go
+++ b/internal/gateway/paths_test.go
@@ -7,8 +7,7 @@
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
 
-// Guards against a daemon without paths that has the scheduler exclude endpoints for all
-// daemons, and against a runner that is down and keeps getting prompts.
+// Guards against a daemon without paths that has the scheduler exclude sound runners.
 func TestOnlyCredibleFailuresCountAgainstRunners(t *testing.T) {
 	for _, c := range []struct {
 		name     string
@@ -42,8 +41,7 @@
 	}
 }
 
-// Guards against attempts at endpoints that only this daemon can't reach, while it reaches
-// others of the pool.
+// Guards against attempts at endpoints that this daemon can't reach while it reaches others.
 func TestUnreachedEndpointsGetNoRequests(t *testing.T) {
 	b := newHarness(t)
 	b.setHandlers("e", reply(200, "fine"))
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -34,7 +34,7 @@
 	// ends.
 	Relay(ctx context.Context, peer *port.Member, r *RelayedRequest, out Responder) (*RelayResult, error)
 	// CheckEndpoint asks a peer whether it reaches an endpoint. known is false if the
-	// peer can't tell.
+	// peer gave no usable answer.
 	CheckEndpoint(ctx context.Context, peer *port.Member, e port.Endpoint) (reached, known bool)
 }
 
@@ -126,25 +126,19 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	slices.SortStableFunc(peers, func(a, b port.Member) int {
-		return compareBool(now.Before(r.avoidUntil[a.ID]), now.Before(r.avoidUntil[b.ID]))
-	})
-	if len(peers) > 1 && r.open[peers[1].ID] < r.open[peers[0].ID] && !now.Before(r.avoidUntil[peers[1].ID]) {
-		peers[0], peers[1] = peers[1], peers[0]
+	var preferred, avoided []port.Member
+	for _, peer := range peers {
+		if now.Before(r.avoidUntil[peer.ID]) {
+			avoided = append(avoided, peer)
+			continue
+		}
+		preferred = append(preferred, peer)
 	}
-	return peers[:min(n, len(peers))]
-}
-
-// compareBool orders false before true.
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	default:
-		return 1
+	if len(preferred) > 1 && r.open[preferred[1].ID] < r.open[preferred[0].ID] {
+		preferred[0], preferred[1] = preferred[1], preferred[0]
 	}
+	peers = append(preferred, avoided...)
+	return peers[:min(n, len(peers))]
 }
 
 // peersWithPath returns the other daemons that may have a path to a pool.
--- a/test/brittle_test.go
+++ b/test/brittle_test.go
@@ -32,8 +32,7 @@
 	brittleBackAfter = 2 * time.Second
 )
 
-// Guards against refusals that crash brittle endpoints, to which all daemons together
-// send more than they have room for.
+// Guards against crashes of brittle endpoints by refusals of what all daemons send.
 func TestBrittleRunnersStayUp(t *testing.T) {
 	t.Parallel()
 	f := startFleet(t, func(l *testfleet.Layout) {
--- a/test/paths_test.go
+++ b/test/paths_test.go
@@ -137,8 +137,7 @@
 	}
 }
 
-// Guards against refusing callers at daemons that have lost their paths to all
-// endpoints or to those of one service, while other daemons reach them.
+// Guards against refusing callers at daemons whose paths to endpoints are lost.
 func TestDaemonsWithoutPathsServe(t *testing.T) {
 	t.Parallel()
 	f := startPathFleet(t)
@@ -207,8 +206,7 @@
 	}
 }
 
-// Guards against callers that wait until their deadline when no daemon has a path to
-// an endpoint.
+// Guards against callers that wait until their deadline when no daemon has a path.
 func TestNoDaemonHasPath(t *testing.T) {
 	t.Parallel()
 	f := startPathFleet(t)
@@ -261,8 +259,7 @@
 	return atOnce, others
 }
 
-// Guards against a sound runner that falls silent for a second and is taken for crashed, or
-// gets nothing for long afterwards.
+// Guards against excluding a sound runner for long after a second of silence.
 func TestSilentRunnerIsUsedAgain(t *testing.T) {
 	t.Parallel()
 	f := startPathFleet(t)
