A peer's 'not run' doesn't cover attempts that were made before it

Cause: found by reading. A request that may be repeated, lost here once and then passed on, was refused as not run if the peer hadn't run it. Change: the outcome is that of all attempts. Result: TestOutcomeOfEarlierAttemptIsKept; before: not run.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -252,6 +252,10 @@
 		return nil
 	}
 	result.Refusal.Detail += " (at " + peer.ID + ")"
+	if result.Refusal.Outcome == outcome.NotRun && x.mayHaveRun > 0 {
+		// The peer answers for its own attempts only.
+		result.Refusal.Outcome = x.ledger.Outcome()
+	}
 	return x.refuseOrDeliverFailure(result.Refusal)
 }
 
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/dragonflyrail/dragonflyrail/internal/core/outcome"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/quarantine"
+	"github.com/dragonflyrail/dragonflyrail/internal/core/stream"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
 
@@ -185,3 +186,18 @@
 		t.Fatalf("%+v, asked %v", refusal, net.asked)
 	}
 }
+
+// Guards against "not run" by a peer for a request that an attempt made here may have run.
+func TestOutcomeOfEarlierAttemptIsKept(t *testing.T) {
+	b, net := newRelayHarness(t, 1)
+	net.peers["peer0"].setHandlers("s", failure(port.ErrNotSent))
+	pass, _ := b.Admit("h", "/safe/", "aa")
+	req := &Request{ID: "twice", Method: "POST", Target: "/safe/", Path: "/safe/", Host: "h", KeySHA256: "aa", Admission: pass, Arrived: time.Now(), CallerTimeout: time.Minute}
+	x := b.newExchange(req, &fakeCaller{})
+	x.attempts, x.mayHaveRun = 1, 1
+	x.ledger.Add(stream.OutcomeUnknown, false)
+	refusal, ended := x.relay(t.Context())
+	if !ended || refusal == nil || refusal.Outcome == outcome.NotRun {
+		t.Fatalf("%v, %+v", ended, refusal)
+	}
+}
