Lost and scheduled paths are kept by themselves

Cause: found by reading. Each tick and each placement looked through the paths to all endpoints, 1,900 at the planned size. Change: the few that are lost or due for a check have maps of their own.

--- a/internal/core/reachability/tracker.go
+++ b/internal/core/reachability/tracker.go
@@ -41,7 +41,7 @@
 	// reachedAt is when the endpoint last answered on a new connection, and
 	// connectedAt when a connection to it was last established.
 	reachedAt, connectedAt time.Time
-	// nextCheck is when the path is checked next; zero for never. forceCheck is set if
+	// nextCheck is when the path is checked next, if it is scheduled. forceCheck is set if
 	// an answer of another endpoint doesn't make the check needless.
 	nextCheck  time.Time
 	forceCheck bool
@@ -76,6 +76,9 @@
 	mu    sync.Mutex
 	paths map[string]*path
 	pools map[string]*pool
+	// lostPaths and scheduled are the paths that are lost and those with a next check, by
+	// the endpoint's id. Both are few, while paths holds all endpoints.
+	lostPaths, scheduled map[string]*path
 	// endpoints returns the ids of the endpoints of a pool that may get requests.
 	endpoints func(pool string) []string
 }
@@ -83,7 +86,10 @@
 // NewTracker returns a tracker. endpoints returns the ids of the endpoints of a pool
 // that may get requests; it must not call the tracker.
 func NewTracker(endpoints func(pool string) []string) *Tracker {
-	return &Tracker{paths: make(map[string]*path), pools: make(map[string]*pool), endpoints: endpoints}
+	return &Tracker{
+		paths: make(map[string]*path), pools: make(map[string]*pool), endpoints: endpoints,
+		lostPaths: make(map[string]*path), scheduled: make(map[string]*path),
+	}
 }
 
 // Observe records an observation of the path to an endpoint and returns the changes
@@ -118,15 +124,17 @@
 		changes = append(changes, Change{Endpoint: id, Pool: p.pool, Evidence: port.PathReached, For: now.Sub(p.lostSince)})
 	}
 	p.lostSince = time.Time{}
+	delete(t.lostPaths, id)
 	o.suspectSince, o.lostSince = time.Time{}, time.Time{}
 	return changes
 }
 
 // expediteLost makes the lost paths to a pool due for a check at once.
 func (t *Tracker) expediteLost(now time.Time, poolName string) {
-	for _, p := range t.paths {
-		if p.pool == poolName && !p.lostSince.IsZero() {
-			p.nextCheck, p.checkPause = now, firstCheckPause
+	for id, p := range t.lostPaths {
+		if p.pool == poolName {
+			p.checkPause = firstCheckPause
+			t.schedule(id, p, now)
 		}
 	}
 }
@@ -135,7 +143,9 @@
 func (t *Tracker) lose(now time.Time, id string, p *path, o *pool, evidence port.PathEvidence) []Change {
 	var changes []Change
 	if p.lostSince.IsZero() {
-		p.lostSince, p.checkPause, p.nextCheck = now, firstCheckPause, now.Add(firstCheckPause)
+		p.lostSince, p.checkPause = now, firstCheckPause
+		t.lostPaths[id] = p
+		t.schedule(id, p, now.Add(firstCheckPause))
 		changes = append(changes, Change{Endpoint: id, Pool: p.pool, Lost: true, Evidence: evidence})
 	}
 	p.evidence = evidence
@@ -155,7 +165,7 @@
 func (t *Tracker) expediteChecks(now time.Time, poolName string) {
 	for _, id := range t.endpoints(poolName) {
 		if p := t.path(id, poolName); p.lostSince.IsZero() {
-			p.nextCheck = now
+			t.schedule(id, p, now)
 		}
 	}
 }
@@ -169,7 +179,8 @@
 		}
 		for _, id := range t.endpoints(name) {
 			if p := t.path(id, name); p.lostSince.IsZero() {
-				p.nextCheck, p.forceCheck = now, true
+				p.forceCheck = true
+				t.schedule(id, p, now)
 				break
 			}
 		}
@@ -230,8 +241,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []string
-	for id, p := range t.paths {
-		if p.pool == poolName && !p.lostSince.IsZero() {
+	for id, p := range t.lostPaths {
+		if p.pool == poolName {
 			out = append(out, id)
 		}
 	}
@@ -242,13 +253,7 @@
 func (t *Tracker) LostPaths() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	n := 0
-	for _, p := range t.paths {
-		if !p.lostSince.IsZero() {
-			n++
-		}
-	}
-	return n
+	return len(t.lostPaths)
 }
 
 // IsSuspect reports whether the path to a pool is in doubt: a failure was observed,
@@ -312,7 +317,8 @@
 	defer t.mu.Unlock()
 	p, o := t.path(id, poolName), t.pool(poolName)
 	if p.lostSince.IsZero() && (force || now.Sub(o.reachedAt) > freshness) {
-		p.nextCheck, p.forceCheck = now, force
+		p.forceCheck = force
+		t.schedule(id, p, now)
 	}
 }
 
@@ -322,35 +328,41 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []string
-	for id, p := range t.paths {
+	for id, p := range t.scheduled {
 		if len(out) == maxChecks {
 			break
 		}
-		if p.nextCheck.IsZero() || now.Before(p.nextCheck) {
+		if now.Before(p.nextCheck) {
 			continue
 		}
 		o := t.pool(p.pool)
 		needless := p.lostSince.IsZero() && !p.forceCheck && now.Sub(o.reachedAt) <= freshness
 		if needless || !exists(id) {
-			p.nextCheck = time.Time{}
+			delete(t.scheduled, id)
 			continue
 		}
-		t.scheduleNext(now, p, o)
+		t.scheduleNext(now, id, p, o)
 		out = append(out, id)
 	}
 	return out
 }
 
-// scheduleNext sets the time of the check after one that begins now.
-func (t *Tracker) scheduleNext(now time.Time, p *path, o *pool) {
+// schedule sets the time of the next check of a path.
+func (t *Tracker) schedule(id string, p *path, at time.Time) {
+	p.nextCheck = at
+	t.scheduled[id] = p
+}
+
+// scheduleNext schedules the check after one that begins now.
+func (t *Tracker) scheduleNext(now time.Time, id string, p *path, o *pool) {
 	p.forceCheck = false
 	switch {
 	case p.lostSince.IsZero():
-		p.nextCheck = time.Time{}
+		delete(t.scheduled, id)
 	case !o.lostSince.IsZero():
-		p.nextCheck = now.Add(lostPoolCheckPause)
+		t.schedule(id, p, now.Add(lostPoolCheckPause))
 	default:
-		p.nextCheck = now.Add(p.checkPause)
+		t.schedule(id, p, now.Add(p.checkPause))
 		p.checkPause = min(2*p.checkPause, maxCheckPause)
 	}
 }
@@ -360,6 +372,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.paths, id)
+	delete(t.lostPaths, id)
+	delete(t.scheduled, id)
 }
 
 func (t *Tracker) path(id, poolName string) *path {
