An endpoint is not checked for other daemons while it asks this host for a pause

Cause: found by reading. A daemon that is asked whether it reaches an endpoint opened a connection to it whatever the endpoint had asked it for.

--- a/internal/gateway/pauses_test.go
+++ b/internal/gateway/pauses_test.go
@@ -345,3 +345,16 @@
 		}
 	}
 }
+
+// Guards against a check for another daemon that reaches an endpoint during its pause.
+func TestPausedEndpointIsNotCheckedForPeers(t *testing.T) {
+	b := newHarness(t)
+	e, _ := b.endpointTable.get("s0")
+	b.ObserveNotice(e.Endpoint, port.EndpointNotice{PauseFor: time.Minute, Call: port.CallRequest, Status: 503})
+	if _, known := b.CheckEndpoint("s0", e.Incarnation); known || b.backends.probes > 0 {
+		t.Fatalf("known %v after %d checks", known, b.backends.probes)
+	}
+	if reached, known := b.CheckEndpoint("s1", e.Incarnation); !reached || !known {
+		t.Fatal("another endpoint is not checked")
+	}
+}
