--- a/internal/core/reachability/tracker.go
+++ b/internal/core/reachability/tracker.go
@@ -35,9 +35,8 @@
 type path struct {
 	pool string
 	// lostSince is the time of the first failure after which no new connection has
-	// been answered; zero if there is none. evidence describes it.
+	// been answered; zero if there is none.
 	lostSince time.Time
-	evidence  port.PathEvidence
 	// reachedAt is when the endpoint last answered on a new connection, and
 	// connectedAt when a connection to it was last established.
 	reachedAt, connectedAt time.Time
@@ -148,7 +147,6 @@
 		t.schedule(id, p, now.Add(firstCheckPause))
 		changes = append(changes, Change{Endpoint: id, Pool: p.pool, Lost: true, Evidence: evidence})
 	}
-	p.evidence = evidence
 	if o.suspectSince.IsZero() && now.Sub(o.reachedAt) > freshness {
 		o.suspectSince = now
 		t.expediteChecks(now, p.pool)
