An endpoint whose end could not be established stays down until it answers

Since an end that isn't confirmed left the endpoint usable after four probes, without the health check's answer that states the cold time; before, an ended endpoint stayed down. Change: it is probed every 0.25 s, 40 times at most, and stays down until it answers or leaves.

--- a/internal/crashwatch/crashwatch.go
+++ b/internal/crashwatch/crashwatch.go
@@ -32,6 +32,10 @@
 	lossDelay = 50 * time.Millisecond
 	// probeTimeout bounds one probe.
 	probeTimeout = time.Second
+	// lateProbeInterval is the time between the probes of an endpoint whose end could
+	// not be established, maxLateProbes their number.
+	lateProbeInterval = 250 * time.Millisecond
+	maxLateProbes     = 40
 )
 
 // probeDelays are the delays before each probe. An endpoint that has ended is
@@ -122,7 +126,7 @@
 // checkEndpoint determines whether an endpoint at which a connection broke has
 // ended.
 func (w *Watch) checkEndpoint(e port.Endpoint) {
-	silent := 0
+	silent, unanswered := 0, false
 	for _, delay := range probeDelays {
 		time.Sleep(delay)
 		switch w.probe(e) {
@@ -130,12 +134,14 @@
 			w.attempts.Alive(keyOf(e))
 			return
 		case port.PresenceGone:
+			unanswered = true
 			w.attempts.Unanswered(keyOf(e))
 			time.Sleep(lossDelay)
 			if w.reportEnd(e, "nothing listens there, or another one") {
 				return
 			}
 		case port.PresenceSilent:
+			unanswered = true
 			w.attempts.Unanswered(keyOf(e))
 			silent++
 		}
@@ -143,9 +149,24 @@
 	if silent == len(probeDelays) && w.reportEnd(e, "connections end without an answer") {
 		return
 	}
+	if unanswered {
+		w.awaitAnswer(e)
+	}
 	w.attempts.Alive(keyOf(e))
 }
 
+// awaitAnswer probes an endpoint whose end could not be established until it answers, for
+// a limited time. Until then it stays down: a process that has restarted at its address
+// states in that answer what it accepts.
+func (w *Watch) awaitAnswer(e port.Endpoint) {
+	for range maxLateProbes {
+		time.Sleep(lateProbeInterval)
+		if w.o.IsLeaving(e) || w.probe(e) == port.PresenceServing {
+			return
+		}
+	}
+}
+
 func (w *Watch) probe(e port.Endpoint) port.Presence {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -333,3 +333,21 @@
 		}
 	}
 }
+
+// Guards against using an endpoint whose end could not be established before it answers.
+func TestUnconfirmedEndStaysDownUntilAnswer(t *testing.T) {
+	b := newHarness(t)
+	b.setPresence(port.PresenceGone)
+	b.losePool("plain")
+	e, _ := b.endpointTable.get("s0")
+	a := b.crashWatch.Begin(e.Endpoint, quarantine.Fingerprint{})
+	b.crashWatch.End(a, true)
+	eventually.True(t, "it is down", func() bool { return b.crashWatch.IsDown(e.Endpoint) })
+	for began := time.Now(); time.Since(began) < 6*time.Second; time.Sleep(50 * time.Millisecond) {
+		if !b.crashWatch.IsDown(e.Endpoint) {
+			t.Fatalf("not down any more after %v, though nobody has answered", time.Since(began))
+		}
+	}
+	b.setPresence(port.PresenceServing)
+	eventually.True(t, "it is used again", func() bool { return !b.crashWatch.IsDown(e.Endpoint) })
+}
