--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -18,10 +18,10 @@
 
 // Errors of a Relayer.
 var (
-	// ErrRelayNotAccepted means that the peer was not told to run the request.
+	// ErrRelayNotAccepted means that the peer did not get the order to run the request.
 	ErrRelayNotAccepted = merry.Sentinel("relay: the peer has not accepted the request")
-	// ErrRelayLost means that the connection to the peer broke after the peer was told
-	// to run the request.
+	// ErrRelayLost means that the connection to the peer broke after the order to run the
+	// request was sent.
 	ErrRelayLost = merry.Sentinel("relay: connection to the peer lost")
 	// ErrRelayCallerGone means that the answer could not be written to the caller.
 	ErrRelayCallerGone = merry.Sentinel("relay: the caller has gone")
