Lost attempts name the parts of their prompts

The logs showed that each request lost at a crashing runner has a fingerprint of its own, and not what these requests have in common. Change: the finish line of a lost attempt, and of a refusal for crashes, has the ids of the first 16 parts of the prompt. Result: TestLostAttemptsNameTheirParts failed before (no such field) and passes. No decision is changed.

--- a/internal/adapter/jsonlog/jsonlog.go
+++ b/internal/adapter/jsonlog/jsonlog.go
@@ -62,6 +62,9 @@
 	if d.PlatformAgeMillis != nil {
 		e = e.Int64("platform_age_ms", *d.PlatformAgeMillis)
 	}
+	if len(d.Parts) > 0 {
+		e = e.Strs("parts", d.Parts)
+	}
 	if len(d.Candidates) > 0 {
 		e = e.Any("candidates", d.Candidates)
 	}
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -35,6 +36,24 @@
 	}
 }
 
+// Guards against log lines that don't show what the prompts of lost attempts have in common.
+func TestLostAttemptsNameTheirParts(t *testing.T) {
+	b := newHarness(t)
+	b.setHandlers("e", failure(port.ErrEndpointLost))
+	_ = b.sendParts(t, "lost", "/stream/x", &fakeCaller{}, 0x5c1e07a2, 0xdead, 0x91bd)
+	b.setHandlers("e", reply(200, "fine"))
+	_ = b.sendParts(t, "whole", "/stream/x", &fakeCaller{}, 0x5c1e07a2)
+	parts := map[string][]string{}
+	for _, d := range b.sink.All() {
+		if d.Subject == subjectRequest {
+			parts[d.SubjectID] = d.Parts
+		}
+	}
+	if want := []string{"5c1e07a2", "dead", "91bd"}; !slices.Equal(parts["lost"], want) || len(parts["whole"]) > 0 {
+		t.Fatalf("parts %v, want %v of the lost attempt alone", parts, want)
+	}
+}
+
 // lastFingerprint returns the fingerprint in the last decision about a request.
 func (b *harness) lastFingerprint(requestID string) string {
 	name := ""
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/dragonflyrail/dragonflyrail/internal/core/outcome"
@@ -262,6 +263,7 @@
 	}
 	if x.connectionLost || x.quarantined {
 		d.Fingerprint = x.fingerprint().String()
+		d.Parts = x.partNames()
 	}
 	x.decision = x.g.recordDecision(d)
 	return x.decision
@@ -278,6 +280,22 @@
 	})
 }
 
+// maxLoggedParts bounds the parts of a prompt in one decision.
+const maxLoggedParts = 16
+
+// partNames returns the ids of the first parts of the prompt, in the caller's notation.
+func (x *exchange) partNames() []string {
+	if x.req.Generation == nil {
+		return nil
+	}
+	parts := x.req.Generation.Parts
+	var names []string
+	for _, p := range parts[:min(len(parts), maxLoggedParts)] {
+		names = append(names, strconv.FormatUint(p.ID, 16))
+	}
+	return names
+}
+
 func (x *exchange) model() string {
 	if x.req.Generation == nil {
 		return ""
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -425,6 +425,13 @@
 }
 
 func (b *harness) sendWithID(t *testing.T, id, path string, c *fakeCaller) *Refusal {
+	t.Helper()
+	return b.sendParts(t, id, path, c)
+}
+
+// sendParts sends a request whose prompt consists of the given parts, if it is a
+// generation.
+func (b *harness) sendParts(t *testing.T, id, path string, c *fakeCaller, parts ...uint64) *Refusal {
 	t.Helper()
 	pass, refusal := b.Admit("h", path, "aa")
 	if refusal != nil {
@@ -436,6 +443,9 @@
 	}
 	if pass.Route.Streams {
 		req.Generation = &GenerationParams{Model: "m", PromptTokens: 1000, MaxTokens: 400}
+		for _, id := range parts {
+			req.Generation.Parts = append(req.Generation.Parts, PromptPart{ID: id, Tokens: 100})
+		}
 	}
 	return b.Serve(t.Context(), req, c)
 }
--- a/internal/port/explain.go
+++ b/internal/port/explain.go
@@ -22,6 +22,10 @@
 	// Fingerprint identifies a request that is sent again, see package quarantine.
 	// It is set if an attempt ended without a complete response.
 	Fingerprint string `json:"fingerprint,omitempty"`
+	// Parts lists the first parts of the request's prompt, as the caller names them, so
+	// that what several lost requests have in common can be seen. It is set together
+	// with Fingerprint.
+	Parts []string `json:"parts,omitempty"`
 	// Crashes is the number of endpoints that crashed while the request ran.
 	Crashes    int              `json:"crashes,omitempty"`
 	Candidates []CandidateScore `json:"candidates,omitempty"`
