--- a/cmd/dragonfly-standin/fleet.go
+++ b/cmd/dragonfly-standin/fleet.go
@@ -34,6 +34,7 @@
 	Notice        time.Duration `long:"notice" default:"1500ms" description:"time to continue serving after the leave notice"`
 	ColdFor       time.Duration `long:"cold-for" default:"0s" description:"how long the runner is cold after its start; too many requests in that time end it"`
 	ColdRate      float64       `long:"cold-per-second" default:"0" description:"requests per second that the runner tolerates while it is cold"`
+	Unframed      bool          `long:"unframed" description:"end answers with their connection, with neither a length nor chunks"`
 	WithoutNotice bool          `long:"unsaid" description:"leave by removing the entry, without a leave notice"`
 }
 
@@ -42,7 +43,7 @@
 func (c *fleetRunnerCommand) Execute([]string) error {
 	r := &standin.Runner{
 		ID: c.ID, EventEvery: c.EventEvery, Work: c.Work, CacheTokens: standin.CacheTokens,
-		OnCrash: func() { os.Exit(exitCrashed) }, Cold: standin.NewCold(c.ColdFor, c.ColdRate),
+		OnCrash: func() { os.Exit(exitCrashed) }, Cold: standin.NewCold(c.ColdFor, c.ColdRate), Unframed: c.Unframed,
 	}
 	var registration *standin.Registration
 	return c.serveWith("fleet-runner", standin.NewRunnerHandler(r), hooks{
