--- a/internal/adapter/grpcpeer/convert.go
+++ b/internal/adapter/grpcpeer/convert.go
@@ -144,6 +144,8 @@
 		Members:   tableToWire(&m.Members),
 		Suspects:  tableToWire(&m.Suspects),
 
+		PartSuspects: tableToWire(&m.PartSuspects),
+
 		HighestVersion: m.HighestVersion,
 		Complete:       m.Complete,
 		Parts:          m.Parts,
@@ -165,16 +167,19 @@
 		Members:   mapSlice(m.Members.Entries, memberToWire),
 		Suspects:  suspectsToWire(m.Suspects.Entries),
 		Sync:      syncToWire(m),
+
+		PartSuspects: partSuspectsToWire(m.PartSuspects.Entries),
 	}
 }
 
 // messageFromWire returns the message of an update or a heartbeat.
-func messageFromWire(s *peerv1.Sync, rs []*peerv1.Record, es []*peerv1.Endpoint, ms []*peerv1.Member, ss []*peerv1.Suspect) node.Message {
+func messageFromWire(s *peerv1.Sync, rs []*peerv1.Record, es []*peerv1.Endpoint, ms []*peerv1.Member, ss []*peerv1.Suspect, ps []*peerv1.PartSuspect) node.Message {
 	return node.Message{
 		Records:        stepFromWire(s.GetRecords(), mapSlice(rs, revisionFromWire)),
 		Endpoints:      stepFromWire(s.GetEndpoints(), mapSlice(es, endpointFromWire)),
 		Members:        stepFromWire(s.GetMembers(), mapSlice(ms, memberFromWire)),
 		Suspects:       stepFromWire(s.GetSuspects(), suspectsFromWire(ss)),
+		PartSuspects:   stepFromWire(s.GetPartSuspects(), partSuspectsFromWire(ps)),
 		HighestVersion: s.GetHighestVersion(),
 		Complete:       s.GetComplete(),
 		Parts:          s.GetParts(),
@@ -185,7 +190,7 @@
 }
 
 func updateFromWire(u *peerv1.Update) node.Message {
-	return messageFromWire(u.GetSync(), u.GetRecords(), u.GetEndpoints(), u.GetMembers(), u.GetSuspects())
+	return messageFromWire(u.GetSync(), u.GetRecords(), u.GetEndpoints(), u.GetMembers(), u.GetSuspects(), u.GetPartSuspects())
 }
 
 func heartbeatToWire(m *node.Message) *peerv1.Heartbeat {
@@ -194,12 +199,13 @@
 		ObservedEndpoints: mapSlice(m.Endpoints.Entries, endpointToWire),
 		KnownMembers:      mapSlice(m.Members.Entries, memberToWire),
 		Suspects:          suspectsToWire(m.Suspects.Entries),
+		PartSuspects:      partSuspectsToWire(m.PartSuspects.Entries),
 		Sync:              syncToWire(m),
 	}
 }
 
 func heartbeatFromWire(h *peerv1.Heartbeat) node.Message {
-	return messageFromWire(h.GetSync(), h.GetRecords(), h.GetObservedEndpoints(), h.GetKnownMembers(), h.GetSuspects())
+	return messageFromWire(h.GetSync(), h.GetRecords(), h.GetObservedEndpoints(), h.GetKnownMembers(), h.GetSuspects(), h.GetPartSuspects())
 }
 
 // coldFromWire limits a received cold time to the range from zero to
--- a/internal/adapter/grpcpeer/suspects.go
+++ b/internal/adapter/grpcpeer/suspects.go
@@ -1,6 +1,7 @@
 package grpcpeer
 
 import (
+	"math"
 	"time"
 
 	peerv1 "github.com/dragonflyrail/dragonflyrail/api/peer/v1"
@@ -26,7 +27,7 @@
 	now := time.Now()
 	var out []quarantine.Suspect
 	for _, s := range ss {
-		age := time.Duration(max(0, s.GetHeardAgeMillis())) * time.Millisecond
+		age := durationFromWire(s.GetHeardAgeMillis())
 		var f quarantine.Fingerprint
 		if copy(f[:], s.GetFingerprint()) < len(f) || !quarantine.AcceptsAge(age) {
 			continue
@@ -39,3 +40,51 @@
 	}
 	return out
 }
+
+// partSuspectsToWire sends ages instead of times, as suspectsToWire does.
+func partSuspectsToWire(ss []quarantine.PartSuspect) []*peerv1.PartSuspect {
+	now := time.Now()
+	return mapSlice(ss, func(s quarantine.PartSuspect) *peerv1.PartSuspect {
+		return &peerv1.PartSuspect{
+			Fingerprint: s.Part.Fingerprint[:], Part: s.Part.ID, Organisation: s.Organisation,
+			Cleared: s.Cleared, Completed: s.Completed, Renewals: s.Renewals, Companions: s.Companions,
+			Crashes: mapSlice(s.Crashes, func(c quarantine.PartCrash) *peerv1.PartCrash {
+				return &peerv1.PartCrash{
+					Id: uint64(c.ID), Request: c.Request, RanMillis: uint32(min(math.MaxUint32, c.Ran.Milliseconds())),
+					AgeMillis: ageMillis(now, c.At),
+				}
+			}),
+			HeardAgeMillis: ageMillis(now, s.UpdatedAt),
+		}
+	})
+}
+
+// partSuspectsFromWire skips what suspectsFromWire skips.
+func partSuspectsFromWire(ss []*peerv1.PartSuspect) []quarantine.PartSuspect {
+	now := time.Now()
+	var out []quarantine.PartSuspect
+	for _, s := range ss {
+		age := durationFromWire(s.GetHeardAgeMillis())
+		var f quarantine.Fingerprint
+		if copy(f[:], s.GetFingerprint()) < len(f) || !quarantine.AcceptsAge(age) {
+			continue
+		}
+		out = append(out, quarantine.PartSuspect{
+			Part: quarantine.Part{Fingerprint: f, ID: s.GetPart()}, Organisation: s.GetOrganisation(),
+			Cleared: s.GetCleared(), Completed: s.GetCompleted(), Renewals: s.GetRenewals(), Companions: s.GetCompanions(),
+			Crashes: quarantine.UniteCrashes(mapSlice(s.GetCrashes(), func(c *peerv1.PartCrash) quarantine.PartCrash {
+				return quarantine.PartCrash{
+					ID: quarantine.CrashID(c.GetId()), Request: c.GetRequest(), Ran: durationFromWire(int64(c.GetRanMillis())),
+					At: now.Add(-durationFromWire(c.GetAgeMillis())),
+				}
+			}), nil),
+			UpdatedAt: now.Add(-age),
+		})
+	}
+	return out
+}
+
+// durationFromWire converts milliseconds; negative ones count as zero.
+func durationFromWire(millis int64) time.Duration {
+	return time.Duration(max(0, millis)) * time.Millisecond
+}
--- a/internal/adapter/grpcpeer/view.go
+++ b/internal/adapter/grpcpeer/view.go
@@ -240,6 +240,12 @@
 // PutSuspect merges the state of a suspect and sends it to other daemons.
 func (v *View) PutSuspect(s quarantine.Suspect) bool { return v.node.PutSuspect(s) }
 
+// PartSuspects returns the parts of prompts under which endpoints have crashed.
+func (v *View) PartSuspects() *spread.Table[quarantine.PartSuspect] { return v.node.PartSuspects() }
+
+// PutPartSuspect merges the state of a suspected part and sends it to other daemons.
+func (v *View) PutPartSuspect(s quarantine.PartSuspect) bool { return v.node.PutPartSuspect(s) }
+
 // Records returns the records in force, without deleted ones.
 func (v *View) Records() []port.Record { return LiveRecords(v.node) }
 
--- a/internal/core/quarantine/attempts.go
+++ b/internal/core/quarantine/attempts.go
@@ -31,7 +31,7 @@
 type endpointAttempts struct {
 	open map[*Attempt]struct{}
 	// lost are the attempts whose connection broke for an unknown reason so far.
-	lost []lostFlight
+	lost []Loss
 	// probing is set while a caller finds out whether the endpoint has ended.
 	probing bool
 	// down is set from the first probe that nobody answered until a probe is answered
@@ -41,23 +41,18 @@
 	endedAt time.Time
 }
 
-type lostFlight struct {
-	fingerprint Fingerprint
-	at          time.Time
-}
-
 // Attempt is one attempt in flight.
 type Attempt struct {
-	fingerprint Fingerprint
-	endpoint    EndpointKey
-	started     time.Time
+	request  *Request
+	endpoint EndpointKey
+	started  time.Time
 }
 
 // NewAttempts returns an empty Attempts.
 func NewAttempts() *Attempts { return &Attempts{endpoints: make(map[EndpointKey]*endpointAttempts)} }
 
 // Begin records an attempt that is sent to an endpoint.
-func (f *Attempts) Begin(now time.Time, e EndpointKey, p Fingerprint) *Attempt {
+func (f *Attempts) Begin(now time.Time, e EndpointKey, r *Request) *Attempt {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	attempts := f.endpoints[e]
@@ -65,7 +60,7 @@
 		attempts = &endpointAttempts{open: make(map[*Attempt]struct{})}
 		f.endpoints[e] = attempts
 	}
-	flight := &Attempt{fingerprint: p, endpoint: e, started: now}
+	flight := &Attempt{request: r, endpoint: e, started: now}
 	attempts.open[flight] = struct{}{}
 	return flight
 }
@@ -100,24 +95,30 @@
 }
 
 // Lost records that the connection of an attempt broke. If probe is set, the caller
-// must find out whether the endpoint has ended, and call Ended or Alive. If ended is
-// set, the endpoint is already known to have ended.
-func (f *Attempts) Lost(now time.Time, flight *Attempt) (probe, ended bool) {
+// must find out whether the endpoint has ended, and call Ended or Alive. If ended is not
+// nil, the endpoint is already known to have ended.
+func (f *Attempts) Lost(now time.Time, flight *Attempt) (probe bool, ended *Loss) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	at := f.end(flight)
 	if at == nil {
-		return false, false
+		return false, nil
 	}
 	if !at.endedAt.IsZero() && now.Sub(at.endedAt) < endedRetention {
-		return false, true
+		loss := flight.lostAt(now)
+		return false, &loss
 	}
 	// end removes the endpoint when this was its last open attempt.
 	f.endpoints[flight.endpoint] = at
-	at.lost = append(at.lost, lostFlight{fingerprint: flight.fingerprint, at: now})
+	at.lost = append(at.lost, flight.lostAt(now))
 	probe = !at.probing
 	at.probing = true
-	return probe, false
+	return probe, nil
+}
+
+// lostAt returns the loss of an attempt whose connection broke.
+func (flight *Attempt) lostAt(now time.Time) Loss {
+	return Loss{Request: flight.request, At: now, Ran: now.Sub(flight.started)}
 }
 
 // Unanswered records that nobody answered a probe of an endpoint.
@@ -172,19 +173,17 @@
 // that were lost with it. If an attempt older than the losses is still open,
 // although its connection should have broken too, the result is uncertain: nothing
 // is recorded, and the caller must probe again.
-func (f *Attempts) Ended(now time.Time, e EndpointKey) (lost []Fingerprint, uncertain bool) {
+func (f *Attempts) Ended(now time.Time, e EndpointKey) (lost []Loss, uncertain bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	attempts := f.endpoints[e]
 	if attempts == nil || len(attempts.lost) == 0 {
 		return nil, false
 	}
-	if attempts.hasOpenBefore(attempts.lost[0].at) {
+	if attempts.hasOpenBefore(attempts.lost[0].At) {
 		return nil, true
 	}
-	for _, l := range attempts.lost {
-		lost = append(lost, l.fingerprint)
-	}
+	lost = attempts.lost
 	attempts.lost, attempts.probing, attempts.endedAt = nil, false, now
 	return lost, false
 }
--- a/internal/core/quarantine/attempts_test.go
+++ b/internal/core/quarantine/attempts_test.go
@@ -8,28 +8,38 @@
 	"pgregory.net/rapid"
 )
 
+func requestWith(n int) *Request { return &Request{Fingerprint: fingerprint(n)} }
+
+func fingerprintsOf(lost []Loss) []Fingerprint {
+	var out []Fingerprint
+	for _, l := range lost {
+		out = append(out, l.Request.Fingerprint)
+	}
+	return out
+}
+
 // Guards against lost attempts that are not reported when their endpoint ends.
 func TestEndedEndpointReportsLostAttempts(t *testing.T) {
 	f, now := NewAttempts(), time.Unix(1000, 0)
 	e := EndpointKey{ID: "e", Incarnation: 1}
-	first, second, late := f.Begin(now, e, fingerprint(1)), f.Begin(now, e, fingerprint(2)), f.Begin(now.Add(time.Second), e, fingerprint(3))
+	first, second, late := f.Begin(now, e, requestWith(1)), f.Begin(now, e, requestWith(2)), f.Begin(now.Add(time.Second), e, requestWith(3))
 	now = now.Add(2 * time.Second)
-	if probe, ended := f.Lost(now, first); !probe || ended {
+	if probe, ended := f.Lost(now, first); !probe || ended != nil {
 		t.Fatalf("first loss: probe %v, ended %v", probe, ended)
 	}
 	if _, uncertain := f.Ended(now, e); !uncertain {
 		t.Fatal("the end is not uncertain although an older attempt is still open")
 	}
-	if probe, ended := f.Lost(now, second); probe || ended {
+	if probe, ended := f.Lost(now, second); probe || ended != nil {
 		t.Fatalf("second loss: probe %v, ended %v", probe, ended)
 	}
 	f.End(late)
 	lost, uncertain := f.Ended(now, e)
-	if uncertain || !slices.Equal(lost, []Fingerprint{fingerprint(1), fingerprint(2)}) {
+	if uncertain || !slices.Equal(fingerprintsOf(lost), []Fingerprint{fingerprint(1), fingerprint(2)}) {
 		t.Fatalf("lost %v, uncertain %v", lost, uncertain)
 	}
-	after := f.Begin(now, e, fingerprint(4))
-	if probe, ended := f.Lost(now.Add(time.Second), after); probe || !ended {
+	after := f.Begin(now, e, requestWith(4))
+	if probe, ended := f.Lost(now.Add(time.Second), after); probe || ended == nil {
 		t.Fatalf("loss after the end: probe %v, ended %v", probe, ended)
 	}
 }
@@ -38,11 +48,11 @@
 func TestLossAtLiveEndpointIsDropped(t *testing.T) {
 	f, now := NewAttempts(), time.Unix(1000, 0)
 	e := EndpointKey{ID: "e", Incarnation: 1}
-	f.Lost(now, f.Begin(now, e, fingerprint(1)))
+	f.Lost(now, f.Begin(now, e, requestWith(1)))
 	f.Alive(e)
-	probe, _ := f.Lost(now.Add(time.Second), f.Begin(now, e, fingerprint(2)))
+	probe, _ := f.Lost(now.Add(time.Second), f.Begin(now, e, requestWith(2)))
 	lost, _ := f.Ended(now.Add(time.Second), e)
-	if !probe || !slices.Equal(lost, []Fingerprint{fingerprint(2)}) {
+	if !probe || !slices.Equal(fingerprintsOf(lost), []Fingerprint{fingerprint(2)}) {
 		t.Fatalf("probe %v, lost %v", probe, lost)
 	}
 }
@@ -68,7 +78,7 @@
 			switch event := rapid.SampledFrom([]string{"begin", "end", "lose", "gone", "alive"}).Draw(t, "event"); {
 			case event == "begin":
 				next++
-				open = append(open, f.Begin(now, e, fingerprint(next)))
+				open = append(open, f.Begin(now, e, requestWith(next)))
 			case event == "end" && len(open) > 0:
 				flight := takeOpen()
 				f.End(flight)
@@ -76,8 +86,8 @@
 			case event == "lose" && len(open) > 0:
 				flight := takeOpen()
 				probe, ended := f.Lost(now, flight)
-				unexplained = append(unexplained, flight.fingerprint)
-				if probe == probing || ended {
+				unexplained = append(unexplained, flight.request.Fingerprint)
+				if probe == probing || ended != nil {
 					t.Fatalf("probe %v with a probe under way: %v, ended %v", probe, probing, ended)
 				}
 				probing = true
@@ -86,7 +96,7 @@
 				if uncertain {
 					break
 				}
-				if !slices.Equal(lost, unexplained) {
+				if !slices.Equal(fingerprintsOf(lost), unexplained) {
 					t.Fatalf("reported %v, actually lost %v", lost, unexplained)
 				}
 				probing, unexplained = false, nil
--- a/internal/core/quarantine/bench_test.go
+++ b/internal/core/quarantine/bench_test.go
@@ -21,8 +21,8 @@
 		b.Run(fmt.Sprint(size, " bytes"), func(b *testing.B) {
 			for b.Loop() {
 				f := quarantine.FingerprintOf("org", "POST", "host", "/path", body)
-				r.Quarantined(now, f)
-				r.Completed(now, f)
+				r.Quarantined(now, whole(f))
+				r.Completed(now, whole(f))
 			}
 		})
 	}
--- a/internal/core/quarantine/register.go
+++ b/internal/core/quarantine/register.go
@@ -34,9 +34,12 @@
 	Suspects() *spread.Table[Suspect]
 	// PutSuspect joins an entry into the table and forwards it to other daemons.
 	PutSuspect(s Suspect) bool
+	// PartSuspects and PutPartSuspect are the same for parts of prompts.
+	PartSuspects() *spread.Table[PartSuspect]
+	PutPartSuspect(s PartSuspect) bool
 }
 
-// Verdict is a change in what a daemon holds against a request.
+// Verdict is a change in what a daemon holds against a request or a part of prompts.
 type Verdict string
 
 // The verdicts.
@@ -55,44 +58,97 @@
 
 // Change is one change of verdict, for the log.
 type Change struct {
+	// Fingerprint is that of a request, or of the part that leads a combination.
 	Fingerprint Fingerprint
 	Verdict     Verdict
-	// Crashes is the number of crashes since the request was last cleared.
+	// Parts are the parts of the combination, the one with Fingerprint first, and
+	// Organisation is the one that they belong to; empty for a request.
+	Parts        []uint64
+	Organisation string
+	// Crashes is the number of crashes since the suspect was last cleared.
 	Crashes int
 	Reason  string
 }
 
-// Register holds what one daemon knows of requests that crash endpoints. It is safe
-// for concurrent use.
+// Hold is why a request must not be sent.
+type Hold struct {
+	// Remaining is for how long it will be remembered if such requests aren't sent again.
+	Remaining time.Duration
+	// Parts are the parts of its prompt that crash endpoints; empty if it is the request
+	// as a whole.
+	Parts []Part
+}
+
+// Register holds what one daemon knows of requests and parts of prompts that crash
+// endpoints. It is safe for concurrent use.
 type Register struct {
 	shared    SharedState
 	onChange  func(Change)
 	completed completed
-	// quarantined is replaced as a whole, as every request reads it.
-	quarantined atomic.Pointer[map[Fingerprint]struct{}]
+	// verdicts is replaced as a whole, as every request reads it.
+	verdicts atomic.Pointer[verdicts]
 
 	mu        sync.Mutex
 	changes   *spread.Changes[Suspect]
 	histories histories
+	parts     *partLedger
+}
+
+// verdicts are the requests and the combinations of parts that are quarantined.
+type verdicts struct {
+	requests map[Fingerprint]struct{}
+	// parts has the combinations by the fingerprint of their leads.
+	parts map[Fingerprint]*Combination
+	// revision increases with each change.
+	revision uint64
 }
 
 // NewRegister returns a register over shared state. It calls onChange for each
 // change of verdict.
 func NewRegister(s SharedState, onChange func(Change)) *Register {
-	r := &Register{shared: s, onChange: onChange, changes: s.Suspects().Follow(), histories: make(histories)}
-	r.quarantined.Store(&map[Fingerprint]struct{}{})
+	r := &Register{
+		shared: s, onChange: onChange, changes: s.Suspects().Follow(), histories: make(histories),
+		parts: newPartLedger(s, onChange),
+	}
+	r.verdicts.Store(&verdicts{})
 	return r
 }
 
-// Any reports whether any request is quarantined.
-func (r *Register) Any() bool { return len(*r.quarantined.Load()) > 0 }
+// Any reports whether any request or part is quarantined.
+func (r *Register) Any() bool {
+	v := r.verdicts.Load()
+	return len(v.requests) > 0 || len(v.parts) > 0
+}
 
-// Quarantined reports whether the request is quarantined, and for how long it will
-// be remembered if it isn't sent again.
-func (r *Register) Quarantined(now time.Time, f Fingerprint) (remaining time.Duration, quarantined bool) {
-	if _, quarantined = (*r.quarantined.Load())[f]; !quarantined {
-		return 0, false
+// Revision returns a number that increases whenever what is quarantined changes.
+func (r *Register) Revision() uint64 { return r.verdicts.Load().revision }
+
+// Quarantined reports whether and why a request must not be sent.
+func (r *Register) Quarantined(now time.Time, request *Request) (Hold, bool) {
+	v := r.verdicts.Load()
+	if _, is := v.requests[request.Fingerprint]; is {
+		if remaining, held := r.renew(now, request.Fingerprint); held {
+			return Hold{Remaining: remaining}, true
+		}
 	}
+	if len(v.parts) == 0 {
+		return Hold{}, false
+	}
+	for _, p := range request.Parts {
+		if c := v.parts[p.Fingerprint]; c != nil && c.matches(request.Parts) {
+			hold := Hold{Remaining: r.parts.renew(now, c)}
+			for _, s := range c.all() {
+				hold.Parts = append(hold.Parts, s.Part)
+			}
+			return hold, true
+		}
+	}
+	return Hold{}, false
+}
+
+// renew extends how long a quarantined request is remembered, and returns for how long
+// that is.
+func (r *Register) renew(now time.Time, f Fingerprint) (remaining time.Duration, held bool) {
 	s, held := r.get(f)
 	if !held {
 		return 0, false
@@ -106,27 +162,39 @@
 }
 
 // Completed records that a request completed at an endpoint that kept running.
-func (r *Register) Completed(now time.Time, f Fingerprint) {
-	r.completed.add(now, f)
-	r.clear(now, f, "it ran to its end")
+func (r *Register) Completed(now time.Time, request *Request) {
+	r.completed.add(now, request.Fingerprint)
+	cleared := r.clear(now, request.Fingerprint, "it ran to its end")
+	if r.parts.completedRequest(now, request.Parts) || cleared {
+		r.Refresh(now)
+	}
 }
 
-// Release clears requests on an operator's order. A request with crashes that the
+// Release clears requests and parts on an operator's order. One with crashes that the
 // operator has not seen is not cleared.
-func (r *Register) Release(now time.Time, released []Suspect) {
+func (r *Register) Release(now time.Time, released []Suspect, parts []PartSuspect) {
+	const reason = "released by an operator"
+	for _, s := range parts {
+		current, held := r.parts.get(s.Part.Fingerprint)
+		if held && !slices.ContainsFunc(current.Crashes, func(c PartCrash) bool { return !s.hasCrash(c.ID) }) {
+			r.parts.clear(now, s.Part.Fingerprint, reason)
+		}
+	}
 	for _, s := range released {
 		current, held := r.get(s.Fingerprint)
 		unseen := func(c CrashID) bool { return !slices.Contains(s.Crashes, c) }
 		if held && !slices.ContainsFunc(current.Crashes, unseen) {
-			r.clear(now, s.Fingerprint, "released by an operator")
+			r.clear(now, s.Fingerprint, reason)
 		}
 	}
+	r.Refresh(now)
 }
 
-func (r *Register) clear(now time.Time, f Fingerprint, reason string) {
+// clear discards the crashes of a request and reports whether there were any.
+func (r *Register) clear(now time.Time, f Fingerprint, reason string) bool {
 	s, held := r.get(f)
 	if !held || len(s.Crashes) == 0 {
-		return
+		return false
 	}
 	crashes := len(s.Crashes)
 	s.Cleared++
@@ -134,13 +202,14 @@
 	if r.shared.PutSuspect(s) {
 		r.onChange(Change{Fingerprint: f, Verdict: Cleared, Crashes: crashes, Reason: reason})
 	}
-	r.Refresh(now)
+	return true
 }
 
 // Crashed records that an endpoint ended while it ran the given requests.
-func (r *Register) Crashed(now time.Time, crash CrashID, running []Fingerprint) {
+func (r *Register) Crashed(now time.Time, crash CrashID, lost []Loss) {
 	r.Refresh(now)
-	for _, f := range running {
+	for i := range lost {
+		f := lost[i].Request.Fingerprint
 		if r.completed.has(now, f) || r.isDiscarded(f, crash) {
 			continue
 		}
@@ -153,28 +222,40 @@
 			r.onChange(Change{Fingerprint: f, Verdict: Suspected, Crashes: len(s.Crashes), Reason: "an endpoint crashed while it ran"})
 		}
 	}
+	r.crashedParts(now, crash, lost)
 	r.Refresh(now)
 }
 
+func (r *Register) crashedParts(now time.Time, crash CrashID, lost []Loss) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.parts.crashed(now, crash, lost)
+}
+
 func (r *Register) isDiscarded(f Fingerprint, c CrashID) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.histories.isDiscarded(f, c)
 }
 
-// Restore adds suspects from persistent storage.
-func (r *Register) Restore(now time.Time, suspects []Suspect) {
+// Restore adds suspects from persistent storage. Of the times of crashes only the
+// differences count.
+func (r *Register) Restore(now time.Time, suspects []Suspect, parts []PartSuspect) {
 	for _, s := range suspects {
 		s.UpdatedAt = now
 		r.shared.PutSuspect(s)
 	}
+	for i := range parts {
+		s := parts[i].updatedAt(now)
+		r.shared.PutPartSuspect(s)
+	}
 	r.Refresh(now)
 }
 
-// Entries returns the quarantined suspects, sorted by fingerprint.
+// Entries returns the quarantined requests, sorted by fingerprint.
 func (r *Register) Entries() []Suspect {
 	var out []Suspect
-	for f := range *r.quarantined.Load() {
+	for f := range r.verdicts.Load().requests {
 		if s, held := r.get(f); held {
 			out = append(out, s)
 		}
@@ -183,6 +264,22 @@
 	return out
 }
 
+// PartEntries returns the suspects of the quarantined combinations of parts, sorted by
+// fingerprint.
+func (r *Register) PartEntries() []PartSuspect {
+	members := make(map[Fingerprint]PartSuspect)
+	for _, c := range r.verdicts.Load().parts {
+		for _, member := range c.all() {
+			if s, held := r.parts.get(member.Part.Fingerprint); held {
+				members[s.Part.Fingerprint] = s
+			}
+		}
+	}
+	return slices.SortedFunc(maps.Values(members), func(a, b PartSuspect) int {
+		return slices.Compare(a.Part.Fingerprint[:], b.Part.Fingerprint[:])
+	})
+}
+
 func (r *Register) get(f Fingerprint) (Suspect, bool) {
 	return r.shared.Suspects().Get(string(f[:]))
 }
@@ -193,14 +290,13 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	changed := r.changes.Take()
-	if len(changed) == 0 {
-		return
-	}
 	for i := range changed {
-		r.histories.update(&changed[i])
+		r.histories.update(changed[i].Fingerprint, changed[i].Cleared, changed[i].Crashes)
 	}
 	r.clearCompleted(now, changed)
-	r.reevaluate()
+	if partsChanged := r.parts.refresh(now); partsChanged || len(changed) > 0 {
+		r.reevaluate()
+	}
 }
 
 // clearCompleted clears suspects that this daemon has seen complete; r.mu is held.
@@ -214,19 +310,76 @@
 	}
 }
 
-// reevaluate replaces the set of quarantined requests; r.mu is held.
+// reevaluate replaces what is quarantined; r.mu is held.
 func (r *Register) reevaluate() {
-	all := slices.Collect(r.shared.Suspects().All())
-	before, next := *r.quarantined.Load(), make(map[Fingerprint]struct{})
-	for _, f := range Evaluate(all) {
-		next[f] = struct{}{}
+	suspects := slices.Collect(r.shared.Suspects().All())
+	combinations := EvaluateParts(r.parts.all(), withVerdict(suspects, Evaluate(suspects)))
+	before := r.verdicts.Load()
+	next := &verdicts{requests: make(map[Fingerprint]struct{}), parts: make(map[Fingerprint]*Combination), revision: before.revision}
+	for _, f := range Evaluate(withoutCrashesOf(suspects, combinations)) {
+		next.requests[f] = struct{}{}
 	}
-	r.quarantined.Store(&next)
-	for i := range all {
-		f := all[i].Fingerprint
-		_, was := before[f]
-		_, is := next[f]
-		c := Change{Fingerprint: f, Crashes: len(all[i].Crashes)}
+	for i := range combinations {
+		c := &combinations[i]
+		next.parts[c.Lead.Part.Fingerprint] = c
+	}
+	if !next.equals(before) {
+		next.revision++
+	}
+	r.verdicts.Store(next)
+	r.reportRequests(suspects, before, next)
+	r.reportParts(before, next)
+}
+
+// withVerdict returns the suspects with the given fingerprints.
+func withVerdict(suspects []Suspect, quarantined []Fingerprint) []Suspect {
+	var out []Suspect
+	for _, s := range suspects {
+		if slices.Contains(quarantined, s.Fingerprint) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// withoutCrashesOf returns the suspects without the crashes that combinations of parts
+// explain.
+func withoutCrashesOf(suspects []Suspect, combinations []Combination) []Suspect {
+	if len(combinations) == 0 {
+		return suspects
+	}
+	out := slices.Clone(suspects)
+	for i := range out {
+		out[i].Crashes = slices.DeleteFunc(slices.Clone(out[i].Crashes), func(id CrashID) bool {
+			return slices.ContainsFunc(combinations, func(c Combination) bool { return c.Lead.hasCrash(id) })
+		})
+	}
+	return out
+}
+
+// equals reports whether the same requests and parts are quarantined.
+func (v *verdicts) equals(other *verdicts) bool {
+	return maps.Equal(v.requests, other.requests) && maps.EqualFunc(v.parts, other.parts, func(a, b *Combination) bool {
+		return slices.Equal(a.partIDs(), b.partIDs())
+	})
+}
+
+// partIDs returns the ids of the parts, that of Lead first.
+func (c *Combination) partIDs() []uint64 {
+	var out []uint64
+	for _, s := range c.all() {
+		out = append(out, s.Part.ID)
+	}
+	slices.Sort(out[1:])
+	return out
+}
+
+func (r *Register) reportRequests(suspects []Suspect, before, next *verdicts) {
+	for i := range suspects {
+		f := suspects[i].Fingerprint
+		_, was := before.requests[f]
+		_, is := next.requests[f]
+		c := Change{Fingerprint: f, Crashes: len(suspects[i].Crashes)}
 		switch {
 		case is && !was:
 			c.Verdict, c.Reason = Quarantined, "endpoints crash whenever it runs"
@@ -239,6 +392,25 @@
 	}
 }
 
+func (r *Register) reportParts(before, next *verdicts) {
+	report := func(c *Combination, verdict Verdict, reason string) {
+		r.onChange(Change{
+			Fingerprint: c.Lead.Part.Fingerprint, Organisation: c.Lead.Organisation, Parts: c.partIDs(),
+			Verdict: verdict, Crashes: len(c.Lead.Crashes), Reason: reason,
+		})
+	}
+	for f, c := range next.parts {
+		if was := before.parts[f]; was == nil || !slices.Equal(was.partIDs(), c.partIDs()) {
+			report(c, Quarantined, "endpoints crash whenever they run a prompt with all of these parts")
+		}
+	}
+	for f, c := range before.parts {
+		if next.parts[f] == nil {
+			report(c, Released, "other parts explain the crashes, or a request with it has run to its end")
+		}
+	}
+}
+
 // Tick drops suspects that are too old or exceed maxSuspects; call it about once a
 // second.
 func (r *Register) Tick(now time.Time) {
@@ -252,18 +424,21 @@
 		}
 		table.Remove(string(all[i].Fingerprint[:]))
 		removed = true
-		if _, quarantined := (*r.quarantined.Load())[all[i].Fingerprint]; quarantined {
+		if _, quarantined := r.verdicts.Load().requests[all[i].Fingerprint]; quarantined {
 			r.onChange(Change{Fingerprint: all[i].Fingerprint, Verdict: Forgotten, Crashes: len(all[i].Crashes), Reason: "nothing was heard of it for long"})
 		}
 	}
 	r.Refresh(now)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	partsRemoved := r.parts.expire(now)
 	if removed {
-		r.mu.Lock()
-		defer r.mu.Unlock()
 		maps.DeleteFunc(r.histories, func(f Fingerprint, _ *crashHistory) bool {
 			_, held := r.get(f)
 			return !held
 		})
+	}
+	if removed || partsRemoved {
 		r.reevaluate()
 	}
 }
--- a/internal/core/quarantine/register_test.go
+++ b/internal/core/quarantine/register_test.go
@@ -21,6 +21,18 @@
 	return f
 }
 
+// whole returns a request without parts.
+func whole(f fingerprint) *quarantine.Request { return &quarantine.Request{Fingerprint: f} }
+
+// lossesOf returns the losses of requests without parts.
+func lossesOf(ran ...fingerprint) []quarantine.Loss {
+	var out []quarantine.Loss
+	for _, f := range ran {
+		out = append(out, quarantine.Loss{Request: whole(f)})
+	}
+	return out
+}
+
 // daemons is a set of registers whose nodes are linked in a line.
 type daemons struct {
 	nodes       []*node.Node
@@ -55,6 +67,9 @@
 		m.Suspects.Entries = slices.DeleteFunc(m.Suspects.Entries, func(s quarantine.Suspect) bool {
 			return !quarantine.AcceptsAge(d.now.Sub(s.UpdatedAt))
 		})
+		m.PartSuspects.Entries = slices.DeleteFunc(m.PartSuspects.Entries, func(s quarantine.PartSuspect) bool {
+			return !quarantine.AcceptsAge(d.now.Sub(s.UpdatedAt))
+		})
 		for i := range m.Suspects.Entries {
 			// The transit time of a message is not part of the age that it carries.
 			s := &m.Suspects.Entries[i]
@@ -81,11 +96,11 @@
 // crash ends an endpoint at which a daemon ran the given requests.
 func (d *daemons) crash(at int, ran ...fingerprint) {
 	d.crashes++
-	d.registers[at].Crashed(d.now, quarantine.CrashID(d.crashes), ran)
+	d.registers[at].Crashed(d.now, quarantine.CrashID(d.crashes), lossesOf(ran...))
 }
 
 func (d *daemons) quarantined(at int, f fingerprint) bool {
-	_, is := d.registers[at].Quarantined(d.now, f)
+	_, is := d.registers[at].Quarantined(d.now, whole(f))
 	return is
 }
 
@@ -123,7 +138,7 @@
 func TestCompletedRequestIsNotQuarantined(t *testing.T) {
 	d := newDaemons(3)
 	repeated := requestOf(1)
-	d.registers[2].Completed(d.now, repeated)
+	d.registers[2].Completed(d.now, whole(repeated))
 	for range 6 {
 		d.crash(0, repeated)
 	}
@@ -150,7 +165,7 @@
 	if !d.quarantined(0, f) || d.quarantined(2, f) {
 		t.Fatal("want the request quarantined at daemon 0 and not yet at daemon 2")
 	}
-	d.registers[2].Completed(d.now, f)
+	d.registers[2].Completed(d.now, whole(f))
 	d.converge()
 	for at := range 3 {
 		if d.quarantined(at, f) {
@@ -256,7 +271,7 @@
 			case "complete":
 				// The last request never completes.
 				n := rapid.IntRange(0, requests-2).Draw(t, "request")
-				d.registers[at].Completed(d.now, requestOf(n))
+				d.registers[at].Completed(d.now, whole(requestOf(n)))
 				completed[n], lastCompleted[n] = true, true
 			case "pass":
 				d.exchange(min(at, count-2))
@@ -288,11 +303,11 @@
 		d.crash(at, fatal)
 	}
 	d.converge()
-	d.registers[0].Release(d.now, d.registers[0].Entries())
+	d.registers[0].Release(d.now, d.registers[0].Entries(), nil)
 	d.converge()
 	for at := range 3 {
 		for id := 1; id <= 3; id++ {
-			d.registers[at].Crashed(d.now, quarantine.CrashID(id), []fingerprint{fatal})
+			d.registers[at].Crashed(d.now, quarantine.CrashID(id), lossesOf(fatal))
 		}
 	}
 	d.converge()
--- a/internal/core/quarantine/suspect.go
+++ b/internal/core/quarantine/suspect.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 	"slices"
 	"time"
 
@@ -21,6 +22,9 @@
 	return CrashID(h.Sum64())
 }
 
+// String returns the id in hex, as it appears in logs and records.
+func (c CrashID) String() string { return fmt.Sprintf("%016x", uint64(c)) }
+
 // maxCrashes bounds the crashes kept for one suspect. Crashes beyond the thresholds
 // of Evaluate add no information.
 const maxCrashes = 8
--- a/internal/core/record/convert.go
+++ b/internal/core/record/convert.go
@@ -74,9 +74,9 @@
 		v2Fields: []string{"reason", "requested_by", "since"},
 	},
 	port.ObjectRequestQuarantine: {
-		fields:   []fieldMapping{{v1: "requests", v2: "requests"}},
-		v1Fields: []string{"requests"},
-		v2Fields: []string{"requests"},
+		fields:   []fieldMapping{{v1: "requests", v2: "requests"}, {v1: "parts", v2: "parts"}},
+		v1Fields: []string{"requests", "parts"},
+		v2Fields: []string{"requests", "parts"},
 	},
 	port.ObjectModelDeployment: {
 		fields: []fieldMapping{
--- a/internal/core/record/schema.go
+++ b/internal/core/record/schema.go
@@ -127,14 +127,47 @@
 	Role     string   `json:"role" validate:"max=64"`
 }
 
-// MaxQuarantinedRequests is the maximum number of requests in a RequestQuarantine.
-const MaxQuarantinedRequests = 256
+// MaxQuarantinedRequests is the maximum number of requests in a RequestQuarantine, and
+// MaxQuarantinedParts that of parts.
+const (
+	MaxQuarantinedRequests = 256
+	MaxQuarantinedParts    = 256
+)
 
-// RequestQuarantine lists the requests that are not sent to endpoints, since
-// endpoints crash when they run them. The daemons maintain it; operators release
-// requests.
+// RequestQuarantine lists the requests and the parts of prompts that are not sent to
+// endpoints, since endpoints crash when they run them. The daemons maintain it;
+// operators release requests and parts.
 type RequestQuarantine struct {
 	Requests []QuarantinedRequest `json:"requests" validate:"max=256,dive"`
+	Parts    []QuarantinedPart    `json:"parts,omitempty" validate:"max=256,dive"`
+}
+
+// QuarantinedPart is one part of a prompt of a RequestQuarantine.
+type QuarantinedPart struct {
+	// Fingerprint identifies the part, its organisation, pool and model, as in the log.
+	Fingerprint string `json:"fingerprint" validate:"len=32,hexadecimal"`
+	// Part is the id of the part as callers send it.
+	Part         string `json:"part" validate:"max=16,hexadecimal"`
+	Organisation string `json:"organisation" validate:"max=128"`
+	// Companions are the beginnings of the fingerprints of the parts that all lost
+	// requests with this part had as well.
+	Companions []string    `json:"companions" validate:"max=64,dive,len=16,hexadecimal"`
+	Crashes    []PartCrash `json:"crashes" validate:"max=8,dive"`
+	// Released is set by an operator to have requests with the part sent again. The
+	// release covers the listed crashes.
+	Released bool `json:"released,omitempty"`
+}
+
+// PartCrash is one crash under requests with a part.
+type PartCrash struct {
+	// Endpoint is the id of the crash of an endpoint, Request the beginning of the
+	// fingerprint of the request whose attempt there was the youngest.
+	Endpoint string `json:"endpoint" validate:"len=16,hexadecimal"`
+	Request  string `json:"request" validate:"len=16,hexadecimal"`
+	// AfterMillis is the time since the first of the crashes, RanMillis how long the
+	// attempt had lasted.
+	AfterMillis int64 `json:"after_ms" validate:"min=0"`
+	RanMillis   int64 `json:"ran_ms" validate:"min=0"`
 }
 
 // QuarantinedRequest is one request of a RequestQuarantine.
--- a/internal/core/spread/node/link.go
+++ b/internal/core/spread/node/link.go
@@ -15,6 +15,8 @@
 	Endpoints spread.Step[membership.Endpoint]
 	Members   spread.Step[membership.Member]
 	Suspects  spread.Step[quarantine.Suspect]
+	// PartSuspects are empty at peers of a build that doesn't have them.
+	PartSuspects spread.Step[quarantine.PartSuspect]
 	// HighestVersion is the highest record version that any daemon is known to have.
 	HighestVersion uint64
 	// Complete is set if the sender has a complete set of records, and has sent all
@@ -35,7 +37,7 @@
 
 // Empty reports whether the message has no content.
 func (m *Message) Empty() bool {
-	return m.Records.Empty() && m.Endpoints.Empty() && m.Members.Empty() && m.Suspects.Empty() &&
+	return m.Records.Empty() && m.Endpoints.Empty() && m.Members.Empty() && m.Suspects.Empty() && m.PartSuspects.Empty() &&
 		m.HighestVersion == 0 && !m.Complete &&
 		len(m.Parts) == 0 && len(m.WantedParts) == 0 && !m.SupportsParts
 }
@@ -52,8 +54,11 @@
 	endpoints *spread.Exchange[membership.Endpoint]
 	members   *spread.Exchange[membership.Member]
 	suspects  *spread.Exchange[quarantine.Suspect]
-	parts     partExchange
-	wakeups   chan struct{}
+
+	partSuspects *spread.Exchange[quarantine.PartSuspect]
+
+	parts   partExchange
+	wakeups chan struct{}
 	// bucketsCompared is set once the peer's bucket digests were compared. Only
 	// then can the end that isn't the initiator have sent all that the peer
 	// lacks, so only then it may send Complete.
@@ -85,7 +90,10 @@
 		endpoints: spread.NewExchange(n.Endpoints, initiator),
 		members:   spread.NewExchange(n.Members, initiator),
 		suspects:  spread.NewExchange(n.suspects, initiator),
-		wakeups:   make(chan struct{}, 1),
+
+		partSuspects: spread.NewExchange(n.partSuspects, initiator),
+
+		wakeups: make(chan struct{}, 1),
 	}
 	n.mu.Lock()
 	n.links[l] = struct{}{}
@@ -130,7 +138,7 @@
 
 // wakeIfMore wakes the link if data remains that didn't fit into the message.
 func (l *Link) wakeIfMore() {
-	if l.records.HasMore() || l.members.HasMore() || l.suspects.HasMore() || l.parts.hasMore(l.node.bodies) || !l.endpointsPaused.Load() && l.endpoints.HasMore() {
+	if l.records.HasMore() || l.members.HasMore() || l.suspects.HasMore() || l.partSuspects.HasMore() || l.parts.hasMore(l.node.bodies) || !l.endpointsPaused.Load() && l.endpoints.HasMore() {
 		l.wake()
 	}
 }
@@ -144,6 +152,7 @@
 	l.endpoints.Tick()
 	l.members.Tick()
 	l.suspects.Tick()
+	l.partSuspects.Tick()
 	l.parts.tick(l.node.bodies)
 }
 
@@ -153,7 +162,7 @@
 	// between could make the message complete without the list's last records.
 	complete := l.node.Complete() && (l.initiator || l.bucketsCompared.Load())
 	defer l.wakeIfMore()
-	m := Message{Records: l.records.Next(), Members: l.members.Next(), Suspects: l.suspects.Next()}
+	m := Message{Records: l.records.Next(), Members: l.members.Next(), Suspects: l.suspects.Next(), PartSuspects: l.partSuspects.Next()}
 	if !l.endpointsPaused.Load() {
 		m.Endpoints = l.endpoints.Next()
 	}
@@ -183,6 +192,9 @@
 	for _, v := range l.suspects.Receive(&m.Suspects) {
 		l.node.queueForLinks(l, func(o *Link) { o.suspects.Queue(quarantine.SuspectOrder{}.Key(v)) })
 	}
+	for _, v := range l.partSuspects.Receive(&m.PartSuspects) {
+		l.node.queueForLinks(l, func(o *Link) { o.partSuspects.Queue(quarantine.PartOrder{}.Key(v)) })
+	}
 	if len(m.Records.BucketDigests) > 0 {
 		l.bucketsCompared.Store(true)
 		l.sentComplete.Store(false)
--- a/internal/core/spread/node/node.go
+++ b/internal/core/spread/node/node.go
@@ -21,6 +21,8 @@
 	Endpoints *spread.Table[membership.Endpoint]
 	Members   *spread.Table[membership.Member]
 	suspects  *spread.Table[quarantine.Suspect]
+	// partSuspects holds the parts of prompts under which endpoints have crashed.
+	partSuspects *spread.Table[quarantine.PartSuspect]
 
 	// highestHeld is the highest record version that this node has with its body,
 	// highestKnown the highest that any daemon is known to have.
@@ -48,9 +50,11 @@
 		Endpoints: membership.NewEndpointTable(),
 		Members:   membership.NewMemberTable(),
 		suspects:  quarantine.NewTable(),
-		bodies:    newBodies(),
-		links:     map[*Link]struct{}{},
-		changed:   make(chan struct{}),
+
+		partSuspects: quarantine.NewPartTable(),
+		bodies:       newBodies(),
+		links:        map[*Link]struct{}{},
+		changed:      make(chan struct{}),
 	}
 }
 
@@ -192,6 +196,19 @@
 	return changed
 }
 
+// PartSuspects returns the table of parts of prompts under which endpoints have crashed.
+func (n *Node) PartSuspects() *spread.Table[quarantine.PartSuspect] { return n.partSuspects }
+
+// PutPartSuspect merges the state of a suspected part. It queues a change for all links,
+// and reports whether there was one.
+func (n *Node) PutPartSuspect(s quarantine.PartSuspect) bool {
+	changed := n.partSuspects.Merge(s)
+	if changed {
+		n.queueForLinks(nil, func(l *Link) { l.partSuspects.Queue(quarantine.PartOrder{}.Key(s)) })
+	}
+	return changed
+}
+
 // PutMember merges a member state. It queues a change for all links, and reports
 // whether there was one.
 func (n *Node) PutMember(m membership.Member) bool {
--- a/internal/crashwatch/crashwatch.go
+++ b/internal/crashwatch/crashwatch.go
@@ -15,13 +15,12 @@
 // Quarantine tracks the requests that crash the endpoints that run them, as
 // observed by all daemons.
 type Quarantine interface {
-	// Quarantined reports whether a request must not be sent, and for how
-	// long.
-	Quarantined(now time.Time, f quarantine.Fingerprint) (remaining time.Duration, quarantined bool)
+	// Quarantined reports whether and why a request must not be sent.
+	Quarantined(now time.Time, r *quarantine.Request) (quarantine.Hold, bool)
 	// Completed records a request that ran to its end.
-	Completed(now time.Time, f quarantine.Fingerprint)
+	Completed(now time.Time, r *quarantine.Request)
 	// Crashed records the requests that ran at an endpoint when it ended.
-	Crashed(now time.Time, crash quarantine.CrashID, ran []quarantine.Fingerprint)
+	Crashed(now time.Time, crash quarantine.CrashID, lost []quarantine.Loss)
 }
 
 // Durations of the checks of an endpoint at which connections broke.
@@ -55,7 +54,7 @@
 	ConfirmEnd func(e port.Endpoint) bool
 	// OnCrash is called for an endpoint that has crashed; lost is the number
 	// of requests of this daemon that ran there.
-	OnCrash func(e port.Endpoint, reason string, lost int)
+	OnCrash func(e port.Endpoint, crash quarantine.CrashID, reason string, lost int)
 	Clock   func() time.Time
 }
 
@@ -70,9 +69,8 @@
 
 // Attempt is one tracked attempt.
 type Attempt struct {
-	endpoint    port.Endpoint
-	fingerprint quarantine.Fingerprint
-	attempt     *quarantine.Attempt
+	endpoint port.Endpoint
+	attempt  *quarantine.Attempt
 }
 
 func keyOf(e port.Endpoint) quarantine.EndpointKey {
@@ -80,8 +78,8 @@
 }
 
 // Begin starts tracking an attempt when it is sent.
-func (w *Watch) Begin(e port.Endpoint, f quarantine.Fingerprint) *Attempt {
-	return &Attempt{endpoint: e, fingerprint: f, attempt: w.attempts.Begin(w.o.Clock(), keyOf(e), f)}
+func (w *Watch) Begin(e port.Endpoint, r *quarantine.Request) *Attempt {
+	return &Attempt{endpoint: e, attempt: w.attempts.Begin(w.o.Clock(), keyOf(e), r)}
 }
 
 // End stops tracking an attempt; lost means that its connection broke. The
@@ -94,8 +92,8 @@
 	}
 	probe, ended := w.attempts.Lost(w.o.Clock(), a.attempt)
 	switch {
-	case ended:
-		w.o.Quarantine.Crashed(w.o.Clock(), crashOf(a.endpoint), []quarantine.Fingerprint{a.fingerprint})
+	case ended != nil:
+		w.o.Quarantine.Crashed(w.o.Clock(), crashOf(a.endpoint), []quarantine.Loss{*ended})
 	case probe:
 		go w.checkEndpoint(a.endpoint)
 	}
@@ -186,7 +184,7 @@
 		return false
 	}
 	if !w.o.IsLeaving(e) {
-		w.o.OnCrash(e, reason, len(lost))
+		w.o.OnCrash(e, crashOf(e), reason, len(lost))
 		w.o.Quarantine.Crashed(now, crashOf(e), lost)
 	}
 	return true
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/dragonflyrail/dragonflyrail/internal/core/quarantine"
@@ -89,30 +90,62 @@
 	return found && h.Incarnation == e.Incarnation && h.State != port.EndpointLive
 }
 
-func (g *Gateway) recordCrash(e port.Endpoint, reason string, lost int) {
+func (g *Gateway) recordCrash(e port.Endpoint, crash quarantine.CrashID, reason string, lost int) {
 	g.metrics.crashes.Inc(1)
-	g.recordChange(subjectEndpoint, e.ID, verdictCrash, fmt.Sprintf("%s; %d requests were lost with it here", reason, lost), 0)
+	g.recordChange(subjectEndpoint, e.ID, verdictCrash, fmt.Sprintf("%s; %d requests were lost with it here; crash %s", reason, lost, crash), 0)
 }
 
 // quarantineRefusal returns the refusal of a request that crashes endpoints,
 // nil for any other request.
 func (x *exchange) quarantineRefusal() *Refusal {
-	remaining, quarantined := x.g.Quarantine.Quarantined(x.g.Clock(), x.fingerprint())
+	hold, quarantined := x.g.Quarantine.Quarantined(x.g.Clock(), x.identity())
 	if !quarantined {
 		return nil
 	}
 	x.quarantined = true
-	return &Refusal{
-		Cause: CauseQuarantined, RetryAfter: remaining,
-		Detail: "endpoints crash whenever they run this request; it is not sent to any other",
+	detail := "endpoints crash whenever they run this request; it is not sent to any other"
+	if len(hold.Parts) > 0 {
+		x.crashingPart = hold.Parts[0].Fingerprint.String()
+		detail = "endpoints crash whenever they run a prompt with " + partList(hold.Parts) + "; it is not sent to any"
 	}
+	return &Refusal{Cause: CauseQuarantined, RetryAfter: hold.Remaining, Detail: detail}
 }
 
-// fingerprint returns the request's fingerprint, computed at the first call.
-func (x *exchange) fingerprint() quarantine.Fingerprint {
-	if x.print == nil {
-		f := quarantine.FingerprintOf(x.req.Admission.Organisation, x.req.Method, x.req.Host, x.req.Target, x.req.Body)
-		x.print = &f
+// partList names the parts of a combination.
+func partList(parts []quarantine.Part) string {
+	if len(parts) == 1 {
+		return "the part " + quarantine.PartName(parts[0].ID)
 	}
-	return *x.print
+	names := make([]string, 0, len(parts))
+	for _, p := range parts {
+		names = append(names, quarantine.PartName(p.ID))
+	}
+	return "the parts " + strings.Join(names, " and ")
+}
+
+// identity returns what identifies the request and the parts of its prompt, computed at
+// the first call.
+func (x *exchange) identity() *quarantine.Request {
+	if x.quarantineRequest == nil {
+		r := x.req
+		x.quarantineRequest = &quarantine.Request{
+			Fingerprint:  quarantine.FingerprintOf(r.Admission.Organisation, r.Method, r.Host, r.Target, r.Body),
+			Organisation: r.Admission.Organisation,
+			Parts:        x.sharedParts(),
+		}
+	}
+	return x.quarantineRequest
+}
+
+// sharedParts returns the parts of the prompt that other requests may have, too.
+func (x *exchange) sharedParts() []quarantine.Part {
+	if x.req.Generation == nil {
+		return nil
+	}
+	scope := quarantine.Scope{Organisation: x.req.Admission.Organisation, Pool: x.pool, Model: x.req.Generation.Model}
+	ids := make([]uint64, 0, len(x.req.Generation.Parts))
+	for _, p := range x.req.Generation.Parts {
+		ids = append(ids, p.ID)
+	}
+	return scope.Parts(ids)
 }
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -4,15 +4,22 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/dragonflyrail/dragonflyrail/internal/core/outcome"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/quarantine"
+	"github.com/dragonflyrail/dragonflyrail/internal/core/route"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 	"github.com/dragonflyrail/dragonflyrail/internal/testkit/eventually"
 )
 
+// lossOf returns the loss of a request without a prompt.
+func lossOf(f quarantine.Fingerprint) []quarantine.Loss {
+	return []quarantine.Loss{{Request: &quarantine.Request{Fingerprint: f}, At: time.Now()}}
+}
+
 // Guards against log lines that don't show whether two lost attempts were of
 // the same request.
 func TestLostAttemptsNameTheirFingerprint(t *testing.T) {
@@ -88,7 +95,7 @@
 // unrelated endpoints.
 func (b *harness) quarantineRequest(path string) {
 	for id := range quarantine.CrashID(3) {
-		b.quarantine.Crashed(time.Now(), 1000+id, []quarantine.Fingerprint{fingerprintOf(path)})
+		b.quarantine.Crashed(time.Now(), 1000+id, lossOf(fingerprintOf(path)))
 	}
 }
 
@@ -166,6 +173,58 @@
 	}
 }
 
+// quarantinePart quarantines a part of prompts by reporting three crashes.
+func (b *harness) quarantinePart(id uint64) {
+	scope := quarantine.Scope{Organisation: "o", Pool: "engines", Model: "m"}
+	now := time.Now()
+	for n := range quarantine.CrashID(3) {
+		request := &quarantine.Request{Fingerprint: fingerprintOf(fmt.Sprint("/stream/lost-", n)), Organisation: "o", Parts: scope.Parts([]uint64{id, 1})}
+		b.quarantine.Crashed(now, 2000+n, []quarantine.Loss{{Request: request, At: now.Add(time.Duration(n) * time.Second)}})
+	}
+}
+
+// Guards against sending a request, new and unlike any other, with a part that is known to crash endpoints.
+func TestRequestWithQuarantinedPartIsNotSent(t *testing.T) {
+	b := newHarness(t)
+	b.setHandlers("e", reply(200, "fine"))
+	b.quarantinePart(0xdead)
+	refusal := b.sendParts(t, "refused", "/stream/new", &fakeCaller{}, 0xf125, 0xdead, 0x77)
+	if refusal == nil || refusal.Cause != CauseQuarantined || refusal.Outcome != outcome.NotRun || refusal.RetryAfter <= time.Minute {
+		t.Fatalf("refused with %+v", refusal)
+	}
+	if !strings.Contains(refusal.Detail, "the part dead") {
+		t.Errorf("the reason does not name the part: %s", refusal.Detail)
+	}
+	lead := quarantine.Scope{Organisation: "o", Pool: "engines", Model: "m"}.Parts([]uint64{0xdead, 1})[0]
+	if got := b.lastFingerprint("refused"); got != lead.Fingerprint.String() {
+		t.Errorf("the decision has fingerprint %q, want that of the part", got)
+	}
+	if arrivals := b.backends.arrivals(); len(arrivals) != 0 {
+		t.Errorf("sent to %v", arrivals)
+	}
+	for _, parts := range [][]uint64{{0xf125, 0x77}, {0xf125, 0xdead}, nil} {
+		if refusal := b.sendParts(t, "sent", "/stream/sound", &fakeCaller{}, parts...); refusal != nil {
+			t.Errorf("parts %x, the last of which is the request's own: %+v", parts, refusal)
+		}
+	}
+}
+
+// Guards against taking an answer without a run for a sign that the parts of the prompt are harmless.
+func TestRejectedPromptDoesNotClearItsParts(t *testing.T) {
+	for status, cleared := range map[int]bool{200: true, 400: false, 500: false} {
+		b := newHarness(t)
+		b.quarantinePart(0xdead)
+		x := b.newExchange(&Request{Admission: Admission{Route: &route.Route{Targets: []route.Target{{Pool: "engines"}}}, Organisation: "o"}, Generation: &GenerationParams{
+			Model: "m", Parts: []PromptPart{{ID: 0xdead}, {ID: 1}},
+		}}, &fakeCaller{})
+		x.status = status
+		x.recordCompletion()
+		if refused := x.quarantineRefusal() != nil; refused == cleared {
+			t.Errorf("status %d: refused %v", status, refused)
+		}
+	}
+}
+
 // Guards against sending a request to a fourth endpoint after it has crashed
 // three.
 func TestRequestThatCrashesEndpointsIsQuarantined(t *testing.T) {
@@ -250,13 +309,13 @@
 func TestCompletedRequestIsNotQuarantined(t *testing.T) {
 	b := newHarness(t)
 	f := fingerprintOf("/once/unlucky")
-	b.quarantine.Crashed(time.Now(), 1, []quarantine.Fingerprint{f})
-	b.quarantine.Crashed(time.Now(), 2, []quarantine.Fingerprint{f})
+	b.quarantine.Crashed(time.Now(), 1, lossOf(f))
+	b.quarantine.Crashed(time.Now(), 2, lossOf(f))
 	b.setHandlers("s", reply(200, "fine"))
 	if refusal := b.send(t, "/once/unlucky", &fakeCaller{}); refusal != nil {
 		t.Fatal(refusal)
 	}
-	b.quarantine.Crashed(time.Now(), 3, []quarantine.Fingerprint{f})
+	b.quarantine.Crashed(time.Now(), 3, lossOf(f))
 	if refusal := b.send(t, "/once/unlucky", &fakeCaller{}); refusal != nil {
 		t.Fatal(refusal)
 	}
@@ -359,7 +418,7 @@
 	b.setPresence(port.PresenceGone)
 	b.losePool("plain")
 	e, _ := b.endpointTable.get("s0")
-	a := b.crashWatch.Begin(e.Endpoint, quarantine.Fingerprint{})
+	a := b.crashWatch.Begin(e.Endpoint, &quarantine.Request{})
 	b.crashWatch.End(a, true)
 	eventually.True(t, "it is down", func() bool { return b.crashWatch.IsDown(e.Endpoint) })
 	for began := time.Now(); time.Since(began) < 6*time.Second; time.Sleep(50 * time.Millisecond) {
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -153,7 +153,7 @@
 		r.x.endpoint = at.ID
 		r.x.g.crashWatch.End(r.p.watched, false)
 		r.p.endpoint = at
-		r.p.watched = r.x.g.crashWatch.Begin(at, r.x.fingerprint())
+		r.p.watched = r.x.g.crashWatch.Begin(at, r.x.identity())
 		r.x.delivered.Runners++
 		r.x.release(r.run.setSource(at, next.Body))
 		return next
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -1,9 +1,9 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/dragonflyrail/dragonflyrail/internal/core/outcome"
@@ -62,8 +62,10 @@
 	// relayedFrom is the id of the daemon that passed the request on, empty if it came
 	// from a caller.
 	relayedFrom string
-	// print caches the fingerprint, which the method fingerprint computes.
-	print *quarantine.Fingerprint
+	// crashingPart is the fingerprint of the part of the prompt that it is not sent for.
+	crashingPart string
+	// quarantineRequest caches the result of the method identity.
+	quarantineRequest *quarantine.Request
 }
 
 // Serve answers one request. It returns nil once the caller has received the
@@ -170,9 +172,15 @@
 // recordCompletion informs the quarantine that the request ran to its end
 // without crashing its endpoint.
 func (x *exchange) recordCompletion() {
-	if x.status < http.StatusInternalServerError {
-		x.g.Quarantine.Completed(x.g.Clock(), x.fingerprint())
+	if x.status >= http.StatusInternalServerError {
+		return
 	}
+	request := *x.identity()
+	if x.status/100 != 2 {
+		// No answer was begun on the prompt.
+		request.Parts = nil
+	}
+	x.g.Quarantine.Completed(x.g.Clock(), &request)
 }
 
 // refuseOrDeliverFailure ends the request after its last attempt. If an
@@ -262,7 +270,7 @@
 		d.Delivered = x.delivered
 	}
 	if x.connectionLost || x.quarantined {
-		d.Fingerprint = x.fingerprint().String()
+		d.Fingerprint = cmp.Or(x.crashingPart, x.identity().Fingerprint.String())
 		d.Parts = x.partNames()
 	}
 	x.decision = x.g.recordDecision(d)
@@ -291,7 +299,7 @@
 	parts := x.req.Generation.Parts
 	var names []string
 	for _, p := range parts[:min(len(parts), maxLoggedParts)] {
-		names = append(names, strconv.FormatUint(p.ID, 16))
+		names = append(names, quarantine.PartName(p.ID))
 	}
 	return names
 }
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -176,7 +176,7 @@
 // beginAttempt informs the crash watch and the breakers that an attempt begins.
 func (x *exchange) beginAttempt(p *placement) {
 	x.inFlight = p
-	p.watched = x.g.crashWatch.Begin(p.endpoint, x.fingerprint())
+	p.watched = x.g.crashWatch.Begin(p.endpoint, x.identity())
 	if !p.generation {
 		x.g.breakers.Begin(x.g.Clock(), p.endpoint.ID)
 		x.g.refusals.Begin(x.g.Clock(), p.endpoint.ID)
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -178,9 +178,9 @@
 	b, net := newRelayHarness(t, 1)
 	pass, _ := b.Admit("h", "/once/", "aa")
 	req := &Request{ID: "q", Method: "POST", Target: "/once/", Host: "h", Admission: pass, Arrived: time.Now(), CallerTimeout: time.Minute}
-	f := b.newExchange(req, &fakeCaller{}).fingerprint()
+	f := b.newExchange(req, &fakeCaller{}).identity().Fingerprint
 	for crash := range quarantine.CrashID(3) {
-		b.quarantine.Crashed(time.Now(), crash+1, []quarantine.Fingerprint{f})
+		b.quarantine.Crashed(time.Now(), crash+1, lossOf(f))
 	}
 	if refusal := b.Serve(t.Context(), req, &fakeCaller{}); refusal == nil || refusal.Cause != CauseQuarantined || len(net.asked) != 0 {
 		t.Fatalf("%+v, asked %v", refusal, net.asked)
--- a/internal/keeper/quarantine.go
+++ b/internal/keeper/quarantine.go
@@ -20,8 +20,8 @@
 	quarantineRetryMax = 30 * time.Second
 )
 
-// Quarantine returns the register of requests that crash the endpoints that run
-// them.
+// Quarantine returns the register of requests and parts of prompts that crash the
+// endpoints that run them.
 func (k *Keeper) Quarantine() *quarantine.Register { return k.quarantine }
 
 // syncQuarantine applies other daemons' reports of such requests, and stores
@@ -59,8 +59,8 @@
 			Uint64("version", r.Version).Err(err).Msg("")
 		return r.Version
 	}
-	k.quarantine.Restore(now, held)
-	k.quarantine.Release(now, released)
+	k.quarantine.Restore(now, held.Requests, held.Parts)
+	k.quarantine.Release(now, released.Requests, released.Parts)
 	return r.Version
 }
 
@@ -91,10 +91,10 @@
 	if k.memberView().watcherIndex != 0 || !k.Ready() || k.duty.Status().Failing() || now.Before(w.next) {
 		return
 	}
-	quarantined := k.quarantine.Entries()
+	quarantined := record.Quarantined{Requests: k.quarantine.Entries(), Parts: k.quarantine.PartEntries()}
 	held, known := k.Record(port.ObjectRequestQuarantine, record.QuarantineName)
 	known = known && !held.Deleted
-	if known && record.QuarantineUpToDate(held, quarantined) || !known && len(quarantined) == 0 {
+	if known && record.QuarantineUpToDate(held, quarantined) || !known && quarantined.IsEmpty() {
 		return
 	}
 	_, err := k.Change(ctx, &Change{
@@ -109,10 +109,18 @@
 	w.next = now.Add(w.retry)
 }
 
-// logQuarantineChange logs a decision about a request's fingerprint.
+// logQuarantineChange logs a decision about the fingerprint of a request or a part.
 func (k *Keeper) logQuarantineChange(c quarantine.Change) {
 	k.recordDecision(&port.DecisionRecord{
 		Subject: "fingerprint", SubjectID: c.Fingerprint.String(), Verdict: string(c.Verdict),
-		Reason: c.Reason, Crashes: c.Crashes,
+		Reason: c.Reason, Crashes: c.Crashes, Organisation: c.Organisation, Parts: partNames(c.Parts),
 	})
 }
+
+func partNames(ids []uint64) []string {
+	var out []string
+	for _, id := range ids {
+		out = append(out, quarantine.PartName(id))
+	}
+	return out
+}
--- a/internal/router/crashes.go
+++ b/internal/router/crashes.go
@@ -38,23 +38,23 @@
 	return false
 }
 
-func (r *Router) recordCrash(e port.Endpoint, reason string, lost int) {
+func (r *Router) recordCrash(e port.Endpoint, crash quarantine.CrashID, reason string, lost int) {
 	r.metrics.crashes.Inc(1)
 	r.recordDecision(&port.DecisionRecord{
 		Subject: "endpoint", SubjectID: e.ID, Verdict: "crash", Endpoint: e.ID,
-		Reason: fmt.Sprintf("%s; %d requests were lost with it here", reason, lost),
+		Reason: fmt.Sprintf("%s; %d requests were lost with it here; crash %s", reason, lost, crash),
 	})
 }
 
 // quarantineRefusal returns the refusal of a request that crashes endpoints, or nil
 // for any other request.
 func (r *Router) quarantineRefusal(f quarantine.Fingerprint) *Refusal {
-	remaining, quarantined := r.Quarantine.Quarantined(r.Clock(), f)
+	hold, quarantined := r.Quarantine.Quarantined(r.Clock(), &quarantine.Request{Fingerprint: f})
 	if !quarantined {
 		return nil
 	}
 	return &Refusal{
-		Cause: CauseQuarantined, RetryAfter: remaining, LastIndex: -1,
+		Cause: CauseQuarantined, RetryAfter: hold.Remaining, LastIndex: -1,
 		Detail: "endpoints crash whenever they run this request; it is not sent to any other",
 	}
 }
--- a/internal/router/crashes_test.go
+++ b/internal/router/crashes_test.go
@@ -12,6 +12,11 @@
 	"github.com/dragonflyrail/dragonflyrail/internal/testkit/fakes"
 )
 
+// lossOf returns the loss of a request without a prompt.
+func lossOf(f quarantine.Fingerprint) []quarantine.Loss {
+	return []quarantine.Loss{{Request: &quarantine.Request{Fingerprint: f}, At: time.Now()}}
+}
+
 // Guards against a generation that crashes one engine after the other.
 func TestGenerationCrashingEnginesIsQuarantined(t *testing.T) {
 	b := newFixture(testOptions("r1"), runner("e1"), runner("e2"), runner("e3"), runner("e4"))
@@ -91,7 +96,7 @@
 func (b *fixture) quarantineRequest() {
 	f := (&GenerationRequest{Organisation: "kegsetu", Model: "m", Prompt: "p"}).crashFingerprint()
 	for id := range quarantine.CrashID(3) {
-		b.quarantine.Crashed(time.Now(), 1000+id, []quarantine.Fingerprint{f})
+		b.quarantine.Crashed(time.Now(), 1000+id, lossOf(f))
 	}
 }
 
--- a/internal/router/generate.go
+++ b/internal/router/generate.go
@@ -106,7 +106,7 @@
 		}
 		g.runAttempt(ctx, &decision)
 		if g.lastResult.outcome == stream.OutcomeDone {
-			g.r.Quarantine.Completed(g.r.Clock(), g.print)
+			g.r.Quarantine.Completed(g.r.Clock(), &quarantine.Request{Fingerprint: g.print})
 			g.finish(outcome.Done, g.lastResult.reason)
 			return nil
 		}
@@ -226,7 +226,7 @@
 			MaxTokens: g.req.MaxTokens, Priority: d.Priority, User: g.req.User,
 		},
 	}
-	watched := r.crashWatch.Begin(d.Endpoint, g.print)
+	watched := r.crashWatch.Begin(d.Endpoint, &quarantine.Request{Fingerprint: g.print})
 	g.lastResult = a.run(ctx)
 	r.crashWatch.End(watched, ctx.Err() == nil && mayHaveCrashed(g.lastResult.outcome))
 	g.ledger.Add(g.lastResult.outcome, g.machine.Delivered())
--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -201,7 +201,7 @@
 // endpoint. A reply with a server error doesn't count.
 func (c *call) recordCompletion(reply *ServiceReply) {
 	if reply.Status < http.StatusInternalServerError {
-		c.r.Quarantine.Completed(c.r.Clock(), c.print)
+		c.r.Quarantine.Completed(c.r.Clock(), &quarantine.Request{Fingerprint: c.print})
 	}
 }
 
@@ -277,7 +277,7 @@
 	r.breakers.Begin(start, e.ID)
 	defer r.balancer.End(e.ID)
 	callCtx, cancel := context.WithTimeout(ctx, r.o.ServiceTimeout)
-	watched := r.crashWatch.Begin(e, c.print)
+	watched := r.crashWatch.Begin(e, &quarantine.Request{Fingerprint: c.print})
 	reply, err := r.Services.Call(callCtx, e, c.req)
 	if err == nil {
 		err = reply.readBody(cancel)
--- a/test/crashing_test.go
+++ b/test/crashing_test.go
@@ -94,6 +94,58 @@
 	background.Wait()
 }
 
+// Guards against losing the quarantine of a part when all daemons are killed, and against an operator who can neither see it nor release it.
+func TestQuarantinedPartSurvivesRestartAndIsReleased(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, func(l *testfleet.Layout) { l.Engines = 6 })
+	ctx, stop := context.WithCancel(testContext(t))
+	defer stop()
+	var background sync.WaitGroup
+	background.Go(func() { f.Respawn(ctx, time.Second) })
+	n := 0
+	send := func() *testfleet.Answer {
+		n++
+		id := fmt.Sprint(crashingPrefix, n)
+		return f.caller.Ask(testContext(t), f.Daemons[n%len(f.Daemons)].Callers, &testfleet.Request{
+			ID: id, Kind: testfleet.Generation, Events: 3, Path: "/stream/" + id, Prefix: partsOf(id, standin.CrashPart),
+		})
+	}
+	procs.Until(t, "the store has the quarantined part", func() bool {
+		_ = send()
+		time.Sleep(200 * time.Millisecond)
+		return bytes.Contains(f.quarantineRecord(), []byte(`"part": "`+standin.CrashPart+`"`))
+	})
+	for _, d := range f.Daemons {
+		d.Kill()
+	}
+	for _, d := range f.Daemons {
+		if err := f.StartDaemon(d); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, d := range f.Daemons {
+		f.waitServing(d)
+		procs.Until(t, d.ID+" quarantines the part", func() bool { return bytes.Contains(d.Log(), []byte(`"verdict":"quarantine"`)) })
+	}
+	before := len(f.runsOf(crashingPrefix))
+	if a := send(); !a.NotRun || a.RetryAfter <= 0 {
+		t.Fatalf("after the restart: %d, %v", a.Status, a.Err)
+	}
+	f.checkCtlOutput("with the part", "why", "request", fmt.Sprint(crashingPrefix, n))
+	file := filepath.Join(t.TempDir(), "release.json")
+	released := bytes.ReplaceAll(f.quarantineRecord(), []byte(`"part":`), []byte(`"released": true, "part":`))
+	if err := os.WriteFile(file, released, 0o644); err != nil {
+		t.Fatal(err)
+	}
+	f.checkCtlOutput("request-quarantines", "apply", "--file", file)
+	procs.Until(t, "the part is sent again", func() bool {
+		_ = send()
+		return len(f.runsOf(crashingPrefix)) > before
+	})
+	stop()
+	background.Wait()
+}
+
 // checkRefusalExplained checks that an operator can find the fingerprint of a
 // refused request by its id, and the crashed endpoints by the fingerprint.
 func (f *fleetTest) checkRefusalExplained(t *testing.T) {
