Requests that wait at an endpoint are withdrawn when they are quarantined

The verdict was looked up before a request is sent only; one that waited in a runner's queue by then crashed it when it began.

--- a/internal/crashwatch/crashwatch.go
+++ b/internal/crashwatch/crashwatch.go
@@ -17,6 +17,8 @@
 type Quarantine interface {
 	// Quarantined reports whether and why a request must not be sent.
 	Quarantined(now time.Time, r *quarantine.Request) (quarantine.Hold, bool)
+	// Revision returns a number that increases whenever what is quarantined changes.
+	Revision() uint64
 	// Completed records a request that ran to its end.
 	Completed(now time.Time, r *quarantine.Request)
 	// Crashed records the requests that ran at an endpoint when it ended.
@@ -62,6 +64,7 @@
 type Watch struct {
 	o        Options
 	attempts *quarantine.Attempts
+	waiting  waiting
 }
 
 // New returns a Watch that tracks no attempts yet.
@@ -70,22 +73,34 @@
 // Attempt is one tracked attempt.
 type Attempt struct {
 	endpoint port.Endpoint
+	request  *quarantine.Request
 	attempt  *quarantine.Attempt
+	withdraw func()
 }
 
 func keyOf(e port.Endpoint) quarantine.EndpointKey {
 	return quarantine.EndpointKey{ID: e.ID, Incarnation: e.Incarnation}
 }
 
-// Begin starts tracking an attempt when it is sent.
-func (w *Watch) Begin(e port.Endpoint, r *quarantine.Request) *Attempt {
-	return &Attempt{endpoint: e, attempt: w.attempts.Begin(w.o.Clock(), keyOf(e), r)}
+// Begin starts tracking an attempt when it is sent. withdraw is called if the request is
+// quarantined before Answering or End is called; nil if the attempt can't be withdrawn.
+func (w *Watch) Begin(e port.Endpoint, r *quarantine.Request, withdraw func()) *Attempt {
+	a := &Attempt{endpoint: e, request: r, attempt: w.attempts.Begin(w.o.Clock(), keyOf(e), r), withdraw: withdraw}
+	if withdraw != nil {
+		w.waiting.add(a)
+	}
+	return a
 }
 
+// Answering records that the endpoint has begun the answer of an attempt, which is not
+// withdrawn any more.
+func (w *Watch) Answering(a *Attempt) { w.waiting.remove(a) }
+
 // End stops tracking an attempt; lost means that its connection broke. The
 // endpoint of a lost attempt is then checked in the background, unless a check
 // is running or it is known to have ended.
 func (w *Watch) End(a *Attempt, lost bool) {
+	w.waiting.remove(a)
 	if !lost {
 		w.attempts.End(a.attempt)
 		return
@@ -99,8 +114,13 @@
 	}
 }
 
-// Tick drops endpoints that ended some time ago.
-func (w *Watch) Tick() { w.attempts.Tick(w.o.Clock()) }
+// Tick drops endpoints that ended some time ago, and withdraws attempts whose requests
+// have been quarantined since.
+func (w *Watch) Tick() {
+	now := w.o.Clock()
+	w.attempts.Tick(now)
+	w.waiting.withdrawQuarantined(now, w.o.Quarantine)
+}
 
 // IsDown reports whether nobody has answered the checks of an endpoint since a
 // connection to it broke. It stays down for some seconds after its end.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -32,7 +32,9 @@
 
 // attempt sends the request to one endpoint and relays its answer.
 func (x *exchange) attempt(ctx context.Context, p *placement) stream.RunOutcome {
-	x.beginAttempt(p)
+	ctx, withdraw := context.WithCancelCause(ctx)
+	defer withdraw(nil)
+	x.beginAttempt(p, func() { withdraw(errWithdrawn) })
 	began := x.g.Clock()
 	stopCheck := x.checkPathIfSilent(p)
 	answer, err := x.send(ctx, x.outbound(p))
@@ -48,9 +50,22 @@
 	if answer.Status == http.StatusOK && eventstream.IsEventStream(answer.Header.Get("Content-Type")) {
 		return x.relayEvents(ctx, p, answer)
 	}
+	x.g.crashWatch.Answering(p.watched)
 	return x.relayBody(ctx, p, answer, began)
 }
 
+// errWithdrawn is the cause of the cancellation of an attempt whose request was
+// quarantined before the endpoint began to answer.
+var errWithdrawn = merry.Sentinel("gateway: the request was quarantined while it waited at the endpoint")
+
+// recordIfWithdrawn sets the cause of the request's end if its attempt was withdrawn.
+func (x *exchange) recordIfWithdrawn(ctx context.Context) {
+	if errors.Is(context.Cause(ctx), errWithdrawn) {
+		x.cause, x.reason = CauseQuarantined, errWithdrawn.Error()
+		x.quarantined = true
+	}
+}
+
 // send sends a request once and evaluates the rate limit and the coldness that
 // the endpoint reports with its answer.
 func (x *exchange) send(ctx context.Context, out *port.Exchange) (*port.Answer, error) {
@@ -130,6 +145,7 @@
 		x.g.paths.RequestCheck(x.g.Clock(), p.endpoint.ID, p.endpoint.Pool, true)
 	}
 	x.reason = withCause(err)
+	x.recordIfWithdrawn(ctx)
 	x.g.metrics.attemptFailed(name)
 	x.endAttempt(p, kind)
 	return fate
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -209,6 +209,34 @@
 	}
 }
 
+// Guards against requests that wait at a runner when their part is quarantined, and crash it when they begin.
+func TestWaitingRequestIsWithdrawnWhenItsPartIsQuarantined(t *testing.T) {
+	b := newHarness(t)
+	b.backends.silent = map[string]bool{"e0": true, "e1": true, "e2": true}
+	refusals := make(chan *Refusal, 1)
+	go func() { refusals <- b.sendParts(t, "waiting", "/stream/waiting", &fakeCaller{}, 0xdead, 0x77) }()
+	sound := make(chan *Refusal, 1)
+	ctx, leave := context.WithCancel(t.Context())
+	go func() { sound <- b.sendPartsUntil(ctx, t, "sound", "/stream/sound", &fakeCaller{}, 0xf125, 0x78) }()
+	eventually.True(t, "both are sent", func() bool { return len(b.backends.arrivals()) == 2 })
+	b.quarantinePart(0xdead)
+	b.crashWatch.Tick()
+	refusal := <-refusals
+	if refusal == nil || refusal.Cause != CauseQuarantined || refusal.Outcome != outcome.Unknown {
+		t.Errorf("the waiting request: %+v", refusal)
+	}
+	select {
+	case refusal := <-sound:
+		t.Errorf("a request without the part: %+v", refusal)
+	case <-time.After(100 * time.Millisecond):
+	}
+	leave()
+	<-sound
+	if n := b.crashWatch.PendingChecks(); n > 0 {
+		t.Errorf("%d endpoints are checked for the end of a withdrawn request", n)
+	}
+}
+
 // Guards against taking an answer without a run for a sign that the parts of the prompt are harmless.
 func TestRejectedPromptDoesNotClearItsParts(t *testing.T) {
 	for status, cleared := range map[int]bool{200: true, 400: false, 500: false} {
@@ -418,7 +446,7 @@
 	b.setPresence(port.PresenceGone)
 	b.losePool("plain")
 	e, _ := b.endpointTable.get("s0")
-	a := b.crashWatch.Begin(e.Endpoint, &quarantine.Request{})
+	a := b.crashWatch.Begin(e.Endpoint, &quarantine.Request{}, nil)
 	b.crashWatch.End(a, true)
 	eventually.True(t, "it is down", func() bool { return b.crashWatch.IsDown(e.Endpoint) })
 	for began := time.Now(); time.Since(began) < 6*time.Second; time.Sleep(50 * time.Millisecond) {
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -67,6 +67,7 @@
 	x := r.x
 	first := !x.responseStarted
 	if first {
+		x.g.crashWatch.Answering(r.p.watched)
 		observe(x.g.metrics.firstEvent, x.g.Clock().Sub(x.req.Arrived))
 		if err := x.beginAnswer(a); err != nil {
 			return err
@@ -153,7 +154,7 @@
 		r.x.endpoint = at.ID
 		r.x.g.crashWatch.End(r.p.watched, false)
 		r.p.endpoint = at
-		r.p.watched = r.x.g.crashWatch.Begin(at, r.x.identity())
+		r.p.watched = r.x.g.crashWatch.Begin(at, r.x.identity(), nil)
 		r.x.delivered.Runners++
 		r.x.release(r.run.setSource(at, next.Body))
 		return next
@@ -187,6 +188,7 @@
 	if !errors.Is(err, io.EOF) || ctx.Err() != nil {
 		x.reason = "the stream broke off: " + err.Error()
 		x.connectionLost = ctx.Err() == nil
+		x.recordIfWithdrawn(ctx)
 		x.g.metrics.attemptFailed("cut")
 		x.endAttempt(p, finishKind(ctx, port.FinishFailed))
 		if x.responseStarted {
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/phuslu/log"
 
 	"github.com/dragonflyrail/dragonflyrail/internal/core/breaker"
@@ -35,6 +36,8 @@
 	// copyHandler answers copies of runs.
 	copyHandler func(from port.Endpoint, to port.Endpoint, stop bool) (port.Copy, error)
 	sent        []port.Exchange
+	// silent endpoints receive requests and never answer them.
+	silent map[string]bool
 	// presence is the result of probing an endpoint, by id; others are serving.
 	presence map[string]port.Presence
 	// onCheck is called with each endpoint whose presence is checked.
@@ -48,7 +51,12 @@
 	e.mu.Lock()
 	e.sent = append(e.sent, *x)
 	answer := e.handlers[x.Endpoint.ID]
+	silent := e.silent[x.Endpoint.ID]
 	e.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return nil, merry.Wrap(port.ErrEndpointLost, merry.WithCause(ctx.Err()))
+	}
 	if answer == nil {
 		return nil, port.ErrNotSent
 	}
@@ -432,6 +440,12 @@
 // sendParts sends a request whose prompt consists of the given parts, if it is a
 // generation.
 func (b *harness) sendParts(t *testing.T, id, path string, c *fakeCaller, parts ...uint64) *Refusal {
+	t.Helper()
+	return b.sendPartsUntil(t.Context(), t, id, path, c, parts...)
+}
+
+// sendPartsUntil is sendParts for a caller that leaves when the context ends.
+func (b *harness) sendPartsUntil(ctx context.Context, t *testing.T, id, path string, c *fakeCaller, parts ...uint64) *Refusal {
 	t.Helper()
 	pass, refusal := b.Admit("h", path, "aa")
 	if refusal != nil {
@@ -447,5 +461,5 @@
 			req.Generation.Parts = append(req.Generation.Parts, PromptPart{ID: id, Tokens: 100})
 		}
 	}
-	return b.Serve(t.Context(), req, c)
+	return b.Serve(ctx, req, c)
 }
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -173,10 +173,11 @@
 	return &Refusal{Cause: CauseNoEndpoint, Detail: "no endpoint that answers in pool " + x.pool, RetryAfter: retrySoon}
 }
 
-// beginAttempt informs the crash watch and the breakers that an attempt begins.
-func (x *exchange) beginAttempt(p *placement) {
+// beginAttempt informs the crash watch and the breakers that an attempt begins. withdraw
+// cancels it.
+func (x *exchange) beginAttempt(p *placement, withdraw func()) {
 	x.inFlight = p
-	p.watched = x.g.crashWatch.Begin(p.endpoint, x.identity())
+	p.watched = x.g.crashWatch.Begin(p.endpoint, x.identity(), withdraw)
 	if !p.generation {
 		x.g.breakers.Begin(x.g.Clock(), p.endpoint.ID)
 		x.g.refusals.Begin(x.g.Clock(), p.endpoint.ID)
--- a/internal/router/generate.go
+++ b/internal/router/generate.go
@@ -226,7 +226,7 @@
 			MaxTokens: g.req.MaxTokens, Priority: d.Priority, User: g.req.User,
 		},
 	}
-	watched := r.crashWatch.Begin(d.Endpoint, &quarantine.Request{Fingerprint: g.print})
+	watched := r.crashWatch.Begin(d.Endpoint, &quarantine.Request{Fingerprint: g.print}, nil)
 	g.lastResult = a.run(ctx)
 	r.crashWatch.End(watched, ctx.Err() == nil && mayHaveCrashed(g.lastResult.outcome))
 	g.ledger.Add(g.lastResult.outcome, g.machine.Delivered())
--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -277,7 +277,7 @@
 	r.breakers.Begin(start, e.ID)
 	defer r.balancer.End(e.ID)
 	callCtx, cancel := context.WithTimeout(ctx, r.o.ServiceTimeout)
-	watched := r.crashWatch.Begin(e, &quarantine.Request{Fingerprint: c.print})
+	watched := r.crashWatch.Begin(e, &quarantine.Request{Fingerprint: c.print}, nil)
 	reply, err := r.Services.Call(callCtx, e, c.req)
 	if err == nil {
 		err = reply.readBody(cancel)
