An answer that ends with its connection is whole only if its endpoint runs on

What callers saw: the beginning of a stream, passed on as a whole answer, when a runner crashed whose answers have neither a length nor chunks. The end of the connection was taken for the end of the answer, and for a run to its end, which cleared the request and its parts. Change: after such an answer the endpoint is checked as after a lost connection, and the end of the answer waits for the verdict, 1.2 s at most; checks of one endpoint are shared, and a check that began before the connection ended doesn't count. If the endpoint has ended, the answer has broken off. An endpoint that leaves may end after its last answer; one that is silent is no sign, but clears nothing.

--- a/internal/core/quarantine/attempts.go
+++ b/internal/core/quarantine/attempts.go
@@ -31,7 +31,7 @@
 type endpointAttempts struct {
 	open map[*Attempt]struct{}
 	// lost are the attempts whose connection broke for an unknown reason so far.
-	lost []Loss
+	lost []lostAttempt
 	// probing is set while a caller finds out whether the endpoint has ended.
 	probing bool
 	// down is set from the first probe that nobody answered until a probe is answered
@@ -41,6 +41,19 @@
 	endedAt time.Time
 }
 
+// lostAttempt is an attempt whose connection broke.
+type lostAttempt struct {
+	Loss
+	// onVerdict is called once it is known whether the endpoint has ended; it may be nil.
+	onVerdict func(ended bool)
+}
+
+func (l *lostAttempt) decide(ended bool) {
+	if l.onVerdict != nil {
+		l.onVerdict(ended)
+	}
+}
+
 // Attempt is one attempt in flight.
 type Attempt struct {
 	request  *Request
@@ -96,12 +109,16 @@
 
 // Lost records that the connection of an attempt broke. If probe is set, the caller
 // must find out whether the endpoint has ended, and call Ended or Alive. If ended is not
-// nil, the endpoint is already known to have ended.
-func (f *Attempts) Lost(now time.Time, flight *Attempt) (probe bool, ended *Loss) {
+// nil, the endpoint is already known to have ended. Otherwise onVerdict, unless it is nil,
+// is called once that is known; it must not block, nor call the Attempts.
+func (f *Attempts) Lost(now time.Time, flight *Attempt, onVerdict func(ended bool)) (probe bool, ended *Loss) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	at := f.end(flight)
 	if at == nil {
+		if onVerdict != nil {
+			onVerdict(false)
+		}
 		return false, nil
 	}
 	if !at.endedAt.IsZero() && now.Sub(at.endedAt) < endedRetention {
@@ -110,7 +127,7 @@
 	}
 	// end removes the endpoint when this was its last open attempt.
 	f.endpoints[flight.endpoint] = at
-	at.lost = append(at.lost, flight.lostAt(now))
+	at.lost = append(at.lost, lostAttempt{Loss: flight.lostAt(now), onVerdict: onVerdict})
 	probe = !at.probing
 	at.probing = true
 	return probe, nil
@@ -156,17 +173,27 @@
 	attempts.down = down
 }
 
-// Alive records that an endpoint still runs after the losses so far.
-func (f *Attempts) Alive(e EndpointKey) {
+// Alive records that an endpoint ran at a time, after the losses up to then. It reports
+// whether there are no later ones; otherwise the caller must probe again.
+func (f *Attempts) Alive(at time.Time, e EndpointKey) (settled bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	attempts := f.endpoints[e]
 	if attempts == nil {
-		return
+		return true
 	}
-	attempts.lost, attempts.probing = nil, false
 	f.setDown(attempts, false)
+	var later []lostAttempt
+	for i := range attempts.lost {
+		if attempts.lost[i].At.After(at) {
+			later = append(later, attempts.lost[i])
+			continue
+		}
+		attempts.lost[i].decide(false)
+	}
+	attempts.lost, attempts.probing = later, len(later) > 0
 	f.dropIfEmpty(e, attempts)
+	return len(later) == 0
 }
 
 // Ended records that an endpoint was found to have ended, and returns the requests
@@ -183,7 +210,10 @@
 	if attempts.hasOpenBefore(attempts.lost[0].At) {
 		return nil, true
 	}
-	lost = attempts.lost
+	for i := range attempts.lost {
+		lost = append(lost, attempts.lost[i].Loss)
+		attempts.lost[i].decide(true)
+	}
 	attempts.lost, attempts.probing, attempts.endedAt = nil, false, now
 	return lost, false
 }
--- a/internal/core/quarantine/attempts_test.go
+++ b/internal/core/quarantine/attempts_test.go
@@ -24,13 +24,13 @@
 	e := EndpointKey{ID: "e", Incarnation: 1}
 	first, second, late := f.Begin(now, e, requestWith(1)), f.Begin(now, e, requestWith(2)), f.Begin(now.Add(time.Second), e, requestWith(3))
 	now = now.Add(2 * time.Second)
-	if probe, ended := f.Lost(now, first); !probe || ended != nil {
+	if probe, ended := f.Lost(now, first, nil); !probe || ended != nil {
 		t.Fatalf("first loss: probe %v, ended %v", probe, ended)
 	}
 	if _, uncertain := f.Ended(now, e); !uncertain {
 		t.Fatal("the end is not uncertain although an older attempt is still open")
 	}
-	if probe, ended := f.Lost(now, second); probe || ended != nil {
+	if probe, ended := f.Lost(now, second, nil); probe || ended != nil {
 		t.Fatalf("second loss: probe %v, ended %v", probe, ended)
 	}
 	f.End(late)
@@ -39,7 +39,7 @@
 		t.Fatalf("lost %v, uncertain %v", lost, uncertain)
 	}
 	after := f.Begin(now, e, requestWith(4))
-	if probe, ended := f.Lost(now.Add(time.Second), after); probe || ended == nil {
+	if probe, ended := f.Lost(now.Add(time.Second), after, nil); probe || ended == nil {
 		t.Fatalf("loss after the end: probe %v, ended %v", probe, ended)
 	}
 }
@@ -48,9 +48,9 @@
 func TestLossAtLiveEndpointIsDropped(t *testing.T) {
 	f, now := NewAttempts(), time.Unix(1000, 0)
 	e := EndpointKey{ID: "e", Incarnation: 1}
-	f.Lost(now, f.Begin(now, e, requestWith(1)))
-	f.Alive(e)
-	probe, _ := f.Lost(now.Add(time.Second), f.Begin(now, e, requestWith(2)))
+	f.Lost(now, f.Begin(now, e, requestWith(1)), nil)
+	f.Alive(now, e)
+	probe, _ := f.Lost(now.Add(time.Second), f.Begin(now, e, requestWith(2)), nil)
 	lost, _ := f.Ended(now.Add(time.Second), e)
 	if !probe || !slices.Equal(fingerprintsOf(lost), []Fingerprint{fingerprint(2)}) {
 		t.Fatalf("probe %v, lost %v", probe, lost)
@@ -85,7 +85,7 @@
 				f.End(flight)
 			case event == "lose" && len(open) > 0:
 				flight := takeOpen()
-				probe, ended := f.Lost(now, flight)
+				probe, ended := f.Lost(now, flight, nil)
 				unexplained = append(unexplained, flight.request.Fingerprint)
 				if probe == probing || ended != nil {
 					t.Fatalf("probe %v with a probe under way: %v, ended %v", probe, probing, ended)
@@ -101,14 +101,14 @@
 				}
 				probing, unexplained = false, nil
 			case event == "alive" && probing:
-				f.Alive(e)
+				f.Alive(now, e)
 				probing, unexplained = false, nil
 			}
 		}
 		for len(open) > 0 {
 			f.End(takeOpen())
 		}
-		f.Alive(e)
+		f.Alive(now, e)
 		f.Tick(now.Add(time.Minute))
 		if len(f.endpoints) > 0 {
 			t.Fatalf("%d endpoints are still tracked", len(f.endpoints))
--- a/internal/crashwatch/crashwatch.go
+++ b/internal/crashwatch/crashwatch.go
@@ -105,13 +105,50 @@
 		w.attempts.End(a.attempt)
 		return
 	}
-	probe, ended := w.attempts.Lost(w.o.Clock(), a.attempt)
+	w.endLost(a, nil)
+}
+
+// endLost ends a lost attempt and reports whether its endpoint is known to have ended. If
+// it isn't, onVerdict is called once that is known, unless it is nil.
+func (w *Watch) endLost(a *Attempt, onVerdict func(ended bool)) (hasEnded bool) {
+	probe, ended := w.attempts.Lost(w.o.Clock(), a.attempt, onVerdict)
 	switch {
 	case ended != nil:
 		w.o.Quarantine.Crashed(w.o.Clock(), crashOf(a.endpoint), []quarantine.Loss{*ended})
 	case probe:
 		go w.checkEndpoint(a.endpoint)
 	}
+	return ended != nil
+}
+
+// maxVerdictWait bounds the wait for the checks of an endpoint after an answer that ended
+// with its connection.
+const maxVerdictWait = 1200 * time.Millisecond
+
+// EndWithConnection ends an attempt whose answer had no other end than that of its
+// connection. The end of the endpoint closes its connections just as the end of an answer
+// does, so the endpoint is checked. It reports whether the answer may be whole, and
+// whether the endpoint is known to have run on.
+func (w *Watch) EndWithConnection(ctx context.Context, a *Attempt) (isWhole, ranOn bool) {
+	w.waiting.remove(a)
+	if w.o.IsLeaving(a.endpoint) {
+		// It may end right after its last answer.
+		w.attempts.End(a.attempt)
+		return true, false
+	}
+	verdict := make(chan bool, 1)
+	if w.endLost(a, func(ended bool) { verdict <- ended }) {
+		return false, false
+	}
+	timeout := time.NewTimer(maxVerdictWait)
+	defer timeout.Stop()
+	select {
+	case ended := <-verdict:
+		return !ended, !ended
+	case <-timeout.C:
+	case <-ctx.Done():
+	}
+	return !w.IsDown(a.endpoint), false
 }
 
 // Tick drops endpoints that ended some time ago, and withdraws attempts whose requests
@@ -144,19 +181,27 @@
 // checkEndpoint determines whether an endpoint at which a connection broke has
 // ended.
 func (w *Watch) checkEndpoint(e port.Endpoint) {
+	for !w.settle(e) {
+		// Connections broke since the last probe.
+	}
+}
+
+// settle probes an endpoint until it answers or its end is known. It returns false if
+// connections to it broke since then.
+func (w *Watch) settle(e port.Endpoint) bool {
 	silent, unanswered := 0, false
 	for _, delay := range probeDelays {
 		time.Sleep(delay)
+		probedAt := w.o.Clock()
 		switch w.probe(e) {
 		case port.PresenceServing:
-			w.attempts.Alive(keyOf(e))
-			return
+			return w.attempts.Alive(probedAt, keyOf(e))
 		case port.PresenceGone:
 			unanswered = true
 			w.attempts.Unanswered(keyOf(e))
 			time.Sleep(lossDelay)
 			if w.reportEnd(e, "nothing listens there, or another one") {
-				return
+				return true
 			}
 		case port.PresenceSilent:
 			unanswered = true
@@ -165,12 +210,12 @@
 		}
 	}
 	if silent == len(probeDelays) && w.reportEnd(e, "connections end without an answer") {
-		return
+		return true
 	}
 	if unanswered {
 		w.awaitAnswer(e)
 	}
-	w.attempts.Alive(keyOf(e))
+	return w.attempts.Alive(w.o.Clock(), keyOf(e))
 }
 
 // awaitAnswer probes an endpoint whose end could not be established until it answers, for
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -54,6 +54,22 @@
 	return x.relayBody(ctx, p, answer, began)
 }
 
+// errEndedWithEndpoint means that an answer which ends with its connection ended because
+// its endpoint did.
+var errEndedWithEndpoint = merry.Sentinel("gateway: the answer ended with the endpoint's end")
+
+// endedOrderly reports whether an answer that was read to its end is whole. One with
+// neither a length nor chunks looks whole also if its endpoint has crashed.
+func (x *exchange) endedOrderly(ctx context.Context, p *placement, a *port.Answer) bool {
+	if a.Delimited || x.g.IsPaused(p.endpoint) {
+		x.ranOn = a.Delimited
+		return true
+	}
+	isWhole, ranOn := x.g.crashWatch.EndWithConnection(ctx, p.watched)
+	x.ranOn = ranOn
+	return isWhole
+}
+
 // errWithdrawn is the cause of the cancellation of an attempt whose request was
 // quarantined before the endpoint began to answer.
 var errWithdrawn = merry.Sentinel("gateway: the request was quarantined while it waited at the endpoint")
@@ -170,6 +186,9 @@
 // relayBody relays an answer that is not a stream of events.
 func (x *exchange) relayBody(ctx context.Context, p *placement, a *port.Answer, began time.Time) stream.RunOutcome {
 	b, err := readAnswer(a)
+	if err == nil && b.rest == nil && !x.endedOrderly(ctx, p, a) {
+		err = errEndedWithEndpoint
+	}
 	if err == nil && !p.generation {
 		x.g.brittle.ObserveCall(&p.endpoint, x.g.Clock().Sub(began), a.Load)
 	}
@@ -187,6 +206,13 @@
 		return stream.OutcomeRan
 	}
 	err = x.deliver(b)
+	if err == nil && b.rest != nil && !x.endedOrderly(ctx, p, a) {
+		err = errEndedWithEndpoint
+		x.connectionLost = true
+		x.endAttempt(p, finishKind(ctx, port.FinishFailed))
+		x.reason = "the answer broke off: " + err.Error()
+		return stream.OutcomeRan
+	}
 	x.endAttempt(p, port.FinishDone)
 	if err != nil {
 		x.reason = "the answer could not be passed on whole: " + err.Error()
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"net/http"
 	"slices"
 	"strings"
 	"testing"
@@ -237,6 +239,78 @@
 	}
 }
 
+// unframedReply returns a handler whose answers end with their connection.
+func unframedReply(contentType, body string) func(*port.Exchange) (*port.Answer, error) {
+	return func(*port.Exchange) (*port.Answer, error) {
+		return &port.Answer{
+			Status: 200, Header: http.Header{"Content-Type": {contentType}}, Length: -1, Body: io.NopCloser(strings.NewReader(body)),
+		}, nil
+	}
+}
+
+// Guards against passing on the beginning of an answer as a whole one, and clearing its request, when the end of the connection is that of the endpoint.
+func TestAnswerThatEndsWithItsEndpointIsNotWhole(t *testing.T) {
+	const events = "id: 1\ndata: a\n\n"
+	for _, c := range []struct {
+		name     string
+		presence port.Presence
+		leaving  bool
+		isWhole  bool
+	}{
+		{"it runs on", port.PresenceServing, false, true},
+		{"it has crashed", port.PresenceGone, false, false},
+		{"it leaves, and has ended after its last answer", port.PresenceGone, true, true},
+	} {
+		for path, contentType := range map[string]string{"/stream/x": "text/event-stream", "/once/x": "text/plain"} {
+			t.Run(c.name+" "+path, func(t *testing.T) {
+				b := newHarness(t)
+				ends := map[string]port.Presence{}
+				for _, id := range []string{"s0", "s1", "s2", "e0", "e1", "e2"} {
+					reply := unframedReply(contentType, events)
+					b.backends.handlers[id] = func(x *port.Exchange) (*port.Answer, error) {
+						if c.leaving {
+							b.setLeaving(id)
+						}
+						b.backends.mu.Lock()
+						ends[id] = c.presence
+						b.backends.presence = ends
+						b.backends.mu.Unlock()
+						return reply(x)
+					}
+				}
+				caller := &fakeCaller{}
+				refusal := b.send(t, path, caller)
+				if (refusal == nil) != c.isWhole {
+					t.Fatalf("refused with %+v, the caller has %q", refusal, caller.text())
+				}
+				if !c.isWhole && refusal.Outcome == outcome.NotRun {
+					t.Errorf("the request ran: %+v", refusal)
+				}
+			})
+		}
+	}
+}
+
+// Guards against the same for an idempotent call, which is then repeated.
+func TestCallIsRepeatedWhenItsAnswerEndsWithItsEndpoint(t *testing.T) {
+	b := newHarness(t)
+	first := ""
+	for _, id := range []string{"s0", "s1", "s2"} {
+		b.backends.handlers[id] = func(x *port.Exchange) (*port.Answer, error) {
+			if first != "" {
+				return reply(200, "whole")(x)
+			}
+			first = id
+			b.setPresenceOf(id, port.PresenceGone)
+			return unframedReply("text/plain", "who")(x)
+		}
+	}
+	caller := &fakeCaller{}
+	if refusal := b.send(t, "/safe/x", caller); refusal != nil || caller.text() != "whole" {
+		t.Fatalf("%+v, the caller has %q", refusal, caller.text())
+	}
+}
+
 // Guards against taking an answer without a run for a sign that the parts of the prompt are harmless.
 func TestRejectedPromptDoesNotClearItsParts(t *testing.T) {
 	for status, cleared := range map[int]bool{200: true, 400: false, 500: false} {
@@ -245,7 +319,7 @@
 		x := b.newExchange(&Request{Admission: Admission{Route: &route.Route{Targets: []route.Target{{Pool: "engines"}}}, Organisation: "o"}, Generation: &GenerationParams{
 			Model: "m", Parts: []PromptPart{{ID: 0xdead}, {ID: 1}},
 		}}, &fakeCaller{})
-		x.status = status
+		x.status, x.ranOn = status, true
 		x.recordCompletion()
 		if refused := x.quarantineRefusal() != nil; refused == cleared {
 			t.Errorf("status %d: refused %v", status, refused)
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -185,6 +185,9 @@
 
 // finishStream classifies the end of a stream and ends the attempt.
 func (x *exchange) finishStream(ctx context.Context, p *placement, a *port.Answer, err error) stream.RunOutcome {
+	if errors.Is(err, io.EOF) && !x.endedOrderly(ctx, p, a) {
+		err = errEndedWithEndpoint
+	}
 	if !errors.Is(err, io.EOF) || ctx.Err() != nil {
 		x.reason = "the stream broke off: " + err.Error()
 		x.connectionLost = ctx.Err() == nil
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -53,6 +53,8 @@
 	keptFailure *bufferedAnswer
 	// refusedByBrittle: the last attempt's endpoint refused it and is brittle.
 	refusedByBrittle bool
+	// ranOn: the endpoint of the last attempt was running after the end of its answer.
+	ranOn bool
 	// connectionLost: the connection to the last attempt's endpoint broke.
 	connectionLost bool
 	// placedAtIneligible: the request was placed at an ineligible endpoint before.
@@ -172,7 +174,7 @@
 // recordCompletion informs the quarantine that the request ran to its end
 // without crashing its endpoint.
 func (x *exchange) recordCompletion() {
-	if x.status >= http.StatusInternalServerError {
+	if x.status >= http.StatusInternalServerError || !x.ranOn {
 		return
 	}
 	request := *x.identity()
--- a/test/crashing_parts_test.go
+++ b/test/crashing_parts_test.go
@@ -60,6 +60,20 @@
 	testCrashingParts(t, crashingParts{f: f, part: standin.CrashPart, soundEvery: 100 * time.Millisecond})
 }
 
+// Guards against the same where the runner crashes in the middle of the answer, and its end looks like that of a whole one.
+func TestPromptPartThatCrashesRunnersMidwayWithUnframedAnswers(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, func(l *testfleet.Layout) { l.Daemons, l.Engines, l.Unframed = 4, 8, true })
+	testCrashingParts(t, crashingParts{f: f, part: standin.CrashPartMidway, soundEvery: 100 * time.Millisecond})
+}
+
+// Guards against the same where a crashed runner is back under its id and address.
+func TestPromptPartThatCrashesRunnersThatRestart(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, func(l *testfleet.Layout) { l.Daemons, l.Engines = 4, 8 })
+	testCrashingParts(t, crashingParts{f: f, part: standin.CrashPart, soundEvery: 100 * time.Millisecond, inPlace: true})
+}
+
 // testCrashingParts sends requests with a part that crashes runners beside sound ones
 // that share all other parts with them, and checks that the former end and the latter
 // go on.
