A restart under the same id is the end of the former start

The checks after a lost connection compare the id of the endpoint that answers. One that had crashed and was back under its id before the first check counted as serving, for this daemon and for the peers that it asked, and the losses were forgotten. Change: an engine that answers is asked for its load report, which names its start; a daemon that knows a later start answers its peers that the former one has ended; and losses at an endpoint that answers are kept for 15 s, to be counted when the registry lists a later start of it. Restarts of endpoints that were leaving are planned.

--- a/cmd/dragonfly-standin/fleet.go
+++ b/cmd/dragonfly-standin/fleet.go
@@ -41,8 +41,9 @@
 // Execute runs the stand-in until the process is stopped. It then announces that
 // the runner leaves, unless c.WithoutNotice is set.
 func (c *fleetRunnerCommand) Execute([]string) error {
+	born := time.Now().UnixMilli()
 	r := &standin.Runner{
-		ID: c.ID, EventEvery: c.EventEvery, Work: c.Work, CacheTokens: standin.CacheTokens,
+		ID: c.ID, Born: born, EventEvery: c.EventEvery, Work: c.Work, CacheTokens: standin.CacheTokens,
 		OnCrash: func() { os.Exit(exitCrashed) }, Cold: standin.NewCold(c.ColdFor, c.ColdRate), Unframed: c.Unframed,
 	}
 	var registration *standin.Registration
@@ -55,7 +56,7 @@
 			}
 			registration = &standin.Registration{
 				Store: standin.StoreClient{Address: c.Store}, ID: c.ID, Every: c.Beat, Cold: r.Cold, Logger: l,
-				Entry: standin.Entry(c.Service, address, c.FailureDomain, time.Now().UnixMilli(), nil),
+				Entry: standin.Entry(c.Service, address, c.FailureDomain, born, nil),
 			}
 			registration.Run(ctx)
 		},
--- a/internal/core/quarantine/attempts.go
+++ b/internal/core/quarantine/attempts.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,6 +17,10 @@
 // whose connections have not broken yet.
 const endedRetention = 5 * time.Second
 
+// survivedRetention is how long a loss at an endpoint that answers is remembered. A
+// restarted endpoint may answer before its registry entry names the later start.
+const survivedRetention = 15 * time.Second
+
 // Attempts tracks the attempts of one daemon that are in flight, by endpoint. It
 // tells apart an endpoint that ended, with all requests running there, and a single
 // broken connection. It is safe for concurrent use.
@@ -32,6 +37,8 @@
 	open map[*Attempt]struct{}
 	// lost are the attempts whose connection broke for an unknown reason so far.
 	lost []lostAttempt
+	// survived are those after which the endpoint answered.
+	survived []Loss
 	// probing is set while a caller finds out whether the endpoint has ended.
 	probing bool
 	// down is set from the first probe that nobody answered until a probe is answered
@@ -102,7 +109,7 @@
 // dropIfEmpty removes the state of an endpoint without any information left; f.mu
 // is held.
 func (f *Attempts) dropIfEmpty(e EndpointKey, attempts *endpointAttempts) {
-	if len(attempts.open) == 0 && len(attempts.lost) == 0 && !attempts.probing && attempts.endedAt.IsZero() {
+	if len(attempts.open) == 0 && len(attempts.lost) == 0 && len(attempts.survived) == 0 && !attempts.probing && attempts.endedAt.IsZero() {
 		delete(f.endpoints, e)
 	}
 }
@@ -190,6 +197,7 @@
 			continue
 		}
 		attempts.lost[i].decide(false)
+		attempts.survived = append(attempts.survived, attempts.lost[i].Loss)
 	}
 	attempts.lost, attempts.probing = later, len(later) > 0
 	f.dropIfEmpty(e, attempts)
@@ -218,6 +226,24 @@
 	return lost, false
 }
 
+// Restarted records that the registry lists a later start of an endpoint, and returns the
+// requests that were lost when the former one ended.
+func (f *Attempts) Restarted(now time.Time, e EndpointKey) []Loss {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	attempts := f.endpoints[e]
+	if attempts == nil {
+		return nil
+	}
+	lost := attempts.survived
+	for i := range attempts.lost {
+		lost = append(lost, attempts.lost[i].Loss)
+		attempts.lost[i].decide(true)
+	}
+	attempts.lost, attempts.survived, attempts.probing, attempts.endedAt = nil, nil, false, now
+	return lost
+}
+
 // hasOpenBefore reports whether an attempt that started before the given time is
 // still open.
 func (at *endpointAttempts) hasOpenBefore(before time.Time) bool {
@@ -242,11 +268,16 @@
 	return n
 }
 
-// Tick forgets ended endpoints after endedRetention; call it about once a second.
+// Tick forgets ended endpoints after endedRetention, and losses at others after
+// survivedRetention; call it at least once a second.
 func (f *Attempts) Tick(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for e, attempts := range f.endpoints {
+		if len(attempts.survived) > 0 {
+			attempts.survived = slices.DeleteFunc(attempts.survived, func(l Loss) bool { return now.Sub(l.At) >= survivedRetention })
+			f.dropIfEmpty(e, attempts)
+		}
 		if !attempts.endedAt.IsZero() && now.Sub(attempts.endedAt) >= endedRetention {
 			attempts.endedAt = time.Time{}
 			f.setDown(attempts, false)
--- a/internal/crashwatch/crashwatch.go
+++ b/internal/crashwatch/crashwatch.go
@@ -113,6 +113,7 @@
 func (w *Watch) endLost(a *Attempt, onVerdict func(ended bool)) (hasEnded bool) {
 	probe, ended := w.attempts.Lost(w.o.Clock(), a.attempt, onVerdict)
 	switch {
+	case ended != nil && w.o.IsLeaving(a.endpoint):
 	case ended != nil:
 		w.o.Quarantine.Crashed(w.o.Clock(), crashOf(a.endpoint), []quarantine.Loss{*ended})
 	case probe:
@@ -248,9 +249,23 @@
 	if uncertain {
 		return false
 	}
-	if !w.o.IsLeaving(e) {
-		w.o.OnCrash(e, crashOf(e), reason, len(lost))
-		w.o.Quarantine.Crashed(now, crashOf(e), lost)
-	}
+	w.report(now, e, reason, lost)
 	return true
 }
+
+// report reports the losses at an endpoint that has ended, as a crash unless it was
+// leaving.
+func (w *Watch) report(now time.Time, e port.Endpoint, reason string, lost []quarantine.Loss) {
+	if len(lost) == 0 || w.o.IsLeaving(e) {
+		return
+	}
+	w.o.OnCrash(e, crashOf(e), reason, len(lost))
+	w.o.Quarantine.Crashed(now, crashOf(e), lost)
+}
+
+// Restarted records that the registry lists a later start of an endpoint under the same
+// id. The former one has ended, even if checks were answered: by the later one.
+func (w *Watch) Restarted(former port.Endpoint) {
+	now := w.o.Clock()
+	w.report(now, former, "it has restarted", w.attempts.Restarted(now, keyOf(former)))
+}
--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -89,6 +89,9 @@
 		if existed && before.Incarnation != e.Incarnation {
 			g.paths.Forget(e.ID)
 		}
+		if existed && before.Incarnation < e.Incarnation {
+			g.recordRestart(before.Endpoint)
+		}
 		g.recordEndpointChange(before, existed, &e)
 		g.recordLimitChange(before.RateLimit, &e)
 		g.recordColdnessChange(before.ColdRate, &e)
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -70,9 +70,17 @@
 }
 
 // probe requests an endpoint's health check, also while it is paused: probes follow
-// a lost connection, and the first one that reaches the endpoint is the last.
+// a lost connection, and the first one that reaches the endpoint is the last. An engine
+// that answers is asked for its load report, which names its start.
 func (g *Gateway) probe(ctx context.Context, e port.Endpoint) port.Presence {
-	return g.Endpoints.CheckPresence(ctx, e, g.healthPath(e.Pool))
+	presence := g.Endpoints.CheckPresence(ctx, e, g.healthPath(e.Pool))
+	if presence != port.PresenceServing || e.Kind != port.KindRunner {
+		return presence
+	}
+	if r, err := g.Endpoints.Load(ctx, e); err == nil && e.Incarnation != 0 && r.Incarnation > e.Incarnation {
+		return port.PresenceGone
+	}
+	return presence
 }
 
 // healthPath returns the path of the health checks of a pool's endpoints.
@@ -85,9 +93,14 @@
 	return "/"
 }
 
+// isLeaving reports whether a start of an endpoint was known to leave, also if it has
+// restarted since.
 func (g *Gateway) isLeaving(e port.Endpoint) bool {
 	h, found := g.endpointTable.get(e.ID)
-	return found && h.Incarnation == e.Incarnation && h.State != port.EndpointLive
+	if found && h.Incarnation == e.Incarnation {
+		return h.State != port.EndpointLive
+	}
+	return g.formerStarts.wasLeaving(&e)
 }
 
 func (g *Gateway) recordCrash(e port.Endpoint, crash quarantine.CrashID, reason string, lost int) {
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -311,6 +311,69 @@
 	}
 }
 
+// restart gives an endpoint of the view a later start and applies the change.
+func (b *harness) restart(id string) {
+	b.view.mu.Lock()
+	for i := range b.view.endpoints {
+		if b.view.endpoints[i].ID == id {
+			b.view.endpoints[i].Incarnation++
+			b.view.endpoints[i].State = port.EndpointLive
+		}
+	}
+	b.view.mu.Unlock()
+	b.apply()
+}
+
+// Guards against crashes that are not counted because the endpoint is back under its id when it is checked.
+func TestRestartUnderTheSameIDIsACrash(t *testing.T) {
+	b := newHarness(t)
+	b.setHandlers("s", failure(port.ErrEndpointLost))
+	for range 3 {
+		_ = b.send(t, "/once/fatal", &fakeCaller{})
+		b.awaitProbes(t)
+		for _, id := range []string{"s0", "s1", "s2"} {
+			b.restart(id)
+		}
+	}
+	if refusal := b.send(t, "/once/fatal", &fakeCaller{}); refusal == nil || refusal.Cause != CauseQuarantined {
+		t.Fatalf("%+v", refusal)
+	}
+}
+
+// Guards against counting the planned restart of an endpoint as a crash, also when its connections break after its new entry is known.
+func TestPlannedRestartIsNotACrash(t *testing.T) {
+	b := newHarness(t)
+	for _, id := range []string{"s0", "s1", "s2"} {
+		b.backends.handlers[id] = func(*port.Exchange) (*port.Answer, error) {
+			b.setLeaving(id)
+			b.restart(id)
+			return nil, port.ErrEndpointLost
+		}
+	}
+	for range 4 {
+		_ = b.send(t, "/once/unlucky", &fakeCaller{})
+		b.awaitProbes(t)
+	}
+	if refusal := b.send(t, "/once/unlucky", &fakeCaller{}); refusal == nil || refusal.Cause == CauseQuarantined {
+		t.Fatalf("%+v", refusal)
+	}
+}
+
+// Guards against a peer's check that is answered by the process which has restarted.
+func TestPeerKnowsThatFormerStartHasEnded(t *testing.T) {
+	b := newHarness(t)
+	b.restart("s0")
+	if reached, known := b.CheckEndpoint("s0", 1); reached || !known {
+		t.Errorf("the former start: reached %v, known %v", reached, known)
+	}
+	if reached, known := b.CheckEndpoint("s0", 2); !reached || !known {
+		t.Errorf("the present start: reached %v, known %v", reached, known)
+	}
+	if _, known := b.CheckEndpoint("s0", 3); known {
+		t.Error("a start that is not known here")
+	}
+}
+
 // Guards against taking an answer without a run for a sign that the parts of the prompt are harmless.
 func TestRejectedPromptDoesNotClearItsParts(t *testing.T) {
 	for status, cleared := range map[int]bool{200: true, 400: false, 500: false} {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -131,6 +131,7 @@
 	balancer      *balance.Balancer
 	metrics       *instruments
 	seenLeaving   membership.Departures
+	formerStarts  formerStarts
 	runs          runs
 	crashWatch    *crashwatch.Watch
 	pauses        pause.Tracker
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -161,10 +161,13 @@
 }
 
 // CheckEndpoint checks for another daemon whether this one reaches an endpoint. known is
-// false if it doesn't know that incarnation, if the endpoint has asked this host for a
+// false if it doesn't know that incarnation yet, if the endpoint has asked this host for a
 // pause, or if its own paths are in doubt.
 func (g *Gateway) CheckEndpoint(id string, incarnation uint64) (reached, known bool) {
 	e, found := g.endpointTable.get(id)
+	if found && e.Incarnation > incarnation {
+		return false, true
+	}
 	if !found || e.Incarnation != incarnation || g.IsPaused(e.Endpoint) {
 		return false, false
 	}
--- a/internal/gateway/restarts.go
+++ b/internal/gateway/restarts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
@@ -54,3 +55,47 @@
 		g.recordNotice(e, verdictCheck, "it is "+presence.String())
 	}()
 }
+
+// formerStartRetention is how long the former start of a restarted endpoint is
+// remembered, for requests that were lost with it.
+const formerStartRetention = time.Minute
+
+// formerStarts holds the starts of endpoints that have restarted under their ids.
+type formerStarts struct {
+	mu sync.Mutex
+	m  map[string]formerStart
+}
+
+// formerStart is the last start of an endpoint before its present one.
+type formerStart struct {
+	incarnation uint64
+	wasLeaving  bool
+	replacedAt  time.Time
+}
+
+func (f *formerStarts) add(now time.Time, e *port.Endpoint, wasLeaving bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.m == nil {
+		f.m = make(map[string]formerStart)
+	}
+	for id, s := range f.m {
+		if now.Sub(s.replacedAt) > formerStartRetention {
+			delete(f.m, id)
+		}
+	}
+	f.m[e.ID] = formerStart{incarnation: e.Incarnation, wasLeaving: wasLeaving, replacedAt: now}
+}
+
+func (f *formerStarts) wasLeaving(e *port.Endpoint) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s, found := f.m[e.ID]
+	return found && s.incarnation == e.Incarnation && s.wasLeaving
+}
+
+// recordRestart records that an endpoint has a later start than the one described.
+func (g *Gateway) recordRestart(former port.Endpoint) {
+	g.formerStarts.add(g.Clock(), &former, former.State != port.EndpointLive || g.seenLeaving.Has(former))
+	g.crashWatch.Restarted(former)
+}
--- a/test/crashing_parts_test.go
+++ b/test/crashing_parts_test.go
@@ -25,7 +25,10 @@
 	// soundAgainWithin is the time from the fifth crash from which sound requests are
 	// served at least half as often as before.
 	soundAgainWithin = 6 * time.Second
-	respawnAfter     = 2 * time.Second
+	// respawnAfter and restartAfter are the time until a crashed runner is back under a
+	// new id, and under its own.
+	respawnAfter = 2 * time.Second
+	restartAfter = 30 * time.Millisecond
 )
 
 // crashingParts describes a test of a part that crashes runners.
@@ -67,8 +70,8 @@
 	testCrashingParts(t, crashingParts{f: f, part: standin.CrashPartMidway, soundEvery: 100 * time.Millisecond})
 }
 
-// Guards against the same where a crashed runner is back under its id and address.
-func TestPromptPartThatCrashesRunnersThatRestart(t *testing.T) {
+// Guards against the same where a crashed runner is back under its id before anybody has checked it.
+func TestPromptPartThatCrashesRunnersThatRestartAtOnce(t *testing.T) {
 	t.Parallel()
 	f := startFleet(t, func(l *testfleet.Layout) { l.Daemons, l.Engines = 4, 8 })
 	testCrashingParts(t, crashingParts{f: f, part: standin.CrashPart, soundEvery: 100 * time.Millisecond, inPlace: true})
@@ -83,11 +86,13 @@
 	var background sync.WaitGroup
 	defer background.Wait()
 	defer stop()
-	respawn := c.f.Respawn
-	if c.inPlace {
-		respawn = c.f.RespawnInPlace
-	}
-	background.Go(func() { respawn(ctx, respawnAfter) })
+	background.Go(func() {
+		if c.inPlace {
+			c.f.RespawnInPlace(ctx, restartAfter)
+			return
+		}
+		c.f.Respawn(ctx, respawnAfter)
+	})
 	sound := &pathLoad{}
 	began := time.Now()
 	background.Go(func() { c.sendSound(ctx, &background, sound) })
--- a/test/crashing_test.go
+++ b/test/crashing_test.go
@@ -46,6 +46,22 @@
 	testCrashingRequest(t, testfleet.Repeatable)
 }
 
+// Guards against the same where a crashed endpoint is back under its id before anybody has checked it.
+func TestCallThatCrashesEndpointsThatRestartAtOnce(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, func(l *testfleet.Layout) { l.Plain = 6 })
+	ctx, stop := context.WithCancel(testContext(t))
+	defer stop()
+	var background sync.WaitGroup
+	background.Go(func() { f.RespawnInPlace(ctx, restartAfter) })
+	harmless := f.startRepeating(ctx, &background, testfleet.Once)
+	f.sendCrashingRequests(testfleet.Once, 40)
+	f.checkQuarantined(t)
+	harmless.checkServed(t)
+	stop()
+	background.Wait()
+}
+
 func testCrashingRequest(t *testing.T, kind testfleet.Kind) {
 	f := startFleet(t, func(l *testfleet.Layout) { l.Engines, l.Plain = 6, 6 })
 	ctx, stop := context.WithCancel(testContext(t))
@@ -297,6 +313,8 @@
 // prefix.
 func (f *fleetTest) runsOf(prefix string) []time.Time {
 	var out []time.Time
+	// A restarted runner appends to the log of its former start.
+	seen := map[string]bool{}
 	for _, r := range f.Runners() {
 		lines := bufio.NewScanner(bytes.NewReader(r.Log()))
 		for lines.Scan() {
@@ -306,6 +324,11 @@
 				Millis    int64  `json:"unix_ms"`
 			}
 			if json.Unmarshal(lines.Bytes(), &line) == nil && line.Event == "run" && strings.HasPrefix(line.RequestID, prefix) {
+				run := fmt.Sprint(r.ID, line.RequestID, line.Millis)
+				if seen[run] {
+					continue
+				}
+				seen[run] = true
 				out = append(out, time.UnixMilli(line.Millis))
 			}
 		}
