Another endpoint's answer at the address is proof of the former one's end

That another endpoint, or a later start, answers at an address was one result with a refused connect. So it needed confirmation by peers or by other endpoints of the pool, which there is none of if a small pool's endpoints all end at about the same time, and it was put off while an older attempt was open. Change: it is a result of its own, needs no confirmation, and ends all attempts there.

--- a/internal/core/quarantine/attempts.go
+++ b/internal/core/quarantine/attempts.go
@@ -226,9 +226,10 @@
 	return lost, false
 }
 
-// Restarted records that the registry lists a later start of an endpoint, and returns the
-// requests that were lost when the former one ended.
-func (f *Attempts) Restarted(now time.Time, e EndpointKey) []Loss {
+// Replaced records that another endpoint, or a later start of this one, is known to have
+// taken its place, and returns the requests that were lost when it ended. The connections
+// of other attempts will break, too.
+func (f *Attempts) Replaced(now time.Time, e EndpointKey) []Loss {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	attempts := f.endpoints[e]
--- a/internal/crashwatch/crashwatch.go
+++ b/internal/crashwatch/crashwatch.go
@@ -201,9 +201,12 @@
 			unanswered = true
 			w.attempts.Unanswered(keyOf(e))
 			time.Sleep(lossDelay)
-			if w.reportEnd(e, "nothing listens there, or another one") {
+			if w.reportEnd(e, "nothing listens there") {
 				return true
 			}
+		case port.PresenceReplaced:
+			w.reportReplaced(e)
+			return true
 		case port.PresenceSilent:
 			unanswered = true
 			w.attempts.Unanswered(keyOf(e))
@@ -225,12 +228,28 @@
 func (w *Watch) awaitAnswer(e port.Endpoint) {
 	for range maxLateProbes {
 		time.Sleep(lateProbeInterval)
-		if w.o.IsLeaving(e) || w.probe(e) == port.PresenceServing {
+		if w.o.IsLeaving(e) {
+			return
+		}
+		switch w.probe(e) {
+		case port.PresenceServing:
+			return
+		case port.PresenceReplaced:
+			w.reportReplaced(e)
 			return
 		}
 	}
 }
 
+// reportReplaced reports the end of an endpoint in whose place another one answers. Unlike
+// a failed connection that can't be due to the network, so it needs no confirmation.
+func (w *Watch) reportReplaced(e port.Endpoint) {
+	w.attempts.Unanswered(keyOf(e))
+	time.Sleep(lossDelay)
+	now := w.o.Clock()
+	w.report(now, e, "another endpoint or a later start answers there", w.attempts.Replaced(now, keyOf(e)))
+}
+
 func (w *Watch) probe(e port.Endpoint) port.Presence {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
@@ -267,5 +286,5 @@
 // id. The former one has ended, even if checks were answered: by the later one.
 func (w *Watch) Restarted(former port.Endpoint) {
 	now := w.o.Clock()
-	w.report(now, former, "it has restarted", w.attempts.Restarted(now, keyOf(former)))
+	w.report(now, former, "it has restarted", w.attempts.Replaced(now, keyOf(former)))
 }
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -78,7 +78,7 @@
 		return presence
 	}
 	if r, err := g.Endpoints.Load(ctx, e); err == nil && e.Incarnation != 0 && r.Incarnation > e.Incarnation {
-		return port.PresenceGone
+		return port.PresenceReplaced
 	}
 	return presence
 }
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -311,6 +311,26 @@
 	}
 }
 
+// Guards against crashes that are not counted because the paths to the whole pool are in doubt, although another endpoint answers at the address.
+func TestReplacedEndpointHasEnded(t *testing.T) {
+	b := newHarness(t)
+	b.losePool("plain")
+	for n := range 3 {
+		e, _ := b.endpointTable.get(fmt.Sprint("s", n))
+		b.setPresenceOf(e.ID, port.PresenceReplaced)
+		// Another attempt there has not noticed yet that its connection is gone.
+		older := b.crashWatch.Begin(e.Endpoint, &quarantine.Request{}, nil)
+		a := b.crashWatch.Begin(e.Endpoint, &quarantine.Request{Fingerprint: fingerprintOf("/once/fatal")}, nil)
+		b.crashWatch.End(a, true)
+		b.awaitProbes(t)
+		b.crashWatch.End(older, false)
+	}
+	eventually.True(t, "the request is quarantined", func() bool {
+		refusal := b.send(t, "/once/fatal", &fakeCaller{})
+		return refusal != nil && refusal.Cause == CauseQuarantined
+	})
+}
+
 // restart gives an endpoint of the view a later start and applies the change.
 func (b *harness) restart(id string) {
 	b.view.mu.Lock()
--- a/internal/port/exchange.go
+++ b/internal/port/exchange.go
@@ -154,9 +154,11 @@
 	PresenceServing
 	// PresenceSilent means that connections are accepted and end without a reply.
 	PresenceSilent
-	// PresenceGone means that nothing listens at the address, or that another
-	// endpoint does.
+	// PresenceGone means that nothing listens at the address.
 	PresenceGone
+	// PresenceReplaced means that another endpoint, or a later start of this one,
+	// replied at the address. Unlike the others it can't be due to the network.
+	PresenceReplaced
 )
 
 // String returns the name of the value.
@@ -168,6 +170,8 @@
 		return "silent"
 	case PresenceGone:
 		return "gone"
+	case PresenceReplaced:
+		return "replaced"
 	default:
 		return "unknown"
 	}
