Endpoints of a pool that all end at once are counted as crashes

If all endpoints of a pool end at about the same time, no daemon reaches any of them, which looks like a cut of the network paths: none of the ends was confirmed, and a part that crashes a small pool at one blow was sent on and on. Change: when each other daemon has lost the pool, too, and this one reaches another pool, the requests lost there count as lost with their endpoints. These are probed on and used again at their first answer, so that a cut costs nothing but one entry for each request. A part with five crashes in two such blows is quarantined if no request with it completed lately.

--- a/internal/core/quarantine/attempts.go
+++ b/internal/core/quarantine/attempts.go
@@ -218,14 +218,34 @@
 	if attempts.hasOpenBefore(attempts.lost[0].At) {
 		return nil, true
 	}
-	for i := range attempts.lost {
-		lost = append(lost, attempts.lost[i].Loss)
-		attempts.lost[i].decide(true)
-	}
-	attempts.lost, attempts.probing, attempts.endedAt = nil, false, now
+	lost = attempts.takeLost()
+	attempts.probing, attempts.endedAt = false, now
 	return lost, false
 }
 
+// TakeLost returns the requests that were lost at an endpoint so far, as if it had ended,
+// while it is probed on.
+func (f *Attempts) TakeLost(e EndpointKey) []Loss {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	attempts := f.endpoints[e]
+	if attempts == nil || len(attempts.lost) == 0 || attempts.hasOpenBefore(attempts.lost[0].At) {
+		return nil
+	}
+	return attempts.takeLost()
+}
+
+// takeLost removes and returns the losses, whose endpoint counts as ended.
+func (at *endpointAttempts) takeLost() []Loss {
+	var lost []Loss
+	for i := range at.lost {
+		lost = append(lost, at.lost[i].Loss)
+		at.lost[i].decide(true)
+	}
+	at.lost = nil
+	return lost
+}
+
 // Replaced records that another endpoint, or a later start of this one, is known to have
 // taken its place, and returns the requests that were lost when it ended. The connections
 // of other attempts will break, too.
@@ -236,12 +256,8 @@
 	if attempts == nil {
 		return nil
 	}
-	lost := attempts.survived
-	for i := range attempts.lost {
-		lost = append(lost, attempts.lost[i].Loss)
-		attempts.lost[i].decide(true)
-	}
-	attempts.lost, attempts.survived, attempts.probing, attempts.endedAt = nil, nil, false, now
+	lost := append(attempts.survived, attempts.takeLost()...)
+	attempts.survived, attempts.probing, attempts.endedAt = nil, false, now
 	return lost
 }
 
--- a/internal/core/quarantine/partevaluate.go
+++ b/internal/core/quarantine/partevaluate.go
@@ -12,6 +12,9 @@
 	// convictCompletedAfter for any other.
 	convictAfter          = 3
 	convictCompletedAfter = 5
+	// convictRepeatedAfter is enough for a part with which no request completed lately, if
+	// it has convictAmbiguousAfter crashes in all: it ended many endpoints twice.
+	convictRepeatedAfter = 2
 	// convictAmbiguousAfter is enough for a part although another one may as well be the
 	// cause. If the choice is wrong, the next crash corrects it.
 	convictAmbiguousAfter = 5
@@ -54,7 +57,7 @@
 func EvaluateParts(suspects []PartSuspect, requests []Suspect) []Combination {
 	e := partEvaluation{suspects: suspects}
 	for i := range suspects {
-		if c := newPartCandidate(&suspects[i], requests); c.weight >= convictAfter {
+		if c := newPartCandidate(&suspects[i], requests); c.weight >= convictRepeatedAfter {
 			e.candidates = append(e.candidates, c)
 		}
 	}
@@ -133,7 +136,7 @@
 	if c.suspect.Completed {
 		return c.weight >= convictCompletedAfter
 	}
-	return c.weight >= convictAfter
+	return c.weight >= convictAfter || c.weight >= convictRepeatedAfter && len(c.crashes) >= convictAmbiguousAfter
 }
 
 // selectCause returns the part that explains most crashes, nil if there is none.
--- a/internal/core/quarantine/partevaluate_test.go
+++ b/internal/core/quarantine/partevaluate_test.go
@@ -169,6 +169,14 @@
 				h.crash(lostRequest{parts: []uint64{first, other}, ran: 3 * time.Second}, lostRequest{parts: []uint64{first, third}, ran: brief})
 			}
 		}, nil},
+		{"many endpoints that end at once, twice", func(h *partHistory) {
+			for range 2 {
+				for range 3 {
+					h.crash(lostRequest{parts: []uint64{dead}, ran: brief})
+				}
+				h.pass()
+			}
+		}, [][]uint64{{dead}}},
 		{"a part that completed lately needs five", func(h *partHistory) {
 			h.complete(dead)
 			for range 4 {
--- a/internal/crashwatch/crashwatch.go
+++ b/internal/crashwatch/crashwatch.go
@@ -54,6 +54,10 @@
 	// ConfirmEnd reports whether an endpoint that doesn't answer this daemon has really
 	// ended, rather than the network path to it being lost; nil means that it has.
 	ConfirmEnd func(e port.Endpoint) bool
+	// PresumeEnd reports whether an endpoint whose end isn't confirmed has most likely
+	// ended; nil means never. The requests lost there then count as lost with it, and the
+	// endpoint is used again once it answers.
+	PresumeEnd func(e port.Endpoint) bool
 	// OnCrash is called for an endpoint that has crashed; lost is the number
 	// of requests of this daemon that ran there.
 	OnCrash func(e port.Endpoint, crash quarantine.CrashID, reason string, lost int)
@@ -238,6 +242,7 @@
 			w.reportReplaced(e)
 			return
 		}
+		w.reportPresumedEnd(e)
 	}
 }
 
@@ -261,6 +266,7 @@
 // still open, as the endpoint may then still run, or if the end is not confirmed.
 func (w *Watch) reportEnd(e port.Endpoint, reason string) bool {
 	if w.o.ConfirmEnd != nil && !w.o.ConfirmEnd(e) {
+		w.reportPresumedEnd(e)
 		return false
 	}
 	now := w.o.Clock()
@@ -272,6 +278,16 @@
 	return true
 }
 
+// reportPresumedEnd reports the requests lost at an endpoint that is presumed to have
+// ended.
+func (w *Watch) reportPresumedEnd(e port.Endpoint) {
+	if w.o.PresumeEnd == nil || !w.o.PresumeEnd(e) {
+		return
+	}
+	now := w.o.Clock()
+	w.report(now, e, "no daemon reaches its pool, but other pools are reached", w.attempts.TakeLost(keyOf(e)))
+}
+
 // report reports the losses at an endpoint that has ended, as a crash unless it was
 // leaving.
 func (w *Watch) report(now time.Time, e port.Endpoint, reason string, lost []quarantine.Loss) {
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -14,7 +15,8 @@
 // watchCrashes returns a crash watch for this gateway's attempts.
 func (g *Gateway) watchCrashes() *crashwatch.Watch {
 	return crashwatch.New(crashwatch.Options{
-		Quarantine: g.Quarantine, CheckPresence: g.probe, IsLeaving: g.isLeaving, ConfirmEnd: g.confirmEnd, OnCrash: g.recordCrash, Clock: g.Clock,
+		Quarantine: g.Quarantine, CheckPresence: g.probe, IsLeaving: g.isLeaving, ConfirmEnd: g.confirmEnd, PresumeEnd: g.presumeEnd,
+		OnCrash: g.recordCrash, Clock: g.Clock,
 	})
 }
 
@@ -44,6 +46,42 @@
 	return !reached
 }
 
+// presumeEnd reports whether the endpoints of a pool have most likely ended together: no
+// daemon has a path to the pool, although this one reaches another pool. A cut of network
+// paths mostly leaves some daemons theirs.
+func (g *Gateway) presumeEnd(e port.Endpoint) bool {
+	peers := 0
+	for _, m := range g.View.Members() {
+		if m.ID == g.options().ID || m.State != port.MemberLive {
+			continue
+		}
+		if !slices.Contains(m.LostPools, e.Pool) {
+			return false
+		}
+		peers++
+	}
+	return peers > 0 && g.paths.Lost(e.Pool) && g.reachesOtherPool(e.Pool)
+}
+
+// reachesOtherPool reports whether an endpoint of another pool answers this daemon now.
+func (g *Gateway) reachesOtherPool(pool string) bool {
+	index := g.index.Load()
+	if index == nil {
+		return false
+	}
+	for _, other := range index.Pools() {
+		if other.Name == pool {
+			continue
+		}
+		for _, id := range g.endpointTable.usableIDs(other.Name) {
+			if !g.paths.IsLost(id) {
+				return g.checkOther(id)
+			}
+		}
+	}
+	return false
+}
+
 // askPeers asks other daemons whether they reach an endpoint. known is false if none
 // has an answer.
 func (g *Gateway) askPeers(e port.Endpoint) (reached, known bool) {
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -597,6 +597,67 @@
 	}
 }
 
+// Guards against crashes that are not counted because all endpoints of a pool end at once, and against taking a cut of all paths of one or all daemons for that.
+func TestEndOfAllEndpointsOfAPoolIsPresumed(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		peers          int
+		peerHasPath    bool
+		otherPoolsLost bool
+		want           bool
+	}{
+		{"no daemon reaches the pool", 2, false, false, true},
+		{"a peer reaches it", 2, true, false, false},
+		{"no other pool is reached either", 2, false, true, false},
+		{"nobody else can tell", 0, false, false, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b, _ := newRelayHarness(t, c.peers)
+			if c.otherPoolsLost {
+				b.losePool("engines")
+			}
+			for i := range b.view.members {
+				if b.view.members[i].ID != "g" && !(c.peerHasPath && i == 1) {
+					b.view.members[i].LostPools = []string{"plain"}
+				}
+			}
+			e, _ := b.endpointTable.get("s0")
+			if got := b.presumeEnd(e.Endpoint); got != c.want {
+				t.Errorf("the end is presumed: %v", got)
+			}
+		})
+	}
+}
+
+// Guards against an endpoint that isn't used again after its end was presumed, and against counting that twice.
+func TestPresumedEndIsReportedOnceAndProbedOn(t *testing.T) {
+	b, net := newRelayHarness(t, 1)
+	net.peers["peer0"].losePool("plain")
+	b.view.members[1].LostPools = []string{"plain"}
+	b.setPresence(port.PresenceGone)
+	net.peers["peer0"].setPresence(port.PresenceGone)
+	e, _ := b.endpointTable.get("s0")
+	b.crashWatch.End(b.crashWatch.Begin(e.Endpoint, &quarantine.Request{Fingerprint: fingerprintOf("/once/x")}, nil), true)
+	crashes := func() int {
+		n := 0
+		for _, d := range b.sink.All() {
+			if d.Verdict == verdictCrash {
+				n++
+			}
+		}
+		return n
+	}
+	eventually.True(t, "the crash is reported", func() bool { return crashes() == 1 })
+	if !b.crashWatch.IsUnanswered(e.Endpoint) {
+		t.Error("the endpoint is not checked any more")
+	}
+	b.setPresence(port.PresenceServing)
+	eventually.True(t, "it is used again", func() bool { return !b.crashWatch.IsDown(e.Endpoint) })
+	if n := crashes(); n != 1 {
+		t.Errorf("%d crashes are reported", n)
+	}
+}
+
 // Guards against using an endpoint whose end could not be established before it answers.
 func TestUnconfirmedEndStaysDownUntilAnswer(t *testing.T) {
 	b := newHarness(t)
--- a/test/crashing_parts_test.go
+++ b/test/crashing_parts_test.go
@@ -1,6 +1,7 @@
 package test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"sync"
@@ -38,6 +39,10 @@
 	part string
 	// soundEvery is the time between two sound requests.
 	soundEvery time.Duration
+	// burst is the number of requests with the part that are sent at once; zero for one.
+	burst int
+	// every is the time between two such requests or bursts.
+	every time.Duration
 	// inPlace: a crashed runner is back under its id and address.
 	inPlace bool
 }
@@ -77,10 +82,18 @@
 	testCrashingParts(t, crashingParts{f: f, part: standin.CrashPart, soundEvery: 100 * time.Millisecond, inPlace: true})
 }
 
+// Guards against crashes that are not counted because all runners of a pool end at once, which looks like the loss of the paths to them.
+func TestPromptPartThatCrashesAllRunnersAtOnce(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, func(l *testfleet.Layout) { l.Daemons, l.Engines, l.Plain = 4, 3, 2 })
+	testCrashingParts(t, crashingParts{f: f, part: standin.CrashPart, soundEvery: 100 * time.Millisecond, burst: 8, every: 3 * time.Second})
+}
+
 // testCrashingParts sends requests with a part that crashes runners beside sound ones
 // that share all other parts with them, and checks that the former end and the latter
 // go on.
 func testCrashingParts(t *testing.T, c crashingParts) {
+	c.burst, c.every = max(1, c.burst), cmp.Or(c.every, crashingPartEvery)
 	ctx, stop := context.WithCancel(testContext(t))
 	defer stop()
 	var background sync.WaitGroup
@@ -128,7 +141,7 @@
 
 // sendCrashing sends requests with the crashing part to the daemons in turn.
 func (c *crashingParts) sendCrashing(ctx context.Context, background *sync.WaitGroup) {
-	for n := range int(crashingPartFor / crashingPartEvery) {
+	for n := range int(crashingPartFor/c.every) * c.burst {
 		background.Go(func() {
 			id := fmt.Sprint(crashingPrefix, n)
 			a := c.f.caller.Ask(ctx, c.f.Daemons[n%len(c.f.Daemons)].Callers, &testfleet.Request{
@@ -138,7 +151,9 @@
 				c.f.t.Errorf("crashing request %s got a whole answer", id)
 			}
 		})
-		time.Sleep(crashingPartEvery)
+		if (n+1)%c.burst == 0 {
+			time.Sleep(c.every)
+		}
 	}
 }
 
@@ -146,13 +161,11 @@
 // served.
 func (c *crashingParts) check(t *testing.T, began time.Time, sound *pathLoad) {
 	t.Helper()
-	runs := c.f.runsOf(crashingPrefix)
-	convicted := time.Now()
-	if len(runs) >= crashesToConvict {
-		convicted = runs[crashesToConvict-1]
-	} else if len(runs) > 0 {
-		convicted = runs[len(runs)-1]
+	runs, crashes := c.f.runsOf(crashingPrefix), c.f.crashes()
+	if len(crashes) == 0 {
+		t.Fatal("no runner has crashed")
 	}
+	convicted := crashes[min(len(crashes), crashesToConvict)-1]
 	late := 0
 	for _, at := range runs {
 		if at.After(convicted.Add(convictedWithin)) {
@@ -161,8 +174,8 @@
 	}
 	before, _ := sound.between(began, began.Add(soundBefore), allDaemons(c.f))
 	after, _ := sound.between(convicted.Add(soundAgainWithin), time.Now().Add(-time.Second), allDaemons(c.f))
-	t.Logf("%d requests with the part ran, %d of them later than %v after the fifth; sound ones served before: %s, later: %s",
-		len(runs), late, convictedWithin, &before, &after)
+	t.Logf("%d requests with the part ran and crashed %d runners, %d of them later than %v after the fifth; sound ones served before: %s, later: %s",
+		len(runs), len(crashes), late, convictedWithin, &before, &after)
 	if late > maxExtraRuns {
 		t.Errorf("%d requests with the part ran later than %v after the fifth crash, want at most %d", late, convictedWithin, maxExtraRuns)
 	}
--- a/test/crashing_test.go
+++ b/test/crashing_test.go
@@ -312,10 +312,24 @@
 // runsOf returns the sorted start times of runs whose request id has the
 // prefix.
 func (f *fleetTest) runsOf(prefix string) []time.Time {
+	return f.timesInRunnerLogs(func(event, requestID string) bool { return event == "run" && strings.HasPrefix(requestID, prefix) })
+}
+
+// crashes returns the sorted times at which requests crashed runners.
+func (f *fleetTest) crashes() []time.Time {
+	return f.timesInRunnerLogs(func(event, _ string) bool { return event == "crash" })
+}
+
+// timesInRunnerLogs returns the sorted times of the matching lines of all runners' logs.
+func (f *fleetTest) timesInRunnerLogs(matches func(event, requestID string) bool) []time.Time {
 	var out []time.Time
 	// A restarted runner appends to the log of its former start.
-	seen := map[string]bool{}
+	read := map[string]bool{}
 	for _, r := range f.Runners() {
+		if read[r.ID] {
+			continue
+		}
+		read[r.ID] = true
 		lines := bufio.NewScanner(bytes.NewReader(r.Log()))
 		for lines.Scan() {
 			var line struct {
@@ -323,12 +337,7 @@
 				RequestID string `json:"request_id"`
 				Millis    int64  `json:"unix_ms"`
 			}
-			if json.Unmarshal(lines.Bytes(), &line) == nil && line.Event == "run" && strings.HasPrefix(line.RequestID, prefix) {
-				run := fmt.Sprint(r.ID, line.RequestID, line.Millis)
-				if seen[run] {
-					continue
-				}
-				seen[run] = true
+			if json.Unmarshal(lines.Bytes(), &line) == nil && matches(line.Event, line.RequestID) {
 				out = append(out, time.UnixMilli(line.Millis))
 			}
 		}
