An end is counted although an older connection hangs or the callers have left

An end was uncertain for as long as an older attempt was open there, even if nothing had come on it since; after the last check the losses were forgotten. And a caller that gave up on a stream just before the end took its attempt out of the losses; if there was no other, nobody looked. Change: an older attempt shows for 2 s that the endpoint runs, then only by further signs of it; a confirmed end is tried again until then. Attempts that were given up count for 2 s as lost with an endpoint that has ended, and a connect that fails in that time has it checked. Result: TestOlderAttemptHidesAnEndOnlyWhileItGoesOn, TestAttemptsLeftBeforeTheEndAreLostWithIt, TestCrashAfterItsCallersGaveUpIsCounted; on the code before, the second and third have no counterpart and the first stays uncertain.

--- a/internal/core/quarantine/attempts.go
+++ b/internal/core/quarantine/attempts.go
@@ -21,6 +21,14 @@
 // restarted endpoint may answer before its registry entry names the later start.
 const survivedRetention = 15 * time.Second
 
+// leftRetention is how long an attempt that was given up is remembered. Callers may give
+// up on a stream just before its endpoint is found to have ended.
+const leftRetention = 2 * time.Second
+
+// stalledAfter is the time without any sign of an endpoint after which its open attempts
+// don't show any more that it runs.
+const stalledAfter = 2 * time.Second
+
 // Attempts tracks the attempts of one daemon that are in flight, by endpoint. It
 // tells apart an endpoint that ended, with all requests running there, and a single
 // broken connection. It is safe for concurrent use.
@@ -37,8 +45,9 @@
 	open map[*Attempt]struct{}
 	// lost are the attempts whose connection broke for an unknown reason so far.
 	lost []lostAttempt
-	// survived are those after which the endpoint answered.
-	survived []Loss
+	// survived are those after which the endpoint answered, and left are attempts that were
+	// given up before their end.
+	survived, left []Loss
 	// probing is set while a caller finds out whether the endpoint has ended.
 	probing bool
 	// down is set from the first probe that nobody answered until a probe is answered
@@ -66,6 +75,17 @@
 	request  *Request
 	endpoint EndpointKey
 	started  time.Time
+	// progressed is the time from started to the last sign of the endpoint, in
+	// nanoseconds.
+	progressed atomic.Int64
+}
+
+// Progress records a sign of the endpoint, such as a part of the answer.
+func (flight *Attempt) Progress(now time.Time) { flight.progressed.Store(int64(now.Sub(flight.started))) }
+
+// progressedAfter reports whether there was a sign of the endpoint after a time.
+func (flight *Attempt) progressedAfter(at time.Time) bool {
+	return flight.started.Add(time.Duration(flight.progressed.Load())).After(at)
 }
 
 // NewAttempts returns an empty Attempts.
@@ -109,11 +129,45 @@
 // dropIfEmpty removes the state of an endpoint without any information left; f.mu
 // is held.
 func (f *Attempts) dropIfEmpty(e EndpointKey, attempts *endpointAttempts) {
-	if len(attempts.open) == 0 && len(attempts.lost) == 0 && len(attempts.survived) == 0 && !attempts.probing && attempts.endedAt.IsZero() {
+	if len(attempts.open) == 0 && len(attempts.lost) == 0 && len(attempts.survived) == 0 && len(attempts.left) == 0 && !attempts.probing && attempts.endedAt.IsZero() {
 		delete(f.endpoints, e)
 	}
 }
 
+// Left records that an attempt was given up before its end, by its caller or because time
+// ran out.
+func (f *Attempts) Left(now time.Time, flight *Attempt) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	attempts := f.end(flight)
+	if attempts == nil {
+		return
+	}
+	// end removes the endpoint when this was its last open attempt.
+	f.endpoints[flight.endpoint] = attempts
+	attempts.left = append(attempts.left, flight.lostAt(now))
+}
+
+// Unreached records that no connection to an endpoint could be established. It reports
+// whether the caller must find out whether it has ended, as after Lost: attempts there were
+// given up a moment ago.
+func (f *Attempts) Unreached(now time.Time, e EndpointKey) (probe bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	attempts := f.endpoints[e]
+	if attempts == nil || attempts.probing || len(attempts.left) == 0 || !attempts.endedAt.IsZero() {
+		return false
+	}
+	for _, l := range attempts.left {
+		if now.Sub(l.At) < leftRetention {
+			attempts.lost = append(attempts.lost, lostAttempt{Loss: l})
+		}
+	}
+	attempts.left = nil
+	attempts.probing = len(attempts.lost) > 0
+	return attempts.probing
+}
+
 // Lost records that the connection of an attempt broke. If probe is set, the caller
 // must find out whether the endpoint has ended, and call Ended or Alive. If ended is not
 // nil, the endpoint is already known to have ended. Otherwise onVerdict, unless it is nil,
@@ -206,8 +260,8 @@
 
 // Ended records that an endpoint was found to have ended, and returns the requests
 // that were lost with it. If an attempt older than the losses is still open,
-// although its connection should have broken too, the result is uncertain: nothing
-// is recorded, and the caller must probe again.
+// although its connection should have broken too, the result is uncertain, see mayRun:
+// nothing is recorded, and the caller must probe again.
 func (f *Attempts) Ended(now time.Time, e EndpointKey) (lost []Loss, uncertain bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -215,7 +269,7 @@
 	if attempts == nil || len(attempts.lost) == 0 {
 		return nil, false
 	}
-	if attempts.hasOpenBefore(attempts.lost[0].At) {
+	if attempts.mayRun(now) {
 		return nil, true
 	}
 	lost = attempts.takeLost()
@@ -225,19 +279,25 @@
 
 // TakeLost returns the requests that were lost at an endpoint so far, as if it had ended,
 // while it is probed on.
-func (f *Attempts) TakeLost(e EndpointKey) []Loss {
+func (f *Attempts) TakeLost(now time.Time, e EndpointKey) []Loss {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	attempts := f.endpoints[e]
-	if attempts == nil || len(attempts.lost) == 0 || attempts.hasOpenBefore(attempts.lost[0].At) {
+	if attempts == nil || len(attempts.lost) == 0 || attempts.mayRun(now) {
 		return nil
 	}
 	return attempts.takeLost()
 }
 
-// takeLost removes and returns the losses, whose endpoint counts as ended.
+// takeLost removes and returns the losses, whose endpoint counts as ended, and the attempts
+// that were given up shortly before.
 func (at *endpointAttempts) takeLost() []Loss {
 	var lost []Loss
+	if len(at.lost) > 0 {
+		first := at.lost[0].At
+		lost = slices.DeleteFunc(at.left, func(l Loss) bool { return first.Sub(l.At) >= leftRetention })
+		at.left = nil
+	}
 	for i := range at.lost {
 		lost = append(lost, at.lost[i].Loss)
 		at.lost[i].decide(true)
@@ -261,11 +321,12 @@
 	return lost
 }
 
-// hasOpenBefore reports whether an attempt that started before the given time is
-// still open.
-func (at *endpointAttempts) hasOpenBefore(before time.Time) bool {
+// mayRun reports whether an attempt that started before the losses is still open, which
+// shows for a while that the endpoint runs, and as long as there are further signs of it.
+func (at *endpointAttempts) mayRun(now time.Time) bool {
+	first := at.lost[0].At
 	for flight := range at.open {
-		if flight.started.Before(before) {
+		if flight.started.Before(first) && (now.Sub(first) < stalledAfter || flight.progressedAfter(first)) {
 			return true
 		}
 	}
@@ -291,8 +352,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for e, attempts := range f.endpoints {
-		if len(attempts.survived) > 0 {
+		if len(attempts.survived)+len(attempts.left) > 0 {
 			attempts.survived = slices.DeleteFunc(attempts.survived, func(l Loss) bool { return now.Sub(l.At) >= survivedRetention })
+			attempts.left = slices.DeleteFunc(attempts.left, func(l Loss) bool { return now.Sub(l.At) >= leftRetention })
 			f.dropIfEmpty(e, attempts)
 		}
 		if !attempts.endedAt.IsZero() && now.Sub(attempts.endedAt) >= endedRetention {
--- a/internal/core/quarantine/attempts_test.go
+++ b/internal/core/quarantine/attempts_test.go
@@ -44,6 +44,49 @@
 	}
 }
 
+// Guards against an end that is never counted because the connection of an older attempt hangs, and against one that is counted while older attempts go on.
+func TestOlderAttemptHidesAnEndOnlyWhileItGoesOn(t *testing.T) {
+	f, now := NewAttempts(), time.Unix(1000, 0)
+	e := EndpointKey{ID: "e", Incarnation: 1}
+	older, lost := f.Begin(now, e, requestWith(1)), f.Begin(now, e, requestWith(2))
+	now = now.Add(time.Second)
+	f.Lost(now, lost, nil)
+	older.Progress(now.Add(1500 * time.Millisecond))
+	now = now.Add(stalledAfter)
+	if _, uncertain := f.Ended(now, e); !uncertain {
+		t.Fatal("the end is certain although an older attempt has progressed since the loss")
+	}
+	stalled := NewAttempts()
+	now = time.Unix(1000, 0)
+	hanging, lost := stalled.Begin(now, e, requestWith(1)), stalled.Begin(now, e, requestWith(2))
+	hanging.Progress(now.Add(500 * time.Millisecond))
+	now = now.Add(time.Second)
+	stalled.Lost(now, lost, nil)
+	if got, uncertain := stalled.Ended(now.Add(stalledAfter), e); uncertain || !slices.Equal(fingerprintsOf(got), []Fingerprint{fingerprint(2)}) {
+		t.Fatalf("lost %v, uncertain %v", fingerprintsOf(got), uncertain)
+	}
+}
+
+// Guards against crashes that are not counted against requests whose callers gave up a moment before.
+func TestAttemptsLeftBeforeTheEndAreLostWithIt(t *testing.T) {
+	f, now := NewAttempts(), time.Unix(1000, 0)
+	e := EndpointKey{ID: "e", Incarnation: 1}
+	longAgo, left := f.Begin(now, e, requestWith(1)), f.Begin(now, e, requestWith(2))
+	f.Left(now, longAgo)
+	now = now.Add(leftRetention)
+	f.Left(now, left)
+	if !f.Unreached(now.Add(time.Second), e) || f.Unreached(now.Add(time.Second), e) {
+		t.Fatal("want one check of the endpoint once it can't be reached")
+	}
+	if got, _ := f.Ended(now.Add(time.Second), e); !slices.Equal(fingerprintsOf(got), []Fingerprint{fingerprint(2)}) {
+		t.Fatalf("lost %v", fingerprintsOf(got))
+	}
+	f.Tick(now.Add(time.Minute))
+	if f.Unreached(now.Add(time.Minute), e) || len(f.endpoints) > 0 {
+		t.Fatal("a check although nothing was lost")
+	}
+}
+
 // Guards against broken connections that are counted as crashes.
 func TestLossAtLiveEndpointIsDropped(t *testing.T) {
 	f, now := NewAttempts(), time.Unix(1000, 0)
--- a/internal/crashwatch/crashwatch.go
+++ b/internal/crashwatch/crashwatch.go
@@ -112,6 +112,24 @@
 	w.endLost(a, nil)
 }
 
+// Leave stops tracking an attempt that was given up before its end, by its caller or because
+// time ran out. If its endpoint is found to have ended a moment later, it ran there.
+func (w *Watch) Leave(a *Attempt) {
+	w.waiting.remove(a)
+	w.attempts.Left(w.o.Clock(), a.attempt)
+}
+
+// Progress records that a part of an attempt's answer has arrived.
+func (w *Watch) Progress(a *Attempt) { a.attempt.Progress(w.o.Clock()) }
+
+// Unreached records that no connection to an endpoint could be established. The endpoint is
+// checked if attempts there were given up a moment ago.
+func (w *Watch) Unreached(e port.Endpoint) {
+	if w.attempts.Unreached(w.o.Clock(), keyOf(e)) {
+		go w.checkEndpoint(e)
+	}
+}
+
 // endLost ends a lost attempt and reports whether its endpoint is known to have ended. If
 // it isn't, onVerdict is called once that is known, unless it is nil.
 func (w *Watch) endLost(a *Attempt, onVerdict func(ended bool)) (hasEnded bool) {
@@ -194,7 +212,7 @@
 // settle probes an endpoint until it answers or its end is known. It returns false if
 // connections to it broke since then.
 func (w *Watch) settle(e port.Endpoint) bool {
-	silent, unanswered := 0, false
+	silent, unanswered, confirmed := 0, false, false
 	for _, delay := range probeDelays {
 		time.Sleep(delay)
 		probedAt := w.o.Clock()
@@ -205,7 +223,7 @@
 			unanswered = true
 			w.attempts.Unanswered(keyOf(e))
 			time.Sleep(lossDelay)
-			if w.reportEnd(e, "nothing listens there") {
+			if confirmed = w.confirmEnd(e); confirmed && w.reportEnd(e, reasonNotListening) {
 				return true
 			}
 		case port.PresenceReplaced:
@@ -217,42 +235,59 @@
 			silent++
 		}
 	}
-	if silent == len(probeDelays) && w.reportEnd(e, "connections end without an answer") {
-		return true
+	if silent == len(probeDelays) {
+		if confirmed = w.confirmEnd(e); confirmed && w.reportEnd(e, reasonSilent) {
+			return true
+		}
 	}
-	if unanswered {
-		w.awaitAnswer(e)
+	if unanswered && w.awaitAnswer(e, confirmed) {
+		return true
 	}
 	return w.attempts.Alive(w.o.Clock(), keyOf(e))
 }
 
 // awaitAnswer probes an endpoint whose end could not be established until it answers, for
 // a limited time. Until then it stays down: a process that has restarted at its address
-// states in that answer what it accepts.
-func (w *Watch) awaitAnswer(e port.Endpoint) {
+// states in that answer what it accepts. It reports whether the end was reported; confirmed
+// is set if only an older attempt that is still open leaves it in doubt.
+func (w *Watch) awaitAnswer(e port.Endpoint, confirmed bool) (reported bool) {
 	for range maxLateProbes {
 		time.Sleep(lateProbeInterval)
 		if w.o.IsLeaving(e) {
-			return
+			return false
 		}
 		switch w.probe(e) {
 		case port.PresenceServing:
-			return
+			return false
 		case port.PresenceReplaced:
 			w.reportReplaced(e)
-			return
+			return true
+		}
+		if confirmed && w.reportEnd(e, reasonStalled) {
+			return true
 		}
 		w.reportPresumedEnd(e)
 	}
+	return false
 }
 
+// Reasons for which an endpoint counts as ended.
+const (
+	reasonNotListening = "nothing listens there"
+	reasonSilent       = "connections end without an answer"
+	reasonStalled      = "it doesn't answer, and its last answers have stalled"
+	reasonReplaced     = "another endpoint or a later start answers there"
+	reasonRestarted    = "it has restarted"
+	reasonPresumed     = "no daemon reaches its pool, but other pools are reached"
+)
+
 // reportReplaced reports the end of an endpoint in whose place another one answers. Unlike
 // a failed connection that can't be due to the network, so it needs no confirmation.
 func (w *Watch) reportReplaced(e port.Endpoint) {
 	w.attempts.Unanswered(keyOf(e))
 	time.Sleep(lossDelay)
 	now := w.o.Clock()
-	w.report(now, e, "another endpoint or a later start answers there", w.attempts.Replaced(now, keyOf(e)))
+	w.report(now, e, reasonReplaced, w.attempts.Replaced(now, keyOf(e)))
 }
 
 func (w *Watch) probe(e port.Endpoint) port.Presence {
@@ -261,14 +296,20 @@
 	return w.o.CheckPresence(ctx, e)
 }
 
-// reportEnd reports the end of an endpoint, as a crash unless it was leaving.
-// It returns false, without reporting, if an older attempt at the endpoint is
-// still open, as the endpoint may then still run, or if the end is not confirmed.
-func (w *Watch) reportEnd(e port.Endpoint, reason string) bool {
-	if w.o.ConfirmEnd != nil && !w.o.ConfirmEnd(e) {
-		w.reportPresumedEnd(e)
-		return false
+// confirmEnd reports whether the end of an endpoint is confirmed. If it isn't, it may be
+// presumed.
+func (w *Watch) confirmEnd(e port.Endpoint) bool {
+	if w.o.ConfirmEnd == nil || w.o.ConfirmEnd(e) {
+		return true
 	}
+	w.reportPresumedEnd(e)
+	return false
+}
+
+// reportEnd reports the end of an endpoint, as a crash unless it was leaving. It returns
+// false, without reporting, if an older attempt at the endpoint is still open, as the
+// endpoint may then still run.
+func (w *Watch) reportEnd(e port.Endpoint, reason string) bool {
 	now := w.o.Clock()
 	lost, uncertain := w.attempts.Ended(now, keyOf(e))
 	if uncertain {
@@ -285,7 +326,7 @@
 		return
 	}
 	now := w.o.Clock()
-	w.report(now, e, "no daemon reaches its pool, but other pools are reached", w.attempts.TakeLost(keyOf(e)))
+	w.report(now, e, reasonPresumed, w.attempts.TakeLost(now, keyOf(e)))
 }
 
 // report reports the losses at an endpoint that has ended, as a crash unless it was
@@ -302,5 +343,5 @@
 // id. The former one has ended, even if checks were answered: by the later one.
 func (w *Watch) Restarted(former port.Endpoint) {
 	now := w.o.Clock()
-	w.report(now, former, "it has restarted", w.attempts.Replaced(now, keyOf(former)))
+	w.report(now, former, reasonRestarted, w.attempts.Replaced(now, keyOf(former)))
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -78,7 +78,7 @@
 func (x *exchange) recordIfWithdrawn(ctx context.Context) {
 	if errors.Is(context.Cause(ctx), errWithdrawn) {
 		x.cause, x.reason = CauseQuarantined, errWithdrawn.Error()
-		x.quarantined = true
+		x.quarantined, x.left = true, false
 	}
 }
 
@@ -156,6 +156,10 @@
 		kind = port.FinishCancelled
 	}
 	x.connectionLost = kind == port.FinishFailed
+	x.left = fate == stream.OutcomeUnknown && ctx.Err() != nil
+	if fate == stream.OutcomeNotSent && ctx.Err() == nil {
+		x.g.crashWatch.Unreached(p.endpoint)
+	}
 	if x.connectionLost {
 		// A lost path breaks connections just as a crash of the endpoint does.
 		x.g.paths.RequestCheck(x.g.Clock(), p.endpoint.ID, p.endpoint.Pool, true)
@@ -194,7 +198,7 @@
 	}
 	if err != nil {
 		x.reason = "the answer broke off: " + err.Error()
-		x.connectionLost = ctx.Err() == nil
+		x.connectionLost, x.left = ctx.Err() == nil, ctx.Err() != nil
 		x.g.metrics.attemptFailed("cut")
 		x.endAttempt(p, finishKind(ctx, port.FinishFailed))
 		return stream.OutcomeUnknown
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -658,6 +658,34 @@
 	}
 }
 
+// Guards against crashes that are not counted because the callers give up before anybody sees the endpoint's end.
+func TestCrashAfterItsCallersGaveUpIsCounted(t *testing.T) {
+	b := newHarness(t)
+	b.backends.silent = map[string]bool{"e0": true, "e1": true, "e2": true}
+	ctx, leave := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		_ = b.sendPartsUntil(ctx, t, "left", "/stream/fatal", &fakeCaller{})
+		close(done)
+	}()
+	eventually.True(t, "it is sent", func() bool { return len(b.backends.arrivals()) == 1 })
+	leave()
+	<-done
+	b.backends.mu.Lock()
+	b.backends.silent = nil
+	b.backends.presence = map[string]port.Presence{"e0": port.PresenceGone, "e1": port.PresenceGone, "e2": port.PresenceGone}
+	b.backends.mu.Unlock()
+	_ = b.send(t, "/stream/next", &fakeCaller{})
+	eventually.True(t, "the crash is counted", func() bool {
+		for _, d := range b.sink.All() {
+			if d.Verdict == verdictCrash && strings.Contains(d.Reason, "1 requests were lost") {
+				return true
+			}
+		}
+		return false
+	})
+}
+
 // Guards against using an endpoint whose end could not be established before it answers.
 func TestUnconfirmedEndStaysDownUntilAnswer(t *testing.T) {
 	b := newHarness(t)
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -79,6 +79,7 @@
 	if err := x.responder.Flush(); err != nil {
 		return err
 	}
+	x.g.crashWatch.Progress(r.p.watched)
 	r.countEvent(event.ID)
 	if first && r.p.generation {
 		x.g.moveIfLeaving(r.run)
@@ -190,7 +191,7 @@
 	}
 	if !errors.Is(err, io.EOF) || ctx.Err() != nil {
 		x.reason = "the stream broke off: " + err.Error()
-		x.connectionLost = ctx.Err() == nil
+		x.connectionLost, x.left = ctx.Err() == nil, ctx.Err() != nil
 		x.recordIfWithdrawn(ctx)
 		x.g.metrics.attemptFailed("cut")
 		x.endAttempt(p, finishKind(ctx, port.FinishFailed))
@@ -212,6 +213,7 @@
 func (x *exchange) endCallerGone(p *placement, err error) stream.RunOutcome {
 	x.reason = "the caller has gone: " + err.Error()
 	x.cause = CauseCallerGone
+	x.left = true
 	x.endAttempt(p, port.FinishCancelled)
 	return stream.OutcomeRan
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -55,6 +55,9 @@
 	refusedByBrittle bool
 	// ranOn: the endpoint of the last attempt was running after the end of its answer.
 	ranOn bool
+	// left: the last attempt was given up before its end, by the caller or because time
+	// ran out.
+	left bool
 	// connectionLost: the connection to the last attempt's endpoint broke.
 	connectionLost bool
 	// placedAtIneligible: the request was placed at an ineligible endpoint before.
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -88,7 +88,7 @@
 // startAttempt updates the exchange for the attempt at a chosen endpoint.
 func (x *exchange) startAttempt(p *placement) *placement {
 	x.attempts++
-	x.connectionLost = false
+	x.connectionLost, x.left = false, false
 	x.endpoint = p.endpoint.ID
 	x.tried = append(x.tried, p.endpoint.ID)
 	return p
@@ -198,7 +198,11 @@
 func (x *exchange) endAttempt(p *placement, kind port.FinishKind) {
 	g := x.g
 	x.inFlight = nil
-	g.crashWatch.End(p.watched, x.connectionLost)
+	if x.left {
+		g.crashWatch.Leave(p.watched)
+	} else {
+		g.crashWatch.End(p.watched, x.connectionLost)
+	}
 	if p.generation {
 		g.Placer.Finished(x.req.ID, p.tokens, g.credibleFinish(p, kind))
 		return
