--- a/internal/core/quarantine/attempts.go
+++ b/internal/core/quarantine/attempts.go
@@ -81,7 +81,9 @@
 }
 
 // Progress records a sign of the endpoint, such as a part of the answer.
-func (flight *Attempt) Progress(now time.Time) { flight.progressed.Store(int64(now.Sub(flight.started))) }
+func (flight *Attempt) Progress(now time.Time) {
+	flight.progressed.Store(int64(now.Sub(flight.started)))
+}
 
 // progressedAfter reports whether there was a sign of the endpoint after a time.
 func (flight *Attempt) progressedAfter(at time.Time) bool {
--- a/internal/tools/soak/main.go
+++ b/internal/tools/soak/main.go
@@ -29,6 +29,7 @@
 	Routes  int           `long:"routes" default:"0" description:"unused routes in the configuration"`
 	Restore bool          `long:"restores" description:"also restore the store from copies"`
 	Crashes bool          `long:"crashes" description:"also send a request that crashes the runners that run it"`
+	Parts   bool          `long:"parts" description:"also send requests with a part that crashes the runners that run it"`
 	Limits  bool          `long:"limits" description:"let runners declare limits of requests"`
 	Notices bool          `long:"notices" description:"let runners ask for pauses and announce in answers that they leave"`
 	Domains bool          `long:"evacuations" description:"also evacuate failure domains"`
@@ -84,7 +85,7 @@
 	}
 	l := testfleet.SmallLayout(o.BinDir, ".", dir)
 	l.Daemons, l.Engines, l.Plain = o.Daemons, o.Engines, o.Plain
-	report, err := soak.Run(ctx, soak.Options{Seed: seed, Length: o.Length, Layout: l, Routes: o.Routes, Restores: o.Restore, Crashes: o.Crashes, Limits: o.Limits, Notices: o.Notices, Evacuations: o.Domains, Cold: o.Cold, Cuts: o.Cuts, Brittle: o.Brittle, Quiet: o.Quiet, Log: func(format string, args ...any) {
+	report, err := soak.Run(ctx, soak.Options{Seed: seed, Length: o.Length, Layout: l, Routes: o.Routes, Restores: o.Restore, Crashes: o.Crashes, Parts: o.Parts, Limits: o.Limits, Notices: o.Notices, Evacuations: o.Domains, Cold: o.Cold, Cuts: o.Cuts, Brittle: o.Brittle, Quiet: o.Quiet, Log: func(format string, args ...any) {
 		if o.Verbose {
 			fmt.Printf(format+"\n", args...)
 		}
