Presumed ends of one failure count once, and against parts only

Change: crashes less than 0.2 s apart aren't independent; presumed ends are dated to the loss of the pool and independent after 2 s only, and don't count against whole requests, which are lost at many endpoints in one cut when they are repeated.

--- a/internal/core/quarantine/partevaluate.go
+++ b/internal/core/quarantine/partevaluate.go
@@ -21,7 +21,9 @@
 	// independentAfter is the time between two crashes from which the second one counts
 	// although its requests had been sent before the first one, if no request with the
 	// part completed lately.
-	independentAfter = time.Second
+	independentAfter = 2 * time.Second
+	// minIndependentGap is the least time between two independent crashes.
+	minIndependentGap = 200 * time.Millisecond
 )
 
 // Combination is a set of parts that must not be sent in one prompt.
@@ -126,10 +128,11 @@
 }
 
 func (c *partCandidate) follows(before, crash *PartCrash) bool {
-	if !c.suspect.Completed && crash.At.Sub(before.At) >= independentAfter {
+	gap := crash.At.Sub(before.At)
+	if !c.suspect.Completed && gap >= independentAfter {
 		return true
 	}
-	return !crash.At.Add(-crash.Ran).Before(before.At)
+	return gap >= minIndependentGap && crash.Ran <= gap
 }
 
 func (c *partCandidate) isConclusive() bool {
--- a/internal/core/quarantine/partevaluate_test.go
+++ b/internal/core/quarantine/partevaluate_test.go
@@ -169,6 +169,20 @@
 				h.crash(lostRequest{parts: []uint64{first, other}, ran: 3 * time.Second}, lostRequest{parts: []uint64{first, third}, ran: brief})
 			}
 		}, nil},
+		{"brief requests lost one after the other at a moment", func(h *partHistory) {
+			h.complete(first)
+			for range 8 {
+				h.now = h.now.Add(10 * time.Millisecond)
+				h.crash(lostRequest{parts: []uint64{first}, ran: 5 * time.Millisecond})
+			}
+		}, nil},
+		{"presumed ends of endpoints in one failure", func(h *partHistory) {
+			h.complete(first)
+			for range 8 {
+				h.now = h.now.Add(250 * time.Millisecond)
+				h.crash(lostRequest{parts: []uint64{first}, ran: presumedSpan})
+			}
+		}, nil},
 		{"many endpoints that end at once, twice", func(h *partHistory) {
 			for range 2 {
 				for range 3 {
--- a/internal/core/quarantine/register.go
+++ b/internal/core/quarantine/register.go
@@ -210,7 +210,7 @@
 	r.Refresh(now)
 	for i := range lost {
 		f := lost[i].Request.Fingerprint
-		if r.completed.has(now, f) || r.isDiscarded(f, crash) {
+		if lost[i].IsPresumed || r.completed.has(now, f) || r.isDiscarded(f, crash) {
 			continue
 		}
 		s, held := r.get(f)
--- a/internal/core/quarantine/request.go
+++ b/internal/core/quarantine/request.go
@@ -63,6 +63,24 @@
 	// how long its attempt had lasted by then.
 	At  time.Time
 	Ran time.Duration
+	// IsPresumed is set if the end of the endpoint is only presumed. It then counts
+	// against the parts of the prompt, but not against the request: one that is repeated
+	// is lost at many endpoints in a single failure of the network.
+	IsPresumed bool
+}
+
+// presumedSpan is the time within which the presumed ends of endpoints are one event.
+const presumedSpan = 2 * time.Second
+
+// Presumed returns the loss for an end that is presumed, of a failure that began at the
+// given time. Of several presumed ends within presumedSpan only one is independent.
+func (l Loss) Presumed(since time.Time) Loss {
+	if since.Before(l.At) {
+		l.At = since
+	}
+	l.Ran += presumedSpan
+	l.IsPresumed = true
+	return l
 }
 
 // short returns a prefix of a fingerprint that is distinct within one scope.
--- a/internal/core/reachability/tracker.go
+++ b/internal/core/reachability/tracker.go
@@ -205,6 +205,21 @@
 	return t.lost(poolName)
 }
 
+// LostSince returns since when this daemon has had no path to any endpoint of a pool; lost
+// is false if it has one.
+func (t *Tracker) LostSince(poolName string) (since time.Time, lost bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.lost(poolName) {
+		return time.Time{}, false
+	}
+	o := t.pools[poolName]
+	if o.suspectSince.IsZero() {
+		return o.lostSince, true
+	}
+	return o.suspectSince, true
+}
+
 // lost reports whether the paths to a pool were found lost and no endpoint has joined
 // it since.
 func (t *Tracker) lost(poolName string) bool {
--- a/internal/crashwatch/crashwatch.go
+++ b/internal/crashwatch/crashwatch.go
@@ -55,9 +55,9 @@
 	// ended, rather than the network path to it being lost; nil means that it has.
 	ConfirmEnd func(e port.Endpoint) bool
 	// PresumeEnd reports whether an endpoint whose end isn't confirmed has most likely
-	// ended; nil means never. The requests lost there then count as lost with it, and the
-	// endpoint is used again once it answers.
-	PresumeEnd func(e port.Endpoint) bool
+	// ended, and since when it has been out of reach; nil means never. The requests lost
+	// there then count as lost with it, and the endpoint is used again once it answers.
+	PresumeEnd func(e port.Endpoint) (since time.Time, presumed bool)
 	// OnCrash is called for an endpoint that has crashed; lost is the number
 	// of requests of this daemon that ran there.
 	OnCrash func(e port.Endpoint, crash quarantine.CrashID, reason string, lost int)
@@ -322,11 +322,19 @@
 // reportPresumedEnd reports the requests lost at an endpoint that is presumed to have
 // ended.
 func (w *Watch) reportPresumedEnd(e port.Endpoint) {
-	if w.o.PresumeEnd == nil || !w.o.PresumeEnd(e) {
+	if w.o.PresumeEnd == nil {
+		return
+	}
+	since, presumed := w.o.PresumeEnd(e)
+	if !presumed {
 		return
 	}
 	now := w.o.Clock()
-	w.report(now, e, reasonPresumed, w.attempts.TakeLost(now, keyOf(e)))
+	lost := w.attempts.TakeLost(now, keyOf(e))
+	for i := range lost {
+		lost[i] = lost[i].Presumed(since)
+	}
+	w.report(now, e, reasonPresumed, lost)
 }
 
 // report reports the losses at an endpoint that has ended, as a crash unless it was
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -48,19 +48,20 @@
 
 // presumeEnd reports whether the endpoints of a pool have most likely ended together: no
 // daemon has a path to the pool, although this one reaches another pool. A cut of network
-// paths mostly leaves some daemons theirs.
-func (g *Gateway) presumeEnd(e port.Endpoint) bool {
+// paths mostly leaves some daemons theirs. since is when this daemon lost the pool.
+func (g *Gateway) presumeEnd(e port.Endpoint) (since time.Time, presumed bool) {
 	peers := 0
 	for _, m := range g.View.Members() {
 		if m.ID == g.options().ID || m.State != port.MemberLive {
 			continue
 		}
 		if !slices.Contains(m.LostPools, e.Pool) {
-			return false
+			return time.Time{}, false
 		}
 		peers++
 	}
-	return peers > 0 && g.paths.Lost(e.Pool) && g.reachesOtherPool(e.Pool)
+	since, lost := g.paths.LostSince(e.Pool)
+	return since, lost && peers > 0 && g.reachesOtherPool(e.Pool)
 }
 
 // reachesOtherPool reports whether an endpoint of another pool answers this daemon now.
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -622,7 +622,7 @@
 				}
 			}
 			e, _ := b.endpointTable.get("s0")
-			if got := b.presumeEnd(e.Endpoint); got != c.want {
+			if _, got := b.presumeEnd(e.Endpoint); got != c.want {
 				t.Errorf("the end is presumed: %v", got)
 			}
 		})
--- a/test/brittle_test.go
+++ b/test/brittle_test.go
@@ -1,8 +1,10 @@
 package test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -68,12 +70,87 @@
 	}
 }
 
+// Guards against the same where the runners are brittle when the load begins, and against requests that crash a runner again when it has restarted.
+func TestBrittleRunnersStayUpUnderManyCallers(t *testing.T) {
+	t.Parallel()
+	const (
+		runFor    = 20 * time.Second
+		backAfter = 3 * time.Second
+	)
+	f := startFleet(t, func(l *testfleet.Layout) {
+		l.Daemons, l.Engines, l.Plain, l.CallDuration = 4, 1, brittleRunners, brittleWork
+	})
+	ctx, stop := context.WithCancel(testContext(t))
+	defer stop()
+	var background sync.WaitGroup
+	b := &brittleService{fleetTest: f, backAfter: backAfter}
+	b.setFaults(standin.RunnerFaults{Slots: brittleSlots, MaxWaiting: 1000, Brittle: brittleRefusals})
+	for _, r := range f.runnersOf(standin.PlainService) {
+		background.Go(func() { b.keepRunning(ctx, r) })
+	}
+	var served, refused, failed atomic.Int32
+	for n := range brittleLoad {
+		background.Go(func() { b.sendOncePerSecond(ctx, n, &served, &refused, &failed) })
+	}
+	time.Sleep(brittleNotice)
+	b.setFaults(standin.RunnerFaults{Slots: brittleSlots, MaxWaiting: brittleWaiting, Brittle: brittleRefusals})
+	servedBefore, crashesBefore := served.Load(), b.crashes.Load()
+	killed := int32(0)
+	for _, r := range f.runnersOf(standin.PlainService)[:2] {
+		time.Sleep(runFor / 3)
+		r.Kill()
+		killed++
+	}
+	time.Sleep(runFor / 3)
+	count, crashes := served.Load()-servedBefore, b.crashes.Load()-crashesBefore-killed
+	b.setFaults(standin.RunnerFaults{})
+	stop()
+	background.Wait()
+	t.Logf("%d crashes; %d calls served while room was scarce, %d refused and %d failed in all", crashes, count, refused.Load(), failed.Load())
+	if crashes > maxBrittleCrashes {
+		t.Errorf("brittle runners crashed %d times, want %d at most", crashes, maxBrittleCrashes)
+	}
+	capacity := brittleRunners * brittleSlots * int32(runFor/brittleWork)
+	if count < capacity/2 {
+		t.Errorf("%d calls were served while room was scarce, the runners have room for %d", count, capacity)
+	}
+}
+
+// sendOncePerSecond sends one call a second over connections of one caller, each once, to a
+// daemon drawn at random.
+func (b *brittleService) sendOncePerSecond(ctx context.Context, caller int, served, refused, failed *atomic.Int32) {
+	random := rand.New(rand.NewPCG(1, uint64(caller)))
+	c := b.NewCaller()
+	defer c.Close()
+	time.Sleep(time.Duration(random.Int64N(int64(time.Second))))
+	tick := time.NewTicker(time.Second)
+	defer tick.Stop()
+	for n := 0; ctx.Err() == nil; n++ {
+		r := &testfleet.Request{ID: fmt.Sprint("brittle-", caller, "-", n), Kind: testfleet.Once, Patience: time.Second}
+		switch a := c.Ask(ctx, b.Daemons[random.IntN(len(b.Daemons))].Callers, r); {
+		case a.Whole(r):
+			served.Add(1)
+		case a.NotRun && a.RetryAfter > 0:
+			refused.Add(1)
+		default:
+			failed.Add(1)
+		}
+		select {
+		case <-ctx.Done():
+		case <-tick.C:
+		}
+	}
+}
+
 // brittleService is the plain service of a fleet.
 type brittleService struct {
 	*fleetTest
 	faultsMu sync.Mutex
 	faults   standin.RunnerFaults
 	crashes  atomic.Int32
+	// backAfter is the time after which a crashed runner is started again; zero means
+	// brittleBackAfter.
+	backAfter time.Duration
 }
 
 // setFaults sets the faults of all runners of the service, also of those that start
@@ -97,7 +174,7 @@
 		case <-r.Exited():
 		}
 		b.crashes.Add(1)
-		time.Sleep(brittleBackAfter)
+		time.Sleep(cmp.Or(b.backAfter, brittleBackAfter))
 		next, err := b.RestartRunner(ctx, r)
 		if err != nil {
 			return
