A quarantined part is tried again at long intervals

Cause: a verdict on parts ends when a request with them completes, but none is sent any more: a wrong verdict, or one on weights that have been replaced since, stood for as long as requests came. Change: a minute after the last crash one request is sent, by one daemon for all; the time doubles with each crash beyond those of the verdict. If it completes, the verdict ends everywhere. For this reason the version of the weights is not in the scope of a part: after a release the part is tried, and requests aren't sent to crash each version anew. Result: TestQuarantinedPartIsTriedAgain, TestOneDaemonMakesTheTrials.

--- a/internal/core/quarantine/partsuspect.go
+++ b/internal/core/quarantine/partsuspect.go
@@ -135,13 +135,24 @@
 	return found
 }
 
+// lastCrash returns the time of the last crash, zero if there is none.
+func (s *PartSuspect) lastCrash() time.Time {
+	last := time.Time{}
+	for _, c := range s.Crashes {
+		if c.At.After(last) {
+			last = c.At
+		}
+	}
+	return last
+}
+
 // updatedAt returns the suspect as updated now, with its last crash at that time.
 func (s PartSuspect) updatedAt(now time.Time) PartSuspect {
 	s.Crashes, s.UpdatedAt = slices.Clone(s.Crashes), now
 	if len(s.Crashes) == 0 {
 		return s
 	}
-	last := slices.MaxFunc(s.Crashes, func(a, b PartCrash) int { return a.At.Compare(b.At) }).At
+	last := s.lastCrash()
 	for i := range s.Crashes {
 		s.Crashes[i].At = now.Add(s.Crashes[i].At.Sub(last))
 	}
--- a/internal/core/quarantine/register.go
+++ b/internal/core/quarantine/register.go
@@ -77,6 +77,20 @@
 	// Parts are the parts of its prompt that crash endpoints; empty if it is the request
 	// as a whole.
 	Parts []Part
+	// LastCrash is when an endpoint last crashed under the first of Parts, and Crashes the
+	// number of these crashes that are kept.
+	LastCrash time.Time
+	Crashes   int
+}
+
+// trialAfter is the time after the last crash from which one request with quarantined
+// parts may be sent. It doubles with each crash beyond those of the verdict.
+const trialAfter = time.Minute
+
+// TrialInterval returns the time after a crash or a trial from which one request with the
+// parts may be sent, to find out whether it still crashes its endpoint.
+func (h *Hold) TrialInterval() time.Duration {
+	return trialAfter << max(0, h.Crashes-convictAfter)
 }
 
 // Register holds what one daemon knows of requests and parts of prompts that crash
@@ -136,7 +150,7 @@
 	}
 	for _, p := range request.Parts {
 		if c := v.parts[p.Fingerprint]; c != nil && c.matches(request.Parts) {
-			hold := Hold{Remaining: r.parts.renew(now, c)}
+			hold := Hold{Remaining: r.parts.renew(now, c), LastCrash: c.Lead.lastCrash(), Crashes: len(c.Lead.Crashes)}
 			for _, s := range c.all() {
 				hold.Parts = append(hold.Parts, s.Part)
 			}
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -151,7 +151,7 @@
 // nil for any other request.
 func (x *exchange) quarantineRefusal() *Refusal {
 	hold, quarantined := x.g.Quarantine.Quarantined(x.g.Clock(), x.identity())
-	if !quarantined {
+	if !quarantined || x.beginTrial(&hold) {
 		return nil
 	}
 	x.quarantined = true
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -211,6 +211,59 @@
 	}
 }
 
+// Guards against a verdict on a part that nothing can end, because no request with it is sent any more.
+func TestQuarantinedPartIsTriedAgain(t *testing.T) {
+	for _, crashes := range []bool{false, true} {
+		b := newHarness(t)
+		b.setHandlers("e", reply(200, "fine"))
+		if crashes {
+			b.setHandlers("e", failure(port.ErrEndpointLost))
+			b.backends.presence = map[string]port.Presence{"e0": port.PresenceGone, "e1": port.PresenceGone, "e2": port.PresenceGone}
+		}
+		scope := quarantine.Scope{Organisation: "o", Pool: "engines", Model: "m"}
+		for n := range 3 {
+			request := &quarantine.Request{Fingerprint: fingerprintOf(fmt.Sprint("/stream/lost-", n)), Organisation: "o", Parts: scope.Parts([]uint64{0xdead, 1})}
+			at := time.Now().Add(time.Duration(n-100) * time.Second)
+			b.quarantine.Crashed(time.Now(), quarantine.CrashID(n), []quarantine.Loss{{Request: request, At: at}})
+		}
+		first := b.sendParts(t, "first", "/stream/first", &fakeCaller{}, 0xdead, 0x77)
+		if n := len(b.backends.arrivals()); n != 1 {
+			t.Fatalf("sent %d times: %+v", n, first)
+		}
+		if crashes {
+			eventually.True(t, "the crash is counted", func() bool { return b.crashWatch.PendingChecks() == 0 })
+		}
+		second := b.sendParts(t, "second", "/stream/second", &fakeCaller{}, 0xdead, 0x78)
+		if refused := second != nil && second.Cause == CauseQuarantined; refused != crashes {
+			t.Errorf("the trial crashed its endpoint: %v; the next request: %+v", crashes, second)
+		}
+	}
+}
+
+// Guards against trials by all daemons at once.
+func TestOneDaemonMakesTheTrials(t *testing.T) {
+	var members []port.Member
+	for i := range 6 {
+		members = append(members, port.Member{ID: fmt.Sprint("g", i), State: port.MemberLive, CallerAddress: "a"})
+	}
+	for n := range byte(20) {
+		owners := 0
+		for _, m := range members {
+			b := newHarness(t)
+			options := *b.options()
+			options.ID = m.ID
+			b.SetOptions(options)
+			b.view.members = members
+			if b.ownsTrials(quarantine.Fingerprint{n}) {
+				owners++
+			}
+		}
+		if owners != 1 {
+			t.Errorf("%d daemons make trials of part %d", owners, n)
+		}
+	}
+}
+
 // Guards against requests that wait at a runner when their part is quarantined, and crash it when they begin.
 func TestWaitingRequestIsWithdrawnWhenItsPartIsQuarantined(t *testing.T) {
 	b := newHarness(t)
--- a/internal/gateway/decisions.go
+++ b/internal/gateway/decisions.go
@@ -20,6 +20,8 @@
 	verdictRelay = "relay"
 	// verdictCrash: an endpoint crashed with the requests that it was running.
 	verdictCrash = "crash"
+	// verdictTrial: a request is sent in spite of a verdict on the parts of its prompt.
+	verdictTrial = "trial"
 	// verdictRelease: a copy of a run is released.
 	verdictRelease = "release"
 	// verdictWithdraw: a placement is withdrawn before the request is sent.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -67,6 +67,8 @@
 	// relayedFrom is the id of the daemon that passed the request on, empty if it came
 	// from a caller.
 	relayedFrom string
+	// isTrial: its first attempt is sent in spite of a verdict on the parts of its prompt.
+	isTrial bool
 	// crashingPart is the fingerprint of the part of the prompt that it is not sent for.
 	crashingPart string
 	// quarantineRequest caches the result of the method identity.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -132,6 +132,7 @@
 	metrics       *instruments
 	seenLeaving   membership.Departures
 	formerStarts  formerStarts
+	trials        trials
 	runs          runs
 	crashWatch    *crashwatch.Watch
 	pauses        pause.Tracker
