An answer that ends with its connection is whole only if the endpoint answers at once

Change: after an unanswered check it can't be told that the same process answers, so the answer has broken off; a leaving endpoint is checked, too. TestAnswerThatEndsWithItsEndpointIsNotWhole expected a leaving endpoint's last answer to be whole; an answer that may have been cut short must not look complete, so it now demands that, and that the endpoint runs on otherwise.

--- a/internal/core/quarantine/attempts.go
+++ b/internal/core/quarantine/attempts.go
@@ -60,13 +60,14 @@
 // lostAttempt is an attempt whose connection broke.
 type lostAttempt struct {
 	Loss
-	// onVerdict is called once it is known whether the endpoint has ended; it may be nil.
-	onVerdict func(ended bool)
+	// onVerdict is called once it is known whether the endpoint may have ended; it may be
+	// nil.
+	onVerdict func(mayHaveEnded bool)
 }
 
-func (l *lostAttempt) decide(ended bool) {
+func (l *lostAttempt) decide(mayHaveEnded bool) {
 	if l.onVerdict != nil {
-		l.onVerdict(ended)
+		l.onVerdict(mayHaveEnded)
 	}
 }
 
@@ -173,8 +174,8 @@
 // Lost records that the connection of an attempt broke. If probe is set, the caller
 // must find out whether the endpoint has ended, and call Ended or Alive. If ended is not
 // nil, the endpoint is already known to have ended. Otherwise onVerdict, unless it is nil,
-// is called once that is known; it must not block, nor call the Attempts.
-func (f *Attempts) Lost(now time.Time, flight *Attempt, onVerdict func(ended bool)) (probe bool, ended *Loss) {
+// is called once it is known whether it may have; it must not block, nor call the Attempts.
+func (f *Attempts) Lost(now time.Time, flight *Attempt, onVerdict func(mayHaveEnded bool)) (probe bool, ended *Loss) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	at := f.end(flight)
@@ -245,6 +246,8 @@
 	if attempts == nil {
 		return true
 	}
+	// Whether it is the same process that answers now can't be told.
+	inDoubt := attempts.down
 	f.setDown(attempts, false)
 	var later []lostAttempt
 	for i := range attempts.lost {
@@ -252,7 +255,7 @@
 			later = append(later, attempts.lost[i])
 			continue
 		}
-		attempts.lost[i].decide(false)
+		attempts.lost[i].decide(inDoubt)
 		attempts.survived = append(attempts.survived, attempts.lost[i].Loss)
 	}
 	attempts.lost, attempts.probing = later, len(later) > 0
--- a/internal/crashwatch/crashwatch.go
+++ b/internal/crashwatch/crashwatch.go
@@ -131,8 +131,8 @@
 }
 
 // endLost ends a lost attempt and reports whether its endpoint is known to have ended. If
-// it isn't, onVerdict is called once that is known, unless it is nil.
-func (w *Watch) endLost(a *Attempt, onVerdict func(ended bool)) (hasEnded bool) {
+// it isn't, onVerdict is called once it is known whether it may have, unless it is nil.
+func (w *Watch) endLost(a *Attempt, onVerdict func(mayHaveEnded bool)) (hasEnded bool) {
 	probe, ended := w.attempts.Lost(w.o.Clock(), a.attempt, onVerdict)
 	switch {
 	case ended != nil && w.o.IsLeaving(a.endpoint):
@@ -150,24 +150,24 @@
 
 // EndWithConnection ends an attempt whose answer had no other end than that of its
 // connection. The end of the endpoint closes its connections just as the end of an answer
-// does, so the endpoint is checked. It reports whether the answer may be whole, and
-// whether the endpoint is known to have run on.
+// does, so the answer counts as whole only if the endpoint answers a check at once. ranOn
+// reports whether it is known to have run on.
 func (w *Watch) EndWithConnection(ctx context.Context, a *Attempt) (isWhole, ranOn bool) {
 	w.waiting.remove(a)
 	if w.o.IsLeaving(a.endpoint) {
-		// It may end right after its last answer.
+		// Its end is planned, but may come before that of the answer.
 		w.attempts.End(a.attempt)
-		return true, false
+		return w.probe(a.endpoint) == port.PresenceServing, false
 	}
 	verdict := make(chan bool, 1)
-	if w.endLost(a, func(ended bool) { verdict <- ended }) {
+	if w.endLost(a, func(mayHaveEnded bool) { verdict <- mayHaveEnded }) {
 		return false, false
 	}
 	timeout := time.NewTimer(maxVerdictWait)
 	defer timeout.Stop()
 	select {
-	case ended := <-verdict:
-		return !ended, !ended
+	case mayHaveEnded := <-verdict:
+		return !mayHaveEnded, !mayHaveEnded
 	case <-timeout.C:
 	case <-ctx.Done():
 	}
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -312,7 +312,8 @@
 	}{
 		{"it runs on", port.PresenceServing, false, true},
 		{"it has crashed", port.PresenceGone, false, false},
-		{"it leaves, and has ended after its last answer", port.PresenceGone, true, true},
+		{"it leaves and runs on", port.PresenceServing, true, true},
+		{"it leaves, and has ended before or after the answer", port.PresenceGone, true, false},
 	} {
 		for path, contentType := range map[string]string{"/stream/x": "text/event-stream", "/once/x": "text/plain"} {
 			t.Run(c.name+" "+path, func(t *testing.T) {
@@ -344,6 +345,20 @@
 	}
 }
 
+// Guards against the same where the endpoint is back when it is checked again.
+func TestAnswerThatEndsWithARestartedEndpointIsNotWhole(t *testing.T) {
+	b := newHarness(t)
+	b.setHandlers("s", unframedReply("text/plain", "who"))
+	b.setPresence(port.PresenceSilent)
+	b.backends.onCheck = func(port.Endpoint) {
+		time.AfterFunc(20*time.Millisecond, func() { b.setPresence(port.PresenceServing) })
+	}
+	caller := &fakeCaller{}
+	if refusal := b.send(t, "/once/x", caller); refusal == nil || refusal.Outcome == outcome.NotRun {
+		t.Fatalf("refused with %+v, the caller has %q", refusal, caller.text())
+	}
+}
+
 // Guards against the same for an idempotent call, which is then repeated.
 func TestCallIsRepeatedWhenItsAnswerEndsWithItsEndpoint(t *testing.T) {
 	b := newHarness(t)
