--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -412,6 +412,29 @@
 	b.apply()
 }
 
+// awaitUse waits until a restarted endpoint has answered and is used.
+func (b *harness) awaitUse(t *testing.T, id string) {
+	t.Helper()
+	eventually.True(t, id+" is used", func() bool {
+		e, _ := b.endpointTable.get(id)
+		return !b.IsPaused(e.Endpoint)
+	})
+}
+
+// Guards against a restarted endpoint that is cold and gets its usual share until that is known.
+func TestRestartedEndpointIsAskedBeforeItIsUsed(t *testing.T) {
+	b := newHarness(t)
+	b.setHandlers("s", reply(200, "fine"))
+	answer := make(chan struct{})
+	b.backends.onCheck = func(port.Endpoint) { <-answer }
+	b.restart("s0")
+	if n := b.sendMany(t, 30, "/once/x", "s0"); n > 0 {
+		t.Errorf("%d requests reached it before it answered", n)
+	}
+	close(answer)
+	eventually.True(t, "it is used", func() bool { return b.sendMany(t, 10, "/once/x", "s0") > 0 })
+}
+
 // Guards against crashes that are not counted because the endpoint is back under its id when it is checked.
 func TestRestartUnderTheSameIDIsACrash(t *testing.T) {
 	b := newHarness(t)
@@ -421,6 +444,7 @@
 		b.awaitProbes(t)
 		for _, id := range []string{"s0", "s1", "s2"} {
 			b.restart(id)
+			b.awaitUse(t, id)
 		}
 	}
 	if refusal := b.send(t, "/once/fatal", &fakeCaller{}); refusal == nil || refusal.Cause != CauseQuarantined {
@@ -451,6 +475,7 @@
 func TestPeerKnowsThatFormerStartHasEnded(t *testing.T) {
 	b := newHarness(t)
 	b.restart("s0")
+	b.awaitUse(t, "s0")
 	if reached, known := b.CheckEndpoint("s0", 1); reached || !known {
 		t.Errorf("the former start: reached %v, known %v", reached, known)
 	}
--- a/internal/gateway/restarts.go
+++ b/internal/gateway/restarts.go
@@ -10,8 +10,9 @@
 
 // An answer doesn't name the start of the endpoint that gave it. Until this daemon
 // receives the new incarnation of a restarted endpoint, a notice of that one is
-// attributed to the former incarnation and would be lost with it. So a new
-// incarnation is asked itself before it is used if the former one gave a notice.
+// attributed to the former incarnation and would be lost with it; and a new one may be
+// cold, which its own report doesn't say. So a new incarnation is asked itself before it
+// is used.
 
 // restartCheckTimeout bounds the time for which a restarted endpoint is not used
 // because of its check.
@@ -20,18 +21,25 @@
 // hasNotice reports whether a notice of the endpoint's incarnation is in force here.
 func (g *Gateway) hasNotice(e port.Endpoint) bool { return g.seenLeaving.Has(e) || g.IsPaused(e) }
 
+// isRestart reports whether a description of an endpoint names a later incarnation than
+// this daemon has received.
+func (g *Gateway) isRestart(described port.Endpoint) bool {
+	known, found := g.endpointTable.get(described.ID)
+	return found && known.Incarnation < described.Incarnation
+}
+
 // isUncheckedRestart reports whether a description of an endpoint names a later
 // incarnation than this daemon has received, and the one received gave a notice.
 func (g *Gateway) isUncheckedRestart(described port.Endpoint) bool {
 	known, found := g.endpointTable.get(described.ID)
-	return found && known.Incarnation < described.Incarnation && g.hasNotice(known.Endpoint)
+	return found && g.isRestart(described) && g.hasNotice(known.Endpoint)
 }
 
 // checkRestarts checks the endpoints that have been received with a new incarnation,
 // before they are put into the table.
 func (g *Gateway) checkRestarts(received []port.Endpoint) {
 	for _, e := range received {
-		if e.State == port.EndpointLive && g.isUncheckedRestart(e) {
+		if e.State == port.EndpointLive && g.isRestart(e) {
 			g.checkIncarnation(e)
 		}
 	}
@@ -45,7 +53,7 @@
 	if !g.pauses.Start(now, &e, restartCheckTimeout) {
 		return
 	}
-	g.recordNotice(e, verdictCheck, "it has restarted, and the last notice may be from before or after; it is not used until it answers")
+	g.recordNotice(e, verdictCheck, "it has restarted; it is not used until it answers")
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), restartCheckTimeout)
 		defer cancel()
