Evaluation of suspected parts skips those with one crash; benchmarks

Cause: a verdict is formed at each change; after a crash of 24 requests with ten parts each that is up to 240 times, and most suspects have one crash.

--- a/internal/core/quarantine/bench_test.go
+++ b/internal/core/quarantine/bench_test.go
@@ -28,6 +28,46 @@
 	}
 }
 
+// BenchmarkRequestWithParts measures the same for a prompt of ten parts, while one part is
+// quarantined.
+func BenchmarkRequestWithParts(b *testing.B) {
+	d := newDaemons(1)
+	for range 3 {
+		d.crashPrompts(0, prompt("o", crashing))
+	}
+	r, now := d.registers[0], time.Now()
+	scope := quarantine.Scope{Organisation: "org", Pool: "pool", Model: "m"}
+	for b.Loop() {
+		request := &quarantine.Request{Parts: scope.Parts([]uint64{1, 2, 3, 4, 5, 6, 7, 8, 9, 10})}
+		r.Quarantined(now, request)
+		r.Completed(now, request)
+	}
+}
+
+// BenchmarkEvaluateParts evaluates as many suspected parts as are remembered at most, after
+// 17 crashes of 24 requests with ten parts each.
+func BenchmarkEvaluateParts(b *testing.B) {
+	d := newDaemons(1)
+	for crash := range uint64(17) {
+		var ran []*quarantine.Request
+		for slot := range uint64(24) {
+			var ids []uint64
+			for part := range uint64(9) {
+				ids = append(ids, 1<<20+(crash*24+slot)*10+part)
+			}
+			ran = append(ran, prompt("o", append(ids, shared)...))
+		}
+		d.crashPrompts(0, ran...)
+	}
+	var all []quarantine.PartSuspect
+	for s := range d.nodes[0].PartSuspects().All() {
+		all = append(all, s)
+	}
+	for b.Loop() {
+		quarantine.EvaluateParts(all, nil)
+	}
+}
+
 // BenchmarkEvaluate evaluates as many suspects as are remembered at most.
 func BenchmarkEvaluate(b *testing.B) {
 	d := newDaemons(1)
--- a/internal/core/quarantine/partevaluate.go
+++ b/internal/core/quarantine/partevaluate.go
@@ -59,6 +59,9 @@
 func EvaluateParts(suspects []PartSuspect, requests []Suspect) []Combination {
 	e := partEvaluation{suspects: suspects}
 	for i := range suspects {
+		if len(suspects[i].Crashes) < convictRepeatedAfter {
+			continue
+		}
 		if c := newPartCandidate(&suspects[i], requests); c.weight >= convictRepeatedAfter {
 			e.candidates = append(e.candidates, c)
 		}
