--- a/internal/crashwatch/crashwatch.go
+++ b/internal/crashwatch/crashwatch.go
@@ -171,7 +171,8 @@
 	case <-timeout.C:
 	case <-ctx.Done():
 	}
-	return !w.IsDown(a.endpoint), false
+	// A health check of a plain service may wait for a slot; an engine answers at once.
+	return a.endpoint.Kind == port.KindService && !w.IsDown(a.endpoint), false
 }
 
 // Tick drops endpoints that ended some time ago, and withdraws attempts whose requests
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -359,6 +359,22 @@
 	}
 }
 
+// Guards against the same where no check is answered in time, other than by a plain service, whose checks wait for a slot.
+func TestAnswerOfSilentEngineIsNotWhole(t *testing.T) {
+	for path, want := range map[string]bool{"/stream/x": false, "/once/x": true} {
+		b := newHarness(t)
+		b.setHandlers("s", unframedReply("text/plain", "whole"))
+		b.setHandlers("e", unframedReply("text/event-stream", "id: 1\ndata: a\n\n"))
+		release := make(chan struct{})
+		b.backends.onCheck = func(port.Endpoint) { <-release }
+		refusal := b.send(t, path, &fakeCaller{})
+		close(release)
+		if (refusal == nil) != want {
+			t.Errorf("%s: refused with %+v", path, refusal)
+		}
+	}
+}
+
 // Guards against the same for an idempotent call, which is then repeated.
 func TestCallIsRepeatedWhenItsAnswerEndsWithItsEndpoint(t *testing.T) {
 	b := newHarness(t)
