--- a/internal/core/quarantine/attempts.go
+++ b/internal/core/quarantine/attempts.go
@@ -60,8 +60,8 @@
 // lostAttempt is an attempt whose connection broke.
 type lostAttempt struct {
 	Loss
-	// onVerdict is called once it is known whether the endpoint may have ended; it may be
-	// nil.
+	// onVerdict is called once it is known whether the endpoint may have ended; it is nil
+	// if the answer has broken off in any case.
 	onVerdict func(mayHaveEnded bool)
 }
 
@@ -256,7 +256,9 @@
 			continue
 		}
 		attempts.lost[i].decide(inDoubt)
-		attempts.survived = append(attempts.survived, attempts.lost[i].Loss)
+		if inDoubt || attempts.lost[i].onVerdict == nil {
+			attempts.survived = append(attempts.survived, attempts.lost[i].Loss)
+		}
 	}
 	attempts.lost, attempts.probing = later, len(later) > 0
 	f.dropIfEmpty(e, attempts)
--- a/internal/core/quarantine/attempts_test.go
+++ b/internal/core/quarantine/attempts_test.go
@@ -87,6 +87,19 @@
 	}
 }
 
+// Guards against counting answers that were whole as lost when their endpoint restarts later, and against forgetting those that broke off.
+func TestWholeAnswersAreNotLostWithALaterRestart(t *testing.T) {
+	f, now := NewAttempts(), time.Unix(1000, 0)
+	e := EndpointKey{ID: "e", Incarnation: 1}
+	ended := true
+	f.Lost(now, f.Begin(now, e, requestWith(1)), func(mayHaveEnded bool) { ended = mayHaveEnded })
+	f.Lost(now, f.Begin(now, e, requestWith(2)), nil)
+	f.Alive(now, e)
+	if got := fingerprintsOf(f.Replaced(now.Add(time.Second), e)); ended || !slices.Equal(got, []Fingerprint{fingerprint(2)}) {
+		t.Fatalf("the answer broke off: %v; lost with the restart: %v", ended, got)
+	}
+}
+
 // Guards against broken connections that are counted as crashes.
 func TestLossAtLiveEndpointIsDropped(t *testing.T) {
 	f, now := NewAttempts(), time.Unix(1000, 0)
