Streams that a move has stopped, and ends at paused endpoints, aren't whole answers

A run that is stopped for a move closes its stream while its endpoint runs on; when it wasn't resumed, a stream without chunks was passed on as whole. And at a paused endpoint, which a restarted one counts as until it has answered, the check after such an end was left out. Change: the end of a stopped run is none of its answer; the one check that follows a lost connection is made at paused endpoints, too.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -61,8 +61,8 @@
 // endedOrderly reports whether an answer that was read to its end is whole. One with
 // neither a length nor chunks looks whole also if its endpoint has crashed.
 func (x *exchange) endedOrderly(ctx context.Context, p *placement, a *port.Answer) bool {
-	if a.Delimited || x.g.IsPaused(p.endpoint) {
-		x.ranOn = a.Delimited
+	if a.Delimited {
+		x.ranOn = true
 		return true
 	}
 	isWhole, ranOn := x.g.crashWatch.EndWithConnection(ctx, p.watched)
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -38,6 +38,9 @@
 		}
 		next := r.resumeFromCopy(ctx, a, err)
 		if next == nil {
+			if errors.Is(err, io.EOF) && !a.Delimited && r.run.wasStopped() {
+				err = errRunStopped
+			}
 			return x.finishStream(ctx, p, a, err)
 		}
 		defer next.Body.Close()
@@ -45,6 +48,10 @@
 	}
 }
 
+// errRunStopped means that a stream which ends with its connection ended because its run
+// was stopped to be moved, and wasn't resumed.
+var errRunStopped = errors.New("its run was stopped for a move and not resumed")
+
 // errCallerGone means that writing to the caller failed.
 var errCallerGone = errors.New("the caller has gone")
 
--- a/internal/gateway/runs.go
+++ b/internal/gateway/runs.go
@@ -172,6 +172,13 @@
 	return m.stopping
 }
 
+// wasStopped reports whether a move has stopped the run at its present source.
+func (r *run) wasStopped() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.move != nil && r.move.stopping
+}
+
 // setLastID stores the id of the last event sent to the caller.
 func (r *run) setLastID(id string) {
 	r.mu.Lock()
