--- a/internal/core/quarantine/partevaluate_test.go
+++ b/internal/core/quarantine/partevaluate_test.go
@@ -131,14 +131,14 @@
 				h.crash(lostRequest{parts: []uint64{dead, twin}, ran: brief})
 			}
 		}, [][]uint64{{dead, twin}}},
-		{"a shared part that completed since the crashes is told apart", func(h *partHistory) {
+		{"a shared part that completed since the crashes is cleared", func(h *partHistory) {
 			for range 3 {
 				h.pass()
 				h.crash(lostRequest{parts: []uint64{first, dead}, ran: brief})
 			}
 			h.complete(first, other)
 		}, [][]uint64{{dead}}},
-		{"a shared part that completed before the crashes is told apart", func(h *partHistory) {
+		{"a shared part that completed before the crashes is less likely the cause", func(h *partHistory) {
 			h.complete(first, other)
 			for range 3 {
 				h.pass()
--- a/internal/core/quarantine/request.go
+++ b/internal/core/quarantine/request.go
@@ -60,7 +60,7 @@
 type Loss struct {
 	Request *Request
 	// At is when its connection broke, by the monotonic clock of this daemon, and Ran
-	// how long its attempt had lasted by then.
+	// how long its attempt had lasted.
 	At  time.Time
 	Ran time.Duration
 	// IsPresumed is set if the end of the endpoint is only presumed. It then counts
--- a/internal/gateway/endpoint_ends_test.go
+++ b/internal/gateway/endpoint_ends_test.go
@@ -283,7 +283,7 @@
 		{"no daemon reaches the pool", 2, false, false, true},
 		{"a peer reaches it", 2, true, false, false},
 		{"no other pool is reached either", 2, false, true, false},
-		{"nobody else can tell", 0, false, false, false},
+		{"there are no other daemons", 0, false, false, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			b, _ := newRelayHarness(t, c.peers)
@@ -332,7 +332,7 @@
 	}
 }
 
-// Guards against crashes that are not counted because the callers give up before anybody sees the endpoint's end.
+// Guards against crashes that are not counted because the callers leave before the end of the endpoint is seen.
 func TestCrashAfterItsCallersGaveUpIsCounted(t *testing.T) {
 	b := newHarness(t)
 	b.backends.silent = map[string]bool{"e0": true, "e1": true, "e2": true}
--- a/test/crashing_parts_test.go
+++ b/test/crashing_parts_test.go
@@ -54,7 +54,7 @@
 	testCrashingParts(t, crashingParts{f: f, part: standin.CrashPart, soundEvery: 60 * time.Millisecond})
 }
 
-// Guards against the same where few sound requests tell the part from others.
+// Guards against the same with few sound requests as evidence.
 func TestPromptPartThatCrashesRunnersWithFewSoundRequests(t *testing.T) {
 	t.Parallel()
 	f := startFleet(t, func(l *testfleet.Layout) { l.Daemons, l.Engines = 4, 8 })
