Streams that are whole aren't resumed from a copy

Cause: a stream without chunks that ended with its connection was resumed whenever its run had a copy, before anybody asked whether its endpoint ran on. At a leaving endpoint every run has a copy, so a run that had ended by itself went on at the destination, and its caller got an event too many. Ruled out: the end of the runner (it ran on for 6 s), a cancelled run at the destination. Change: the end of a stream is judged first, and only one that isn't whole is resumed. A run that a move was to stop and that was over by then ("no such generation") wasn't stopped. Result: TestWholeStreamIsNotResumedFromCopy failed before at both moments (sent 2 times), and passes.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -36,11 +36,11 @@
 		if errors.Is(err, errCallerGone) {
 			return x.endCallerGone(p, err)
 		}
-		next := r.resumeFromCopy(ctx, a, err)
+		if errors.Is(err, io.EOF) {
+			err = r.checkEnd(ctx, a)
+		}
+		next := r.resumeFromCopy(ctx, err)
 		if next == nil {
-			if errors.Is(err, io.EOF) && !a.Delimited && r.run.wasStopped() {
-				err = errRunStopped
-			}
 			return x.finishStream(ctx, p, a, err)
 		}
 		defer next.Body.Close()
@@ -52,6 +52,18 @@
 // was stopped to be moved, and wasn't resumed.
 var errRunStopped = errors.New("its run was stopped for a move and not resumed")
 
+// checkEnd returns io.EOF if a stream that was read to its end is whole, otherwise the
+// reason why it isn't.
+func (r *relay) checkEnd(ctx context.Context, a *port.Answer) error {
+	switch {
+	case !a.Delimited && r.run.stoppedByMove(ctx.Done()):
+		return errRunStopped
+	case !r.x.endedOrderly(ctx, r.p, a):
+		return errEndedWithEndpoint
+	}
+	return io.EOF
+}
+
 // errCallerGone means that writing to the caller failed.
 var errCallerGone = errors.New("the caller has gone")
 
@@ -133,8 +145,8 @@
 // resumeFromCopy resumes the run from its copy, at the destination or else at
 // the source, if there is a copy and the stream broke off before its end. It
 // returns the stream that continues, or nil.
-func (r *relay) resumeFromCopy(ctx context.Context, a *port.Answer, streamErr error) *port.Answer {
-	if errors.Is(streamErr, io.EOF) && a.Delimited || !r.x.responseStarted {
+func (r *relay) resumeFromCopy(ctx context.Context, streamErr error) *port.Answer {
+	if errors.Is(streamErr, io.EOF) || !r.x.responseStarted {
 		return nil
 	}
 	c, lastID := r.run.awaitCopy(ctx.Done())
@@ -191,11 +203,9 @@
 // stream.
 var errNoContinuation = errors.New("the answer is not a stream that goes on")
 
-// finishStream classifies the end of a stream and ends the attempt.
+// finishStream classifies the end of a stream and ends the attempt. err is io.EOF if the
+// stream is whole.
 func (x *exchange) finishStream(ctx context.Context, p *placement, a *port.Answer, err error) stream.RunOutcome {
-	if errors.Is(err, io.EOF) && !x.endedOrderly(ctx, p, a) {
-		err = errEndedWithEndpoint
-	}
 	if !errors.Is(err, io.EOF) || ctx.Err() != nil {
 		x.reason = "the stream broke off: " + err.Error()
 		x.connectionLost, x.left = ctx.Err() == nil, ctx.Err() != nil
--- a/internal/gateway/moves.go
+++ b/internal/gateway/moves.go
@@ -136,8 +136,11 @@
 	}
 	result := resultOf(err)
 	m.run.x.recordConcurrent(verdictCopy, copyReason(stop, result, err), m.to.ID, nil)
-	if result == continuity.Full {
+	switch result {
+	case continuity.Full:
 		m.excluded = append(m.excluded, m.to.ID)
+	case continuity.Ended:
+		m.run.setRunEnded(m.state)
 	}
 	return m.move.Next(result, began, now)
 }
--- a/internal/gateway/moves_test.go
+++ b/internal/gateway/moves_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -289,6 +290,44 @@
 	}
 }
 
+// Guards against resuming a stream that is whole, whose caller would get more events than the run has, where only the end of the connection ends it.
+func TestWholeStreamIsNotResumedFromCopy(t *testing.T) {
+	for name, endedBeforeCopy := range map[string]int32{"between two copies": 2, "before the last copy": 3} {
+		t.Run(name, func(t *testing.T) {
+			b := newHarness(t)
+			body, writer := io.Pipe()
+			var sent, copies atomic.Int32
+			sentTo := make(chan string, 1)
+			b.setHandlers("e", func(x *port.Exchange) (*port.Answer, error) {
+				if sent.Add(1) > 1 {
+					return unframedReply("text/event-stream", event(2))(x)
+				}
+				sentTo <- x.Endpoint.ID
+				a, err := unframedReply("text/event-stream", "")(x)
+				a.Body = body
+				return a, err
+			})
+			b.backends.copyHandler = func(port.Endpoint, port.Endpoint, bool) (port.Copy, error) {
+				if copies.Add(1) >= endedBeforeCopy {
+					writer.Close()
+					return port.Copy{}, port.ErrNoGeneration
+				}
+				return port.Copy{Handle: "h"}, nil
+			}
+			got := &fakeCaller{}
+			done := make(chan *Refusal, 1)
+			go func() { done <- b.send(t, "/stream/", got) }()
+			from := <-sentTo
+			_, _ = io.WriteString(writer, event(1))
+			eventually.True(t, "the event is relayed", func() bool { return got.text() == event(1) })
+			b.setLeaving(from)
+			if refusal := <-done; refusal != nil || got.text() != event(1) || sent.Load() != 1 {
+				t.Fatalf("%+v after %q, sent %d times", refusal, got.text(), sent.Load())
+			}
+		})
+	}
+}
+
 // Requests of different ranks are ordered by the pool's queue. The engine gets
 // the same rank for all of them, or it would preempt one run for the prompt of
 // another.
--- a/internal/gateway/runs.go
+++ b/internal/gateway/runs.go
@@ -71,6 +71,8 @@
 	// stopping: the last copy has begun, so the end of the source is not a
 	// failure.
 	stopping bool
+	// runEnded: the run was over before its last copy.
+	runEnded bool
 	// detached: the relay has resumed the run or has given it up.
 	detached bool
 	// latestCopy is the most recent copy of the run, nil if there is none.
@@ -172,11 +174,30 @@
 	return m.stopping
 }
 
-// wasStopped reports whether a move has stopped the run at its present source.
-func (r *run) wasStopped() bool {
+// stoppedByMove waits for a move that is stopping the run, and reports whether the run was
+// still in progress then. It also returns when done is closed.
+func (r *run) stoppedByMove(done <-chan struct{}) bool {
+	r.mu.Lock()
+	m := r.move
+	stopping := m != nil && m.stopping
+	r.mu.Unlock()
+	if !stopping {
+		return false
+	}
+	select {
+	case <-m.done:
+	case <-done:
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.move != nil && r.move.stopping
+	return !m.runEnded
+}
+
+// setRunEnded records that the endpoint had no such run any more when a move was to copy it.
+func (r *run) setRunEnded(m *moveState) {
+	r.mu.Lock()
+	m.runEnded = true
+	r.mu.Unlock()
 }
 
 // setLastID stores the id of the last event sent to the caller.
