Crashes under attempts that were abandoned are counted when a path check fails

Cause: an abandoned attempt counted as lost only if this daemon's next attempt there couldn't connect. A withdrawn one was not remembered at all, though its endpoint may have begun it and crashed.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -78,7 +78,7 @@
 func (x *exchange) recordIfWithdrawn(ctx context.Context) {
 	if errors.Is(context.Cause(ctx), errWithdrawn) {
 		x.cause, x.reason = CauseQuarantined, errWithdrawn.Error()
-		x.quarantined, x.left = true, false
+		x.quarantined = true
 	}
 }
 
--- a/internal/gateway/endpoint_ends_test.go
+++ b/internal/gateway/endpoint_ends_test.go
@@ -332,32 +332,74 @@
 	}
 }
 
-// Guards against crashes that are not counted because the callers leave before the end of the endpoint is seen.
-func TestCrashAfterItsCallersGaveUpIsCounted(t *testing.T) {
-	b := newHarness(t)
-	b.backends.silent = map[string]bool{"e0": true, "e1": true, "e2": true}
-	ctx, leave := context.WithCancel(t.Context())
-	done := make(chan struct{})
-	go func() {
-		_ = b.sendPartsUntil(ctx, t, "left", "/stream/fatal", &fakeCaller{})
-		close(done)
-	}()
-	eventually.True(t, "it is sent", func() bool { return len(b.backends.arrivals()) == 1 })
-	leave()
-	<-done
+// Guards against crashes that are not counted because the attempts there were abandoned before the end of the endpoint is seen.
+func TestCrashAfterItsAttemptsWereAbandonedIsCounted(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		abandon  func(b *harness, leave func())
+		discover func(t *testing.T, b *harness)
+	}{
+		{"the caller leaves, the next attempt fails", leaveCaller, failNextAttempt},
+		{"the caller leaves, a check of the path fails", leaveCaller, failPathCheck},
+		{"the attempt is withdrawn, a check of the path fails", withdrawAttempt, failPathCheck},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newHarness(t)
+			b.backends.silent = map[string]bool{"e0": true, "e1": true, "e2": true}
+			ctx, leave := context.WithCancel(t.Context())
+			defer leave()
+			done := make(chan struct{})
+			go func() {
+				_ = b.sendPartsUntil(ctx, t, "left", "/stream/fatal", &fakeCaller{}, 0xdead, 1)
+				close(done)
+			}()
+			eventually.True(t, "it is sent", func() bool { return len(b.backends.arrivals()) == 1 })
+			c.abandon(b, leave)
+			<-done
+			c.discover(t, b)
+			eventually.True(t, "the crash is counted", func() bool {
+				for _, d := range b.sink.All() {
+					if d.Verdict == verdictCrash && strings.Contains(d.Reason, "1 requests were lost") {
+						return true
+					}
+				}
+				return false
+			})
+		})
+	}
+}
+
+func leaveCaller(_ *harness, leave func()) { leave() }
+
+func withdrawAttempt(b *harness, _ func()) {
+	b.quarantinePart(0xdead)
+	b.crashWatch.Tick()
+}
+
+// crashEngines lets checks find that all engines have crashed.
+func (b *harness) crashEngines() {
 	b.backends.mu.Lock()
+	defer b.backends.mu.Unlock()
 	b.backends.silent = nil
 	b.backends.presence = map[string]port.Presence{"e0": port.PresenceGone, "e1": port.PresenceGone, "e2": port.PresenceGone}
-	b.backends.mu.Unlock()
+}
+
+func failNextAttempt(t *testing.T, b *harness) {
+	b.crashEngines()
 	_ = b.send(t, "/stream/next", &fakeCaller{})
-	eventually.True(t, "the crash is counted", func() bool {
-		for _, d := range b.sink.All() {
-			if d.Verdict == verdictCrash && strings.Contains(d.Reason, "1 requests were lost") {
-				return true
-			}
+}
+
+func failPathCheck(_ *testing.T, b *harness) {
+	crashed := b.backends.arrivals()[0]
+	b.setPresenceOf(crashed, port.PresenceGone)
+	for _, id := range []string{"e0", "e1", "e2"} {
+		e, _ := b.endpointTable.get(id)
+		if id == crashed {
+			b.ObservePath(e.Endpoint, port.PathConnectFailed, errReset)
+		} else {
+			b.ObservePath(e.Endpoint, port.PathReached, nil)
 		}
-		return false
-	})
+	}
 }
 
 // Guards against using an endpoint whose end could not be established before it answers.
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -31,7 +31,11 @@
 func (g *Gateway) applyPathChanges(changes []reachability.Change, err error) {
 	for _, c := range changes {
 		g.recordPathChange(c, err)
-		if !c.Lost && c.Endpoint != "" {
+		switch {
+		case c.Endpoint == "":
+		case c.Lost:
+			g.checkAbandoned(c.Endpoint)
+		default:
 			// Its failures were those of the path.
 			g.breakers.Success(c.Endpoint)
 		}
@@ -42,6 +46,14 @@
 	}
 }
 
+// checkAbandoned has an endpoint that this daemon doesn't reach checked if attempts there
+// were abandoned a moment ago: it may have ended under them.
+func (g *Gateway) checkAbandoned(id string) {
+	if e, found := g.endpointTable.get(id); found {
+		g.crashWatch.Unreached(e.Endpoint)
+	}
+}
+
 // lostPools holds the lost pools as published last.
 type lostPools struct {
 	mu        sync.Mutex
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -193,16 +193,24 @@
 	x.g.balancer.End(p.endpoint.ID)
 }
 
+// endWatch ends the crash watch of an attempt.
+func (x *exchange) endWatch(p *placement) {
+	if !x.left {
+		x.g.crashWatch.End(p.watched, x.connectionLost)
+		return
+	}
+	x.g.crashWatch.Leave(p.watched)
+	if x.g.paths.IsLost(p.endpoint.ID) {
+		x.g.crashWatch.Unreached(p.endpoint)
+	}
+}
+
 // endAttempt informs the crash watch, and the scheduler or the balancer and the
 // breakers, how an attempt ended.
 func (x *exchange) endAttempt(p *placement, kind port.FinishKind) {
 	g := x.g
 	x.inFlight = nil
-	if x.left {
-		g.crashWatch.Leave(p.watched)
-	} else {
-		g.crashWatch.End(p.watched, x.connectionLost)
-	}
+	x.endWatch(p)
 	if p.generation {
 		g.Placer.Finished(x.req.ID, p.tokens, g.credibleFinish(p, kind))
 		return
