Entries of a restored store don't change what an endpoint said of its coldness

After a restore of the platform's store all entries are read anew, and one from the copy, of the same state revision but without the cold time that the endpoint had stated since, ended that time. Ruled out: the end of the cold time (3 s), a late answer of the former start. Change: of entries with the same state revision only one with a later statement of the endpoint is applied. Result: TestEntryOfRestoredStoreIsNotApplied failed before at both checks, and passes.

--- a/internal/core/coldstart/coldstart.go
+++ b/internal/core/coldstart/coldstart.go
@@ -61,7 +61,7 @@
 	defer t.mu.Unlock()
 	state := t.endpoints[e.ID]
 	switch {
-	case state != nil && (e.Incarnation < state.incarnation || state.alreadyApplied(e)):
+	case state != nil && (e.Incarnation < state.incarnation || state.isOutdated(e)):
 	case e.ColdFor <= 0:
 		t.drop(e.ID)
 	default:
@@ -71,9 +71,19 @@
 	}
 }
 
-// alreadyApplied reports whether an entry was applied before.
-func (k *endpointState) alreadyApplied(e *port.Endpoint) bool {
-	return k.incarnation == e.Incarnation && k.announced == announcementOf(e)
+// isOutdated reports whether an entry is not newer than what was applied. One with the
+// revision of the applied one and another cold time comes from a restored copy of the
+// platform's store, unless the endpoint has stated that time since.
+func (k *endpointState) isOutdated(e *port.Endpoint) bool {
+	if k.incarnation != e.Incarnation {
+		return false
+	}
+	entry := announcementOf(e)
+	if entry == k.announced {
+		return true
+	}
+	isSameRevision := e.Revision != 0 && entry.revision == k.announced.revision
+	return isSameRevision && (entry.reports == 0 || entry.reports < k.announced.reports)
 }
 
 // ApplyAnswer applies the remaining cold time that an endpoint states with an answer,
--- a/internal/core/coldstart/coldstart_test.go
+++ b/internal/core/coldstart/coldstart_test.go
@@ -62,6 +62,32 @@
 	}
 }
 
+// Guards against sending a cold endpoint its usual share, and a warm one few requests, because the platform's store was restored from a copy with older entries.
+func TestEntryOfRestoredStoreIsNotApplied(t *testing.T) {
+	tr := NewTracker()
+	e := listed(1, 7, 0)
+	tr.ApplyEntry(start, e)
+	remaining := 3 * time.Second
+	tr.ApplyAnswer(start, e, &remaining)
+	reported := *e
+	reported.ColdFor, reported.ColdReports = remaining, 1
+	tr.ApplyEntry(start, &reported)
+	// The state revision of an entry that may be older than what is known stays the same.
+	tr.ApplyEntry(start.Add(time.Second), e)
+	if !tr.IsCold(start.Add(time.Second), e) {
+		t.Error("the endpoint has become warm before it has said so")
+	}
+	warm := &port.Endpoint{ID: "w", Incarnation: 1, Revision: 8, ColdFor: time.Second}
+	tr.ApplyEntry(start, warm)
+	older := *warm
+	older.ColdFor = 2 * time.Second
+	now := start.Add(1500 * time.Millisecond)
+	tr.ApplyEntry(now, &older)
+	if tr.IsCold(now, &older) {
+		t.Error("the warm endpoint has become cold")
+	}
+}
+
 // Guards against an announcement that keeps an endpoint cold for too long.
 func TestColdTimeIsBounded(t *testing.T) {
 	tr := NewTracker()
