The end of an endpoint that the registry has dropped is a crash also while its pool is out of reach

Cause: while all runners of a small pool end, or their paths are in doubt, an end can't be confirmed, and presumed ends count against parts only. When the registry then dropped the entry, the endpoint counted as leaving, so its end as planned, and what was lost with it was forgotten. Change: endpoints carry whether the registry dropped them without an announcement (peer.proto, dropped; daemons of the build before leave it out), and such an end is reported if nobody answers there.

--- a/internal/adapter/grpcpeer/convert.go
+++ b/internal/adapter/grpcpeer/convert.go
@@ -52,6 +52,7 @@
 		Version: e.Observation, Unreachable: e.Unreachable, Confirmed: e.Confirmed,
 		Revision: uint64(e.Revision), Said: string(e.ReportedState), StillListed: e.StillListed, Slots: uint32(e.Slots),
 		RateLimit: e.RateLimit, LimitChanges: e.LimitChanges, ColdMillis: e.ColdFor.Milliseconds(), ColdReports: e.ColdReports,
+		Dropped: e.Dropped,
 	}
 	if e.EntryRevision != e.Revision {
 		out.EntryRevision = proto.Uint64(uint64(e.EntryRevision))
@@ -70,7 +71,7 @@
 			ID: e.GetId(), Kind: port.EndpointKind(e.GetKind()), Pool: e.GetPool(), Address: e.GetAddress(),
 			FailureDomain: e.GetFailureDomain(), Incarnation: e.GetIncarnation(),
 			State: port.EndpointState(e.GetState()), FencesOrders: e.GetFencesOrders(), Models: e.GetModels(),
-			Unreachable: e.GetUnreachable(), Revision: revision, Slots: int(e.GetSlots()),
+			Unreachable: e.GetUnreachable(), Dropped: e.GetDropped(), Revision: revision, Slots: int(e.GetSlots()),
 			RateLimit: rateLimitFromWire(e.GetRateLimit()), ColdFor: coldFromWire(e.GetColdMillis()), ColdReports: e.GetColdReports(),
 		},
 		EntryRevision: entry,
--- a/internal/core/membership/endpoint.go
+++ b/internal/core/membership/endpoint.go
@@ -69,7 +69,7 @@
 		out = b
 	}
 	out.ReportedState = laterState(a.ReportedState, b.ReportedState)
-	out.Revision, out.State = joinListedStates(&a, &b)
+	out.Revision, out.State, out.Dropped = joinListedStates(&a, &b)
 	out.applyReportedState()
 	out.Confirmed = a.Confirmed || b.Confirmed
 	observed := &a
@@ -105,15 +105,18 @@
 // joinListedStates returns the listed state of the larger revision. At equal
 // revisions the later state wins: "leaving" must not be overwritten by a list that
 // still says "live", or by a late message from a daemon that hasn't received the
-// change. Otherwise new work would be sent to an endpoint that is about to stop.
-func joinListedStates(a, b *Endpoint) (port.StoreRevision, port.EndpointState) {
+// change. Otherwise new work would be sent to an endpoint that is about to stop. An
+// endpoint known to have announced its leaving wasn't dropped.
+func joinListedStates(a, b *Endpoint) (revision port.StoreRevision, state port.EndpointState, dropped bool) {
+	stateA, stateB := a.listedState(), b.listedState()
+	order := cmp.Or(cmp.Compare(a.Revision, b.Revision), cmp.Compare(endpointRank(stateA), endpointRank(stateB)))
 	switch {
-	case a.Revision > b.Revision:
-		return a.Revision, a.listedState()
-	case a.Revision < b.Revision:
-		return b.Revision, b.listedState()
+	case order > 0:
+		return a.Revision, stateA, a.Dropped
+	case order < 0:
+		return b.Revision, stateB, b.Dropped
 	default:
-		return a.Revision, laterState(a.listedState(), b.listedState())
+		return a.Revision, stateA, a.Dropped && b.Dropped
 	}
 }
 
@@ -210,6 +213,9 @@
 	if e.ColdReports != 0 {
 		h.Uint64(uint64(e.ColdReports))
 	}
+	if e.Dropped {
+		h.Bool(e.Dropped)
+	}
 	return h.Sum()
 }
 
@@ -245,7 +251,7 @@
 func WithRenewedEntry(known Endpoint) Endpoint {
 	next := known
 	next.Revision = known.EntryRevision
-	next.State = port.EndpointLive
+	next.State, next.Dropped = port.EndpointLive, false
 	next.applyReportedState()
 	return next
 }
@@ -268,7 +274,7 @@
 	next := known
 	if r.Incarnation > known.Incarnation {
 		next.Incarnation = r.Incarnation
-		next.State, next.ReportedState, next.StillListed = port.EndpointLive, "", false
+		next.State, next.ReportedState, next.StillListed, next.Dropped = port.EndpointLive, "", false, false
 		next.Observation, next.LimitChanges = 0, 0
 		next.Unreachable, next.RateLimit = false, 0
 		next.ColdReports = 0
@@ -330,6 +336,7 @@
 func Removed(known Endpoint, revision port.StoreRevision) Endpoint {
 	next := known
 	next.Revision, next.EntryRevision = revision, revision
+	next.Dropped = known.State == port.EndpointLive || known.Dropped
 	next.State, next.StillListed = port.EndpointLeaving, false
 	return next
 }
--- a/internal/core/membership/eras_test.go
+++ b/internal/core/membership/eras_test.go
@@ -35,6 +35,7 @@
 		e = WithRenewedEntry(FromRestoredEntry(listing))
 	case 2:
 		e = Removed(e, revision)
+		e.Dropped = e.Dropped && rapid.Bool().Draw(t, "dropped")
 	case 3:
 		e = WithReport(e, &port.LoadReport{EndpointID: "e", Incarnation: listing.Incarnation, State: port.EndpointLeaving})
 	}
--- a/internal/crashwatch/crashwatch.go
+++ b/internal/crashwatch/crashwatch.go
@@ -51,6 +51,9 @@
 	// IsLeaving reports whether an endpoint was known to be leaving, so that its
 	// end is no crash.
 	IsLeaving func(e port.Endpoint) bool
+	// IsDropped reports whether the registry has dropped an endpoint that had not
+	// announced its leaving; nil means never.
+	IsDropped func(e port.Endpoint) bool
 	// ConfirmEnd reports whether an endpoint that doesn't answer this daemon has really
 	// ended, rather than the network path to it being lost; nil means that it has.
 	ConfirmEnd func(e port.Endpoint) bool
@@ -267,6 +270,9 @@
 		if confirmed && w.reportEnd(e, reasonStalled) {
 			return true
 		}
+		if w.o.IsDropped != nil && w.o.IsDropped(e) && w.reportEnd(e, reasonDropped) {
+			return true
+		}
 		w.reportPresumedEnd(e)
 	}
 	return false
@@ -277,6 +283,7 @@
 	reasonNotListening = "nothing listens there"
 	reasonSilent       = "connections end without an answer"
 	reasonStalled      = "it doesn't answer, and its last answers have stalled"
+	reasonDropped      = "it doesn't answer, and the registry has dropped it"
 	reasonReplaced     = "another endpoint or a later start answers there"
 	reasonRestarted    = "it has restarted"
 	reasonPresumed     = "no daemon reaches its pool, but other pools are reached"
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -15,7 +15,7 @@
 // watchCrashes returns a crash watch for this gateway's attempts.
 func (g *Gateway) watchCrashes() *crashwatch.Watch {
 	return crashwatch.New(crashwatch.Options{
-		Quarantine: g.Quarantine, CheckPresence: g.probe, IsLeaving: g.isLeaving, ConfirmEnd: g.confirmEnd, PresumeEnd: g.presumeEnd,
+		Quarantine: g.Quarantine, CheckPresence: g.probe, IsLeaving: g.isLeaving, IsDropped: g.isDropped, ConfirmEnd: g.confirmEnd, PresumeEnd: g.presumeEnd,
 		OnCrash: g.recordCrash, Clock: g.Clock,
 	})
 }
@@ -137,11 +137,24 @@
 func (g *Gateway) isLeaving(e port.Endpoint) bool {
 	h, found := g.endpointTable.get(e.ID)
 	if found && h.Incarnation == e.Incarnation {
-		return h.State != port.EndpointLive
+		return g.hasAnnouncedLeaving(&h.Endpoint)
 	}
 	return g.formerStarts.wasLeaving(&e)
 }
 
+// hasAnnouncedLeaving reports whether an endpoint that is as described has announced its
+// leaving, to this daemon or to the registry.
+func (g *Gateway) hasAnnouncedLeaving(e *port.Endpoint) bool {
+	return e.State != port.EndpointLive && !e.Dropped || g.seenLeaving.Has(*e)
+}
+
+// isDropped reports whether the registry has dropped an endpoint that had not announced
+// its leaving.
+func (g *Gateway) isDropped(e port.Endpoint) bool {
+	h, found := g.endpointTable.get(e.ID)
+	return found && h.Incarnation == e.Incarnation && h.Dropped && !g.hasAnnouncedLeaving(&h.Endpoint)
+}
+
 func (g *Gateway) recordCrash(e port.Endpoint, crash quarantine.CrashID, reason string, lost int) {
 	g.metrics.crashes.Inc(1)
 	g.recordChange(subjectEndpoint, e.ID, verdictCrash, fmt.Sprintf("%s; %d requests were lost with it here; crash %s", reason, lost, crash), 0)
--- a/internal/gateway/endpoint_ends_test.go
+++ b/internal/gateway/endpoint_ends_test.go
@@ -402,6 +402,30 @@
 	}
 }
 
+// Guards against crashes that are never counted because the whole pool is out of reach, and against taking a planned end in that time for one.
+func TestEndOfDroppedEndpointIsACrash(t *testing.T) {
+	for dropped, want := range map[bool]int{true: 1, false: 0} {
+		b := newHarness(t)
+		b.setPresence(port.PresenceGone)
+		b.losePool("plain")
+		e, _ := b.endpointTable.get("s0")
+		a := b.crashWatch.Begin(e.Endpoint, &quarantine.Request{Fingerprint: fingerprintOf("/once/fatal")}, nil)
+		b.crashWatch.End(a, true)
+		eventually.True(t, "its end is in doubt", func() bool { return b.crashWatch.IsUnanswered(e.Endpoint) })
+		b.removeEntry("s0", dropped)
+		b.awaitProbes(t)
+		crashes := 0
+		for _, d := range b.sink.All() {
+			if d.Verdict == verdictCrash {
+				crashes++
+			}
+		}
+		if crashes != want {
+			t.Errorf("dropped %v: %d crashes are counted, want %d", dropped, crashes, want)
+		}
+	}
+}
+
 // Guards against using an endpoint whose end could not be established before it answers.
 func TestUnconfirmedEndStaysDownUntilAnswer(t *testing.T) {
 	b := newHarness(t)
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -411,11 +411,15 @@
 }
 
 // setLeaving marks an endpoint as leaving in the view and applies the change.
-func (b *harness) setLeaving(id string) {
+func (b *harness) setLeaving(id string) { b.removeEntry(id, false) }
+
+// removeEntry makes an endpoint leaving, as one that has announced it or one whose entry
+// was dropped.
+func (b *harness) removeEntry(id string, dropped bool) {
 	b.view.mu.Lock()
 	for i := range b.view.endpoints {
 		if b.view.endpoints[i].ID == id {
-			b.view.endpoints[i].State = port.EndpointLeaving
+			b.view.endpoints[i].State, b.view.endpoints[i].Dropped = port.EndpointLeaving, dropped
 			b.view.endpoints[i].Revision++
 		}
 	}
--- a/internal/gateway/restarts.go
+++ b/internal/gateway/restarts.go
@@ -104,6 +104,6 @@
 
 // recordRestart records that an endpoint has a later start than the one described.
 func (g *Gateway) recordRestart(former port.Endpoint) {
-	g.formerStarts.add(g.Clock(), &former, former.State != port.EndpointLive || g.seenLeaving.Has(former))
+	g.formerStarts.add(g.Clock(), &former, g.hasAnnouncedLeaving(&former))
 	g.crashWatch.Restarted(former)
 }
--- a/internal/port/endpoint.go
+++ b/internal/port/endpoint.go
@@ -46,6 +46,9 @@
 	// leaving: an endpoint whose entry had expired is listed again. It is zero if
 	// the platform's list has no order; then State only advances.
 	Revision StoreRevision `json:"revision,omitempty"`
+	// Dropped is set if the platform's registry removed the entry of an endpoint that had
+	// not announced that it leaves.
+	Dropped bool `json:"dropped,omitempty"`
 	// Unreachable is set while the keepers' probes fail. Unlike State it is
 	// cleared when they succeed again, because a broken link may recover.
 	Unreachable bool `json:"unreachable,omitempty"`
