A check at a peer that isn't answered in time says nothing about the endpoint

Cause: a daemon whose connections to an endpoint broke asks peers whether they reach it. Result: TestLostPathIsNoCrashIfPeersDontKnow failed before and passes.

--- a/internal/gateway/endpoint_ends_test.go
+++ b/internal/gateway/endpoint_ends_test.go
@@ -255,6 +255,19 @@
 	}
 }
 
+// Guards against the same where the peers that are asked get no answer in time, as on busy hosts.
+func TestLostPathIsNoCrashIfPeersDontKnow(t *testing.T) {
+	b, net := newRelayHarness(t, 2)
+	for _, peer := range net.peers {
+		peer.setPresenceOf("s0", port.PresenceUnknown)
+	}
+	e, _ := b.endpointTable.get("s0")
+	b.losePool("plain")
+	if b.confirmEnd(e.Endpoint) {
+		t.Fatal("the end of an endpoint is confirmed that nobody has found gone")
+	}
+}
+
 // Guards against a crash that is taken for a lost path.
 func TestCrashIsConfirmed(t *testing.T) {
 	for _, peers := range []int{0, 2} {
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -174,7 +174,7 @@
 
 // CheckEndpoint checks for another daemon whether this one reaches an endpoint. known is
 // false if it doesn't know that incarnation yet, if the endpoint has asked this host for a
-// pause, or if its own paths are in doubt.
+// pause or doesn't answer in time, or if its own paths are in doubt.
 func (g *Gateway) CheckEndpoint(id string, incarnation uint64) (reached, known bool) {
 	e, found := g.endpointTable.get(id)
 	if found && e.Incarnation > incarnation {
@@ -183,8 +183,11 @@
 	if !found || e.Incarnation != incarnation || g.IsPaused(e.Endpoint) {
 		return false, false
 	}
-	if g.checkPath(e.Endpoint) == port.PresenceServing {
+	switch g.checkPath(e.Endpoint) {
+	case port.PresenceServing:
 		return true, true
+	case port.PresenceUnknown:
+		return false, false
 	}
 	return false, !g.paths.IsSuspect(e.Pool)
 }
