--- a/cmd/dragonfly-entry/assemble.go
+++ b/cmd/dragonfly-entry/assemble.go
@@ -80,7 +80,10 @@
 	a.keeper.Service(nil).Register(a.peers)
 	// A pool is scheduled by a single daemon, so the scheduler gets no list of other
 	// routers.
-	scheduler := routing.NewScheduler(routing.Options{RouterID: s.ID, BusyThreshold: busyThreshold, PrefillBacklogLimit: prefillBacklogLimit})
+	scheduler := routing.NewScheduler(routing.Options{
+		RouterID: s.ID, BusyThreshold: busyThreshold, PrefillBacklogLimit: prefillBacklogLimit,
+		UnevenEndpoints: s.UnevenEndpoints, ScarceRoom: s.ScarceRoom,
+	})
 	pools := scheduling.NewPoolScheduler(scheduler, nil)
 	registry.GetOrRegister("scheduling_runs_held", gometrics.NewFunctionalGauge(func() int64 { return int64(pools.RunCount()) }))
 	a.placer = scheduling.NewClient(scheduling.Options{
--- a/cmd/dragonfly-entry/settings.go
+++ b/cmd/dragonfly-entry/settings.go
@@ -63,6 +63,12 @@
 	// MaxOpen bounds the requests open at once.
 	MaxOpen           int `json:"max_open_requests" validate:"min=1,max=1000000"`
 	RememberDecisions int `json:"remember_decisions" validate:"min=32,max=1000000"`
+	// UnevenEndpoints makes placement and balancing take the speed of endpoints into
+	// account where these state it.
+	UnevenEndpoints bool `json:"uneven_endpoints"`
+	// ScarceRoom lets brief generations with short objectives go before long ones when
+	// the cache of their pool is short.
+	ScarceRoom bool `json:"scarce_room"`
 	// LogBytesPerSecond bounds the log output. Warnings and errors are exempt.
 	LogBytesPerSecond int `json:"log_bytes_per_second" validate:"min=1000,max=1000000000"`
 }
@@ -140,7 +146,8 @@
 		},
 		RetryShare: s.RetryRatio * retryFraction, RetryBurst: int(s.RetrySlack * retryFraction),
 		MaxOpen: s.MaxOpen, MaxRefusals: maxRefusals, ReportMaxAge: reportMaxAge,
-		EntryValidity: s.EntryValidity, ReclaimNotice: time.Duration(s.ReclaimNotice) * time.Millisecond,
+		UnevenEndpoints: s.UnevenEndpoints,
+		EntryValidity:   s.EntryValidity, ReclaimNotice: time.Duration(s.ReclaimNotice) * time.Millisecond,
 		Drain: gateway.DrainOptions{
 			AcceptGenerationsFor: graceFraction(acceptGenerationsFraction), AcceptCallsFor: graceFraction(acceptCallsFraction), ForceCloseAfter: graceFraction(forceCloseFraction),
 		},
--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -19,6 +19,8 @@
 	Draw Draw
 	// ReportMaxAge is the age beyond which a load report is ignored.
 	ReportMaxAge time.Duration
+	// UnevenEndpoints compares endpoints by the expected time of a call.
+	UnevenEndpoints bool
 }
 
 // Balancer tracks the load of endpoints. It is safe for concurrent use.
--- a/internal/core/routing/options.go
+++ b/internal/core/routing/options.go
@@ -47,6 +47,12 @@
 	TokenGap time.Duration
 	// AgeStep is the wait that raises a held request by one priority.
 	AgeStep time.Duration
+	// UnevenEndpoints compares runners by the time that they need, in pools whose
+	// endpoints state their slowness.
+	UnevenEndpoints bool
+	// ScarceRoom lets brief requests with short objectives go before long ones, and
+	// keeps cache free for them.
+	ScarceRoom bool
 }
 
 // Defaults of Options.
--- a/internal/core/routing/runner.go
+++ b/internal/core/routing/runner.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/dragonflyrail/dragonflyrail/internal/core/ratelimit"
+	"github.com/dragonflyrail/dragonflyrail/internal/core/speed"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
 
@@ -52,6 +53,9 @@
 	changes    [numChanges]change
 	nextChange int
 
+	// speed is the estimated speed of the runner.
+	speed speed.Endpoint
+
 	breaker breaker
 	// meter enforces the rate limit that the runner sets.
 	meter ratelimit.Meter
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -112,6 +112,9 @@
 	// ReclaimNotice is the least time for which an endpoint continues to serve
 	// after this daemon learns that it is leaving.
 	ReclaimNotice time.Duration
+	// UnevenEndpoints compares endpoints of plain services by the expected time of a
+	// call.
+	UnevenEndpoints bool
 	// EntryValidity is how long callers may cache an answer of Entry.
 	EntryValidity time.Duration
 	// Drain holds the time limits of a graceful shutdown.
@@ -181,7 +184,7 @@
 		Ports:         p,
 		breakers:      breaker.NewSet(o.Breaker),
 		refusals:      breaker.NewSet(o.Breaker),
-		balancer:      balance.New(balance.Options{Draw: randomIndex, ReportMaxAge: o.ReportMaxAge}),
+		balancer:      balance.New(balance.Options{Draw: randomIndex, ReportMaxAge: o.ReportMaxAge, UnevenEndpoints: o.UnevenEndpoints}),
 		metrics:       newInstruments(p.Metrics),
 		limitObserver: ratelimit.NewObserver(),
 		coldTracker:   coldstart.NewTracker(),
@@ -197,8 +200,8 @@
 	return g
 }
 
-// SetOptions replaces the options. Changes of the breaker options and of
-// ReportMaxAge have no effect: these are read by New only.
+// SetOptions replaces the options. Changes of the breaker options, of
+// ReportMaxAge and of UnevenEndpoints have no effect: these are read by New only.
 func (g *Gateway) SetOptions(o Options) { g.o.Store(&o) }
 
 func (g *Gateway) options() *Options { return g.o.Load() }
--- a/internal/port/exchange.go
+++ b/internal/port/exchange.go
@@ -123,6 +123,9 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Slowness is how long work takes at the endpoint at this moment, as a multiple of
+	// the usual time; zero if the endpoint does not state it.
+	Slowness float64
 }
 
 // Run is a request that runs at an engine, as reported by the engine.
--- a/internal/port/scheduler.go
+++ b/internal/port/scheduler.go
@@ -72,6 +72,9 @@
 	Gap      float64 `json:"gap"`
 	Prefill  float64 `json:"prefill"`
 	Prefix   float64 `json:"prefix"`
+	// Slowness is how long work takes at the endpoint, as a multiple of the pool's
+	// median; zero if it was not taken into account.
+	Slowness float64 `json:"slowness,omitempty"`
 	// Excluded is the reason why the endpoint could not be chosen.
 	Excluded string `json:"excluded,omitempty"`
 }
@@ -105,6 +108,20 @@
 	Relocated(now time.Time, requestID string, moved bool)
 	// Adopt counts a running request that another scheduler placed.
 	Adopt(now time.Time, r *RunningRequest)
+	// ObserveStream applies what a run shows of the speed of its endpoint.
+	ObserveStream(now time.Time, requestID string, s StreamSample)
+}
+
+// StreamSample is what the stream of a run has shown of its endpoint's speed since the
+// previous sample of that run.
+type StreamSample struct {
+	// Slowness is the slowness that the endpoint stated with its answer, as in LoadHint;
+	// zero if it stated none.
+	Slowness float64
+	// PerToken is the mean time per token and Gap the longest time between two events;
+	// zero if there were fewer than two events.
+	PerToken time.Duration
+	Gap      time.Duration
 }
 
 // RunningRequest is a running generation as known to its daemon.
