Brief requests go first, and find room, when long ones fill a pool

Cause: in a surge of long generations (2.1 times the usual number for 6 s), short ones with prompts of 2,200 tokens counted as long requests: they queued behind the long ones of their organisation, found no room, and were refused after 2.9 s (42 of 1,437) or late (114). Runners were given prompts that take longer to read than the short ones have. And the rate from which waits are computed counted the time before an organisation's first request as idle: requests that would wait 3 s were refused with a wait of 13 s.

Change, with scarce_room, and only in a pool in which a kind of request is no less urgent than another, uses the cache for less than half as long and is due in at most half the time: such a kind uses the lane of short requests; longer ones leave room for as many whole prompts as it occupies on average, and don't get a runner whose backlog would make the next brief one late; rates are taken over the time since the first request.

--- a/cmd/dragonfly-entry/assemble.go
+++ b/cmd/dragonfly-entry/assemble.go
@@ -86,6 +86,7 @@
 	})
 	pools := scheduling.NewPoolScheduler(scheduler, nil)
 	registry.GetOrRegister("scheduling_runs_held", gometrics.NewFunctionalGauge(func() int64 { return int64(pools.RunCount()) }))
+	registry.GetOrRegister("scheduling_reserved_prompts", gometrics.NewFunctionalGauge(func() int64 { return int64(scheduler.ReservedPrompts()) }))
 	a.placer = scheduling.NewClient(scheduling.Options{
 		Self: s.ID, Members: a.keeper, Logger: logger,
 		Dial: func(address string) scheduling.Peer { return grpcpeer.DialScheduling(address) },
--- a/internal/core/routing/endpoints.go
+++ b/internal/core/routing/endpoints.go
@@ -176,7 +176,8 @@
 	served := make(map[string]struct{}, len(s.byModel))
 	live := int64(0)
 	s.assignPreferred()
-	for _, r := range s.runners {
+	for i, r := range s.runners {
+		r.index = i
 		if r.endpoint.State != port.EndpointLive {
 			continue
 		}
--- a/internal/core/routing/held.go
+++ b/internal/core/routing/held.go
@@ -12,11 +12,11 @@
 // Parameters of holding requests.
 const (
 	// shortFraction is the fraction of a cache up to which a request counts
-	// as short. Short requests may pass held long ones, as they fit where
+	// as small. Small requests may pass held long ones, as they fit where
 	// long ones don't.
 	shortFraction = 0.04
 	// shortLimitFactor multiplies the accepted probability of overflow for
-	// short requests: they take little capacity and soon free it. With the
+	// small requests: they take little capacity and soon free it. With the
 	// limit of long requests they waited seconds for long answers to end.
 	shortLimitFactor = 25
 	// agedLimitFactor multiplies the accepted probability for a request that
@@ -97,13 +97,16 @@
 	e.item = admission.Item{
 		ID:           r.RequestID,
 		Organisation: r.Organisation,
-		Lane:         s.lane(e),
 		Priority:     limits.Priority - r.Rank,
 		ServeBy:      s.placementDeadline(r),
 		Cost:         e.cost,
 		Enqueued:     now,
 		Owner:        e,
 	}
+	if s.scheduler.options.ScarceRoom && r.Attempt <= 1 {
+		s.kinds.observe(now, e, s.residence(e))
+	}
+	e.item.Lane = s.lane(e)
 	// Within its organisation's priority a short request goes first, so that
 	// it doesn't wait at an engine until a preempted long one fits again.
 	e.priority = 3 * limits.Priority
@@ -135,10 +138,15 @@
 }
 
 func (s *shard) lane(e *entry) admission.Lane {
-	if len(s.runners) > 0 && e.print.peak() > shortFraction*s.runners[0].capacity() {
-		return admission.LaneLong
+	if s.isSmall(e) || s.kinds.isBrief(e) {
+		return admission.LaneShort
 	}
-	return admission.LaneShort
+	return admission.LaneLong
+}
+
+// isSmall reports whether a request uses only a small part of a runner's cache.
+func (s *shard) isSmall(e *entry) bool {
+	return len(s.runners) == 0 || e.print.peak() <= shortFraction*s.runners[0].capacity()
 }
 
 // applyLimits enforces the organisation's limits.
@@ -170,6 +178,8 @@
 		aliveChance: e.print.aliveChance(float64(e.request.PromptTokens)),
 	}
 	q.overflowLimit = s.acceptedChance(now, e, &q.weights)
+	q.reserve = s.kinds.reserveFor(now, e)
+	q.backlogLimit = s.backlogLimit(now, e, &q.reserve)
 	q.gapMillis = milliseconds(s.scheduler.options.TokenGap)
 	if gap := e.request.TokenGap; gap > 0 {
 		q.gapMillis = milliseconds(gap)
@@ -184,7 +194,7 @@
 // the configured limit while a request is held.
 func (s *shard) acceptedChance(now time.Time, e *entry, w *port.Weights) float64 {
 	limit := w.OverflowLimit
-	if e.item.Lane == admission.LaneShort {
+	if e.item.Lane == admission.LaneShort && s.isSmall(e) {
 		limit *= shortLimitFactor
 	}
 	waited := 1.0
@@ -266,6 +276,8 @@
 		return ReasonHeldLimit
 	case k.batchFull > k.overflowed+k.backlogged:
 		return ReasonHeldBatch
+	case k.reserved > 0:
+		return ReasonHeldReserved
 	case k.backlogged > k.overflowed:
 		return ReasonHeldPrefill
 	default:
@@ -304,19 +316,29 @@
 // its recent rate. It is zero if no rate is known.
 func (s *shard) expectedWait(now time.Time, e *entry, limit time.Duration) time.Duration {
 	ahead := s.queue.HeldFlow(e.org.name, e.item.Lane) + e.org.retryBookings[e.item.Lane].Booked(now, now.Add(limit))
-	perSecond := e.org.rates[e.item.Lane].read(now)
+	perSecond := s.serviceRate(now, e)
 	if ahead < minOrganisationQueue || perSecond <= 0 {
 		return 0
 	}
 	return time.Duration(float64(ahead+1) / perSecond * float64(time.Second))
 }
 
+// serviceRate returns the rate at which requests of the entry's organisation and lane
+// are placed.
+func (s *shard) serviceRate(now time.Time, e *entry) float64 {
+	r := &e.org.rates[e.item.Lane]
+	if s.kinds.differ {
+		return r.readSinceStart(now)
+	}
+	return r.read(now)
+}
+
 // bookRetry books a retry time for a refused request and returns the wait
 // until then.
 func (s *shard) bookRetry(now time.Time, e *entry) time.Duration {
 	lane := e.item.Lane
 	ahead := s.queue.HeldFlow(e.org.name, lane)
-	return e.org.retryBookings[lane].Book(now, ahead, e.org.rates[lane].read(now))
+	return e.org.retryBookings[lane].Book(now, ahead, s.serviceRate(now, e))
 }
 
 // retryBudgetWait is the retry time given to a retry beyond the budget: by
@@ -428,6 +450,7 @@
 	s.updateRouters()
 	s.release(now)
 	s.refuseOverdue(now)
+	s.kinds.update(now)
 	for _, e := range append([]*entry(nil), s.uncollected...) {
 		if now.Sub(e.since) < collectTimeout {
 			continue
--- /dev/null
+++ b/internal/core/routing/kinds.go
@@ -0,0 +1,248 @@
+package routing
+
+import (
+	"math"
+	"time"
+)
+
+// Parameters of the rules for brief kinds of requests. They answer loads at which long
+// requests fill the cache of a pool for seconds, and brief ones, which use it for a
+// fraction of that time, would be late behind them.
+const (
+	// briefFraction is the fraction of another kind's cache time and of its objective
+	// below which a kind goes before the other. Kinds that differ less gain little from
+	// going first, and their order of arrival is kept.
+	briefFraction = 0.5
+	// kindSmoothing is the weight of a new request in the averages of its kind.
+	kindSmoothing = 0.05
+	// kindExpiry is how long a kind counts after its last request.
+	kindExpiry = 30 * time.Second
+	// prefillMargin is the part of the mean prefill rate that is counted on. With all
+	// of it, half of the prompts that just fit would be late.
+	prefillMargin = 0.8
+)
+
+// kindKey identifies a kind of request: those of one route and priority.
+type kindKey struct {
+	route    string
+	priority int
+}
+
+// kind is what the recent requests of one kind need.
+type kind struct {
+	key       kindKey
+	objective time.Duration
+	lastSeen  time.Time
+	// residence is the average time in seconds for which a request uses the cache, peak
+	// its average peak of cache tokens and prompt its average prompt tokens.
+	residence, peak, prompt float64
+	// inUse is the average number of cache tokens that the kind occupies: tokens times
+	// seconds, per second.
+	inUse rate
+}
+
+// goesBefore reports whether requests of this kind go before those of another kind: they
+// are no less urgent, use the cache briefly and are due much earlier. Urgency alone
+// doesn't decide, because the rank of an organisation replaces that of its routes.
+func (k *kind) goesBefore(other *kind) bool {
+	return k.key.priority >= other.key.priority &&
+		k.residence < briefFraction*other.residence &&
+		float64(k.objective) <= briefFraction*float64(other.objective)
+}
+
+// kinds are the kinds of requests that a pool got recently.
+type kinds struct {
+	byKey map[kindKey]*kind
+	// differ is set while one of them goes before another. The rules for scarce room
+	// apply only then.
+	differ bool
+}
+
+func newKinds() kinds { return kinds{byKey: make(map[kindKey]*kind)} }
+
+func (ks *kinds) of(e *entry) *kind { return ks.byKey[e.kindKey()] }
+
+func (e *entry) kindKey() kindKey {
+	return kindKey{route: e.request.Route, priority: e.item.Priority}
+}
+
+// observe updates the kind of a new request, which uses the cache for the given number
+// of seconds.
+func (ks *kinds) observe(now time.Time, e *entry, residence float64) {
+	if e.request.Objective <= 0 {
+		return
+	}
+	peak, prompt := e.print.peak(), float64(e.request.PromptTokens)
+	k := ks.of(e)
+	if k == nil {
+		k = &kind{key: e.kindKey(), residence: residence, peak: peak, prompt: prompt}
+		ks.byKey[k.key] = k
+	}
+	k.objective, k.lastSeen = e.request.Objective, now
+	k.residence += kindSmoothing * (residence - k.residence)
+	k.peak += kindSmoothing * (peak - k.peak)
+	k.prompt += kindSmoothing * (prompt - k.prompt)
+	k.inUse.add(now, peak*residence)
+}
+
+// update removes the kinds without recent requests and compares the others.
+func (ks *kinds) update(now time.Time) {
+	ks.differ = false
+	for key, k := range ks.byKey {
+		if now.Sub(k.lastSeen) >= kindExpiry {
+			delete(ks.byKey, key)
+			continue
+		}
+		ks.differ = ks.differ || ks.precedesAny(k)
+	}
+}
+
+func (ks *kinds) precedesAny(k *kind) bool {
+	for _, other := range ks.byKey {
+		if k.goesBefore(other) {
+			return true
+		}
+	}
+	return false
+}
+
+// isBrief reports whether the request's kind goes before another one.
+func (ks *kinds) isBrief(e *entry) bool {
+	if !ks.differ {
+		return false
+	}
+	own := ks.of(e)
+	return own != nil && ks.precedesAny(own)
+}
+
+// reserve is what a request leaves free for the brief kinds that go before it.
+type reserve struct {
+	// prompts is the number of prompts in the whole pool, size their cache tokens.
+	prompts int
+	size    float64
+	// objective is the shortest objective of these kinds, and prompt their longest
+	// average prompt in tokens; zeros mean that there are none.
+	objective time.Duration
+	prompt    float64
+}
+
+// reserveFor returns what a request leaves free. Whole prompts are counted, because room
+// for less than one is of no use.
+func (ks *kinds) reserveFor(now time.Time, e *entry) reserve {
+	own := ks.of(e)
+	if own == nil || !ks.differ {
+		return reserve{}
+	}
+	return ks.reserveBefore(now, own)
+}
+
+func (ks *kinds) reserveBefore(now time.Time, own *kind) reserve {
+	var out reserve
+	inUse := 0.0
+	for _, k := range ks.byKey {
+		if !k.goesBefore(own) {
+			continue
+		}
+		inUse += k.inUse.read(now)
+		out.size = max(out.size, k.peak)
+		out.prompt = max(out.prompt, k.prompt)
+		if out.objective == 0 || k.objective < out.objective {
+			out.objective = k.objective
+		}
+	}
+	if out.size > 0 {
+		out.prompts = int(math.Ceil(inUse / out.size))
+	}
+	return out
+}
+
+// at returns the cache tokens that stay free at one of the pool's runners: the prompts
+// are spread evenly, the first runners by index get the remainder.
+func (r *reserve) at(index, runners int) float64 {
+	if r.prompts == 0 || runners == 0 {
+		return 0
+	}
+	return float64((r.prompts+runners-1-index)/runners) * r.size
+}
+
+// ReservedPrompts returns the number of prompts for which the pools keep cache free, for
+// brief requests of all kinds.
+func (s *Scheduler) ReservedPrompts() int {
+	n := 0
+	for _, sh := range s.allShards() {
+		sh.mu.Lock()
+		n += sh.kinds.reservedPrompts(sh.now)
+		sh.mu.Unlock()
+	}
+	return n
+}
+
+func (ks *kinds) reservedPrompts(now time.Time) int {
+	most := 0
+	for _, k := range ks.byKey {
+		if ks.differ {
+			most = max(most, ks.reserveBefore(now, k).prompts)
+		}
+	}
+	return most
+}
+
+// residence returns the expected time in seconds for which a request uses the cache.
+func (s *shard) residence(e *entry) float64 {
+	steps := e.cost / max(1, e.print.peak())
+	return s.prefillTime.Seconds() + steps*s.stepMillis()/1000
+}
+
+// stepMillis returns the mean step time of the pool's runners.
+func (s *shard) stepMillis() float64 {
+	if len(s.runners) == 0 {
+		return unknownTokenMillis
+	}
+	sum := 0.0
+	for _, r := range s.runners {
+		sum += r.tokenMillis()
+	}
+	return sum / float64(len(s.runners))
+}
+
+// backlogLimit returns the number of unread prompt tokens at a runner above which it gets
+// not this prompt. It is what can be read before the request is due, or, if less, before
+// a brief request that comes right after it is due. A request that is late anyway, and
+// a pool whose speed isn't known, have the configured limit only.
+func (s *shard) backlogLimit(now time.Time, e *entry, r *reserve) float64 {
+	limit := math.Inf(1)
+	if l := s.scheduler.options.PrefillBacklogLimit; l > 0 {
+		limit = float64(l)
+	}
+	if !s.kinds.differ || s.prefillPerMilli == 0 || e.request.Objective <= 0 {
+		return limit
+	}
+	perMilli := prefillMargin * s.prefillPerMilli
+	prompt := float64(e.request.PromptTokens)
+	timeLeft := milliseconds(e.request.Arrived.Add(e.request.Objective).Sub(now))
+	if own := timeLeft*perMilli - prompt; own > 0 {
+		limit = min(limit, own)
+	}
+	if r.objective > 0 {
+		limit = min(limit, max(0, milliseconds(r.objective)*perMilli-r.prompt-prompt))
+	}
+	return limit
+}
+
+// observePrefill updates the pool's prefill rate with one prompt, which was read behind
+// the backlog at its placement. Short times are mostly delays of messages.
+func (s *shard) observePrefill(elapsed time.Duration, tokens float64) {
+	if elapsed < minPrefillTime || tokens <= 0 {
+		return
+	}
+	sample := tokens / milliseconds(elapsed)
+	if s.prefillPerMilli == 0 {
+		s.prefillPerMilli = sample
+		return
+	}
+	s.prefillPerMilli += prefillTimeSmoothing * (sample - s.prefillPerMilli)
+}
+
+// minPrefillTime is the shortest time to a first token that says something about the
+// prefill rate.
+const minPrefillTime = 50 * time.Millisecond
--- a/internal/core/routing/reasons.go
+++ b/internal/core/routing/reasons.go
@@ -11,6 +11,9 @@
 	ReasonRelocated = "relocated"
 
 	ReasonHeldOverflow = "would_overflow"
+	// ReasonHeldReserved means that runners would take the request if they kept no cache
+	// free for brief requests with shorter objectives.
+	ReasonHeldReserved = "room_kept_for_brief_requests"
 	ReasonHeldBatch    = "batch_full"
 	ReasonHeldPrefill  = "prompts_ahead"
 	ReasonHeldLimit    = "endpoints_at_rate_limit"
@@ -39,6 +42,7 @@
 	ExcludedBreaker  = "breaker_open"
 	ExcludedBatch    = "batch_full"
 	ExcludedOverflow = "would_overflow"
+	ExcludedReserved = "room_kept_for_brief_requests"
 	ExcludedSize     = "larger_than_cache"
 	ExcludedPrefill  = "prompts_ahead"
 	ExcludedLimit    = "at_rate_limit"
--- a/internal/core/routing/runner.go
+++ b/internal/core/routing/runner.go
@@ -59,6 +59,8 @@
 	breaker breaker
 	// meter enforces the rate limit that the runner sets.
 	meter ratelimit.Meter
+	// index is the runner's position in the shard's list.
+	index int
 	// preferred marks the runners that this router prefers.
 	preferred bool
 	// listed marks the runners in the shard's list. dropped marks those that
--- a/internal/core/routing/score.go
+++ b/internal/core/routing/score.go
@@ -53,6 +53,10 @@
 	peak          float64
 	aliveChance   [numHorizons]float64
 	overflowLimit float64
+	// reserve is the cache that the request leaves free, backlogLimit the number of
+	// unread prompt tokens above which a runner doesn't get it.
+	reserve      reserve
+	backlogLimit float64
 	// gapMillis is the longest time between two tokens that counts as on
 	// time.
 	gapMillis    float64
@@ -80,6 +84,7 @@
 	count int
 	// Numbers of candidates excluded, by reason.
 	overflowed  int
+	reserved    int
 	batchFull   int
 	backlogged  int
 	rateLimited int
@@ -124,6 +129,10 @@
 		limit *= nonPreferredLimitFactor
 	}
 	c.excluded = s.exclusion(q, r, capacity, chance > limit, out)
+	if c.excluded == ExcludedOverflow && s.isReserved(now, q, r, ratio, allowance, limit) {
+		c.excluded = ExcludedReserved
+		out.reserved++
+	}
 	return c
 }
 
@@ -133,12 +142,13 @@
 func (s *shard) overflow(now int64, q *query, r *runner, ratio *footprint, allowance, capacity float64) (chance, peak float64) {
 	age := min(maxReportAge, time.Duration(now-r.reportNanos)).Seconds()
 	others := r.othersContext + allowance*age
+	usable := capacity - q.reserve.at(r.index, len(s.runners))
 	for k := range numHorizons {
 		mean := r.own.mean[k] + others*ratio.mean[k]
 		if mean > peak {
 			peak = mean
 		}
-		room := capacity - mean - q.print.mean[k]
+		room := usable - mean - q.print.mean[k]
 		if k == 0 {
 			room -= growthReserve * r.count()
 		}
@@ -155,6 +165,18 @@
 	return chance, peak
 }
 
+// isReserved reports whether the runner would take the request if it kept no cache free
+// for brief requests.
+func (s *shard) isReserved(now int64, q *query, r *runner, ratio *footprint, allowance, limit float64) bool {
+	if q.reserve.prompts == 0 {
+		return false
+	}
+	unreserved := *q
+	unreserved.reserve = reserve{}
+	chance, _ := s.overflow(now, &unreserved, r, ratio, allowance, r.capacity())
+	return chance <= limit
+}
+
 // timeParts computes the time parts of the score: the gap between tokens,
 // the prefill backlog, and the credit for a cached prefix.
 func (q *query) timeParts(r *runner, c *scored) {
@@ -191,7 +213,7 @@
 	case count >= float64(q.weights.BatchLimit):
 		out.batchFull++
 		return ExcludedBatch
-	case s.hasPrefillBacklog(r):
+	case q.hasPrefillBacklog(r):
 		out.backlogged++
 		return ExcludedPrefill
 	case overflows && count >= 1:
@@ -204,10 +226,9 @@
 }
 
 // hasPrefillBacklog reports whether the runner's prefill backlog exceeds the
-// limit.
-func (s *shard) hasPrefillBacklog(r *runner) bool {
-	limit := s.scheduler.options.PrefillBacklogLimit
-	return limit > 0 && r.ownPrefill+r.othersPrefill > float64(limit)
+// limit. A runner without a backlog gets any prompt.
+func (q *query) hasPrefillBacklog(r *runner) bool {
+	return r.ownPrefill+r.othersPrefill > q.backlogLimit
 }
 
 // recordUsage stores the utilisation and throughput of the pool from a
--- a/internal/core/routing/shard.go
+++ b/internal/core/routing/shard.go
@@ -51,8 +51,11 @@
 	print       footprint
 	cost        float64
 	peak        float64
-	generated   int
-	refreshAt   int
+	// backlog is the number of unread prompt tokens at the runner when the request was
+	// placed there.
+	backlog   float64
+	generated int
+	refreshAt int
 	// placedAt is when this scheduler placed the request, zero if another
 	// one did.
 	placedAt time.Time
@@ -82,6 +85,7 @@
 	totalShare    float64
 	prefixes      prefixHints
 	retries       admission.RetryBudget
+	kinds         kinds
 
 	// Sums over this router's own placed generations.
 	own          footprint
@@ -94,6 +98,9 @@
 	routers    int
 	// prefillTime is the recent time from placement to the first token.
 	prefillTime time.Duration
+	// prefillPerMilli is the recent number of prompt tokens that a runner reads in a
+	// millisecond beside its runs, zero if it isn't known.
+	prefillPerMilli float64
 	// utilisation is the pool's expected peak over its capacity at the last
 	// ranking.
 	utilisation float64
@@ -111,6 +118,7 @@
 		random:        random,
 		byModel:       make(map[string][]*runner),
 		organisations: make(map[string]*organisation),
+		kinds:         newKinds(),
 	}
 	sh.queue = admission.NewFairQueue(admission.QueueOptions{
 		AgeStep: s.options.AgeStep,
@@ -150,6 +158,7 @@
 	e.placedAt = now
 	e.generated = 0
 	e.refreshAt = 1
+	e.backlog = c.runner.ownPrefill + c.runner.othersPrefill
 	s.countRun(now, e, c.runner)
 	e.org.work.add(now, e.cost)
 	e.org.rates[e.item.Lane].add(now, 1)
@@ -244,6 +253,7 @@
 		return
 	}
 	e.runner.breaker.answered(e.placedAt)
+	s.observePrefill(now.Sub(e.placedAt), e.backlog+float64(e.request.PromptTokens))
 	s.prefillTime += time.Duration(prefillTimeSmoothing * float64(now.Sub(e.placedAt)-s.prefillTime))
 }
 
--- a/internal/tools/policybench/result.go
+++ b/internal/tools/policybench/result.go
@@ -42,6 +42,7 @@
 	firstReportP95 = "first_report_p95_s"
 	goodput        = "goodput_pct"
 	goodputReport  = "goodput_report_pct"
+	goodputShort   = "goodput_short_pct"
 	refusals       = "refused_pct"
 	retryServed    = "returned_served_pct"
 	worstShare     = "worst_org_pct"
@@ -67,7 +68,7 @@
 	var firstOf [2][]float64
 	var good, offered [10]float64
 	refused, retried, served := 0.0, 0.0, 0.0
-	reports, goodReports := 0.0, 0.0
+	reports, goodReports, goodShort := 0.0, 0.0, 0.0
 	stall := time.Duration(0)
 	for _, c := range s.all {
 		offered[c.organisation]++
@@ -104,6 +105,8 @@
 			good[c.organisation]++
 			if c.kind == reportKind {
 				goodReports++
+			} else {
+				goodShort++
 			}
 		}
 	}
@@ -126,6 +129,7 @@
 	v[firstReportP95] = quantile(firstOf[reportKind], 0.95)
 	v[goodput] = 100 * allGood / total
 	v[goodputReport] = 100 * goodReports / reports
+	v[goodputShort] = 100 * goodShort / (total - reports)
 	v[refusals] = 100 * refused / total
 	v[retryServed] = 100
 	if retried > 0 {
--- a/internal/tools/policybench/sim.go
+++ b/internal/tools/policybench/sim.go
@@ -24,6 +24,9 @@
 	flood   bool
 	// waves replaces some of the runners every few seconds.
 	waves bool
+	// surge multiplies the reports by this factor for surgeTime in each surgeEvery;
+	// zero means that it doesn't.
+	surge float64
 }
 
 // Parameters of the simulation.
@@ -123,6 +126,9 @@
 		flood = floodingOrganisation
 	}
 	s.all = w.arrivals(seed, capacity*sc.load, length, flood, floodFactor)
+	if sc.surge > 1 {
+		s.all = append(s.all, w.surgeArrivals(seed, capacity*sc.load*(sc.surge-1), length)...)
+	}
 	for i, c := range s.all {
 		c.id = fmt.Sprintf("router-%d.%d", c.router, i)
 		c.request = port.GenerationRequest{
--- a/internal/tools/policybench/workload.go
+++ b/internal/tools/policybench/workload.go
@@ -225,6 +225,27 @@
 	return out
 }
 
+// surgeTime of each surgeEvery has additional reports in a surge.
+const (
+	surgeTime  = 6 * time.Second
+	surgeEvery = 30 * time.Second
+)
+
+// surgeArrivals draws the additional reports of a surge, at the rate in requests of all
+// kinds per second that the reports are a part of.
+func (w *workload) surgeArrivals(seed uint64, rate float64, length time.Duration) []*call {
+	var out []*call
+	for _, c := range w.arrivals(seed+surgeSeed, rate, length, -1, 1) {
+		if c.kind == reportKind && c.arrived%surgeEvery < surgeTime {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+// surgeSeed distinguishes the seeds of additional reports from those of other requests.
+const surgeSeed = 1 << 32
+
 func (w *workload) prefixHashes(c *call) []uint64 {
 	blocks := w.kinds[c.kind].templateTokens / w.engine.BlockTokens
 	out := make([]uint64, blocks)
