Stated and measured speed of endpoints reaches the scheduler

Cause: an endpoint may state in a fourth figure of its load header how long work takes there. The header was then ignored, because only three figures were accepted. The coordinator of a pool knew nothing of the speed of streams that other daemons relay.

The gateway reports the stated slowness when the answer of a generation begins, also after a move. The daemon that relays a stream measures its time per token and its longest gap, and adds both to the reports that it sends anyway. A stated slowness is sent once, and again to a new coordinator. The time in which a run moves is not measured. A report without these fields, as of the previous build, is no sample.

--- a/cmd/dragonfly-entry/assemble.go
+++ b/cmd/dragonfly-entry/assemble.go
@@ -71,6 +71,7 @@
 		OnPath: func(e port.Endpoint, evidence port.PathEvidence, err error) {
 			a.gateway.ObservePath(e, evidence, err)
 		},
+		Logger: logger, Registry: registry,
 	})
 	a.keeper = newKeeper(s, &keeperSources{
 		store: a.store, runners: runners,
--- a/internal/adapter/grpcpeer/scheduling.go
+++ b/internal/adapter/grpcpeer/scheduling.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -267,14 +268,14 @@
 func candidateToWire(c port.CandidateScore) *peerv1.Candidate {
 	return &peerv1.Candidate{
 		Endpoint: c.Endpoint, Score: float32(c.Score), Overflow: float32(c.Overflow), Gap: float32(c.Gap),
-		Prefill: float32(c.Prefill), Prefix: float32(c.Prefix), Excluded: c.Excluded,
+		Prefill: float32(c.Prefill), Prefix: float32(c.Prefix), Excluded: c.Excluded, Slowness: float32(c.Slowness),
 	}
 }
 
 func candidateFromWire(c *peerv1.Candidate) port.CandidateScore {
 	return port.CandidateScore{
 		Endpoint: c.GetEndpoint(), Score: float64(c.GetScore()), Overflow: float64(c.GetOverflow()), Gap: float64(c.GetGap()),
-		Prefill: float64(c.GetPrefill()), Prefix: float64(c.GetPrefix()), Excluded: c.GetExcluded(),
+		Prefill: float64(c.GetPrefill()), Prefix: float64(c.GetPrefix()), Excluded: c.GetExcluded(), Slowness: float64(c.GetSlowness()),
 	}
 }
 
@@ -296,7 +297,10 @@
 )
 
 func eventToWire(e scheduling.RunEvent) *peerv1.RunEvent {
-	out := &peerv1.RunEvent{RequestId: e.RequestID, Tokens: uint32(e.Tokens)}
+	out := &peerv1.RunEvent{
+		RequestId: e.RequestID, Tokens: uint32(e.Tokens), SlownessPercent: uint32(math.Round(e.Sample.Slowness * 100)),
+		TokenMicros: microsToWire(e.Sample.PerToken), GapMicros: microsToWire(e.Sample.Gap),
+	}
 	for name, kind := range finishKinds {
 		if kind == e.Finish {
 			out.Finish = name
@@ -319,5 +323,15 @@
 	return scheduling.RunEvent{
 		RequestID: e.GetRequestId(), Tokens: int(e.GetTokens()), Finish: finish,
 		Relocated: e.GetRelocation() != "", Moved: e.GetRelocation() == relocationMoved,
+		Sample: port.StreamSample{
+			Slowness: float64(e.GetSlownessPercent()) / 100,
+			PerToken: time.Duration(e.GetTokenMicros()) * time.Microsecond, Gap: time.Duration(e.GetGapMicros()) * time.Microsecond,
+		},
 	}
 }
+
+// microsToWire converts a duration to microseconds, at most what the field holds: 71
+// minutes.
+func microsToWire(d time.Duration) uint32 {
+	return uint32(min(math.MaxUint32, max(0, d.Microseconds())))
+}
--- a/internal/adapter/grpcpeer/scheduling_test.go
+++ b/internal/adapter/grpcpeer/scheduling_test.go
@@ -144,6 +144,8 @@
 		{RequestID: "run", Relocated: true},
 		{RequestID: "run", Tokens: 9},
 		{RequestID: "run", Finish: port.FinishUntracked},
+		{RequestID: "run", Tokens: 9, Sample: port.StreamSample{Slowness: 1.3}},
+		{RequestID: "run", Finish: port.FinishDone, Sample: port.StreamSample{PerToken: 17500 * time.Microsecond, Gap: 180 * time.Millisecond}},
 	} {
 		if got := eventFromWire(eventToWire(e)); got != e {
 			t.Errorf("event %+v was converted to %+v", e, got)
@@ -151,6 +153,28 @@
 	}
 }
 
+// Guards against samples read out of an event of the previous build, which has none, and
+// against durations that overflow to short ones.
+func TestSampleFieldsOfRunEvents(t *testing.T) {
+	want := scheduling.RunEvent{RequestID: "run", Tokens: 9}
+	if got := eventFromWire(&peerv1.RunEvent{RequestId: "run", Tokens: 9}); got != want {
+		t.Errorf("got %+v, want no sample", got)
+	}
+	long := scheduling.RunEvent{RequestID: "run", Sample: port.StreamSample{PerToken: -time.Second, Gap: 100 * time.Hour}}
+	got := eventFromWire(eventToWire(long)).Sample
+	if got.PerToken != 0 || got.Gap < time.Hour {
+		t.Errorf("got %+v, want no time per token and a gap above an hour", got)
+	}
+}
+
+// Guards against explanations from another daemon that lack the slowness.
+func TestSlownessOfCandidatesIsSent(t *testing.T) {
+	want := port.CandidateScore{Endpoint: "e", Score: 1, Slowness: 2.5}
+	if got := candidateFromWire(candidateToWire(want)); got != want {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
+
 // The coordinator is frozen: its host accepts the connection, but no reply arrives. All
 // calls must fail with ErrPeerLost in time to try the next coordinator.
 func TestSilentCoordinatorTimesOut(t *testing.T) {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -116,9 +116,13 @@
 }
 
 // reportLoad passes the load that a plain service reports with its answer to
-// the balancer.
+// the balancer, and the slowness that a runner states to the placer.
 func (x *exchange) reportLoad(p *placement, a *port.Answer) {
-	if a.Load == nil || p.generation {
+	if p.generation {
+		x.reportSlowness(a)
+		return
+	}
+	if a.Load == nil {
 		return
 	}
 	x.g.balancer.Report(x.g.Clock(), &port.LoadReport{
@@ -127,6 +131,16 @@
 	})
 }
 
+// reportSlowness passes the slowness that the endpoint states with the answer of a
+// generation to the placer.
+func (x *exchange) reportSlowness(a *port.Answer) {
+	slowness := 0.0
+	if a.Load != nil {
+		slowness = a.Load.Slowness
+	}
+	x.g.Placer.Observe(x.req.ID, slowness)
+}
+
 // handleSendError classifies and ends an attempt that got no answer, or a refusal.
 func (x *exchange) handleSendError(ctx context.Context, p *placement, refusal *port.Answer, err error) stream.RunOutcome {
 	fate, kind, name := stream.OutcomeUnknown, port.FinishFailed, "lost"
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -171,6 +171,7 @@
 		r.x.recordConcurrent(verdictResume, "taken up from the copy after event "+lastID, at.ID, nil)
 		r.x.g.metrics.moves.Inc(1)
 		r.x.g.Placer.Relocated(r.x.req.ID, at.ID == c.to.ID, at.ID)
+		r.x.reportSlowness(next)
 		r.x.endpoint = at.ID
 		r.x.g.crashWatch.End(r.p.watched, false)
 		r.p.endpoint = at
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -37,6 +37,9 @@
 	// to hold it.
 	Place(ctx context.Context, r *port.GenerationRequest, held func(*port.Decision)) port.Decision
 	Progress(requestID string, tokens int)
+	// Observe reports the slowness that the endpoint of a run states with the beginning
+	// of its answer, as in port.LoadHint; zero for none.
+	Observe(requestID string, slowness float64)
 	Finished(requestID string, tokens int, kind port.FinishKind)
 	// Relocate chooses the runner that a run moves to.
 	Relocate(ctx context.Context, requestID string, constraints port.RelocationConstraints) port.Decision
--- a/internal/gateway/streams_test.go
+++ b/internal/gateway/streams_test.go
@@ -48,6 +48,8 @@
 	copies  int
 	// resumedAt lists the runners at which the run was resumed.
 	resumedAt []string
+	// loads are the loads that the answers state, one after the other; none beyond.
+	loads []*port.LoadHint
 }
 
 func (e *fakeEngine) send(x *port.Exchange) (*port.Answer, error) {
@@ -63,7 +65,11 @@
 	}
 	reader, writer := io.Pipe()
 	e.runner, e.pipe = x.Endpoint.ID, writer
-	return streamed(reader)
+	a, err := streamed(reader)
+	if len(e.loads) > 0 {
+		a.Load, e.loads = e.loads[0], e.loads[1:]
+	}
+	return a, err
 }
 
 // make writes one event, and closes the stream after the last one.
--- a/internal/scheduling/client.go
+++ b/internal/scheduling/client.go
@@ -85,6 +85,7 @@
 	// reportedAt the time of that report.
 	reportedTokens int
 	reportedAt     time.Time
+	meter          streamMeter
 }
 
 // peerState is the connection to a coordinator and the updates that are still to
@@ -173,11 +174,22 @@
 	}
 	first := r.running.Tokens == 0
 	r.running.Tokens = tokens
+	r.meter.event(c.opts.Clock(), tokens)
 	if first {
 		c.reportRun(r)
 	}
 }
 
+// Observe records the slowness that the endpoint of a run states with its answer; zero
+// for none. The next report of the run carries it.
+func (c *Client) Observe(requestID string, slowness float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r := c.runs[requestID]; r != nil {
+		r.meter.state(slowness)
+	}
+}
+
 // reportRun reports the progress of an open run to its coordinator. The caller
 // holds c.mu.
 func (c *Client) reportRun(r *openRun) {
@@ -246,15 +258,21 @@
 	if r == nil {
 		return
 	}
+	c.reportEvent(r, RunEvent{RequestID: requestID, Relocated: true, Moved: moved})
+	// The time until the next event includes the transfer of the run.
+	r.meter.interrupt()
 	if moved {
 		r.running.EndpointID = to
+		r.meter.state(0)
 	}
-	c.reportEvent(r, RunEvent{RequestID: requestID, Relocated: true, Moved: moved})
 }
 
-// reportEvent queues an event for the run's coordinator, or passes it to this
-// daemon's own scheduler. The caller holds c.mu.
+// reportEvent adds what the run's stream has shown to an event, and queues it for the
+// run's coordinator or passes it to this daemon's own scheduler. The caller holds c.mu.
 func (c *Client) reportEvent(r *openRun, e RunEvent) {
+	if e.Finish != port.FinishUntracked {
+		e.Sample = r.meter.sample()
+	}
 	if r.coordinator == c.opts.Self {
 		c.local.Update(nil, []RunEvent{e})
 		return
--- a/internal/scheduling/coordinator.go
+++ b/internal/scheduling/coordinator.go
@@ -186,6 +186,8 @@
 		}
 		c.reportEvent(r, RunEvent{RequestID: r.running.Request.RequestID, Finish: port.FinishUntracked})
 		r.coordinator, r.reportedAt = coordinator.id, c.opts.Clock()
+		// The new coordinator may know nothing of the endpoint.
+		r.meter.reported = false
 		if coordinator.id == c.opts.Self {
 			c.local.Update([]port.RunningRequest{r.running}, nil)
 			continue
--- a/internal/scheduling/poolscheduler.go
+++ b/internal/scheduling/poolscheduler.go
@@ -108,6 +108,9 @@
 	// moved to the new runner.
 	Relocated bool
 	Moved     bool
+	// Sample is what the run's stream has shown since the previous event; zero if
+	// nothing, or if the daemon's build does not measure streams.
+	Sample port.StreamSample
 }
 
 // Update applies a daemon's updates on its runs.
@@ -119,6 +122,10 @@
 	for i := range events {
 		e := &events[i]
 		b.renewRun(e.RequestID)
+		if e.Sample != (port.StreamSample{}) {
+			// Measured at the runner that a relocation or the end of the run takes it from.
+			b.scheduler.ObserveStream(now, e.RequestID, e.Sample)
+		}
 		if e.Relocated {
 			b.scheduler.Relocated(now, e.RequestID, e.Moved)
 		}
