Plain endpoints are compared by the expected time of a call

Cause: endpoints of plain services were compared by their numbers of calls. A slow endpoint got nearly as many calls as a fast one.

Change: with uneven_endpoints, and in pools whose endpoints state their slowness, the endpoint with the shorter expected time of the two drawn is chosen: service time x slowness x queue. The service time is learned from the successful calls of this daemon, divided by the slowness stated with the answer and without the wait for a slot, so that a wrong stated figure cancels out. Reports and slow moments lose weight with age; an endpoint without an answer for 30 s counts as the median of the pool. The load stated with a failure is ignored, and a failed call counts as open for the time of a successful one. Without the option, and in pools that state nothing, the choice is the former.

--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -1,7 +1,8 @@
 // Package balance chooses among the endpoints of a plain service by their load,
 // which is reported with delay. It draws two endpoints at random and takes the one
 // with less load, so that routers with the same outdated report don't all choose the
-// same endpoint.
+// same endpoint. Where endpoints state their speed, load is the expected time of a call,
+// else it is the number of calls.
 package balance
 
 import (
@@ -19,8 +20,13 @@
 	Draw Draw
 	// ReportMaxAge is the age beyond which a load report is ignored.
 	ReportMaxAge time.Duration
-	// UnevenEndpoints compares endpoints by the expected time of a call.
+	// UnevenEndpoints compares endpoints by the expected time of a call where they state
+	// their slowness.
 	UnevenEndpoints bool
+	// HasConnection reports whether an unused connection to an endpoint is open, which is
+	// preferred to another endpoint with about the same expected time; nil means that none
+	// is.
+	HasConnection func(e *port.Endpoint) bool
 }
 
 // Balancer tracks the load of endpoints. It is safe for concurrent use.
@@ -38,6 +44,8 @@
 	started    int
 	ended      int
 	reportedAt time.Time
+	// timing is what is known about the time of a call. Only Options.UnevenEndpoints uses it.
+	timing timing
 }
 
 // New returns an empty balancer.
@@ -51,16 +59,22 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	score := b.score
+	better := func(a, b *port.CandidateScore, _, _ *port.Endpoint) bool { return a.Score < b.Score }
+	if pool, stated := b.poolTimes(now, candidates); stated {
+		score = func(now time.Time, e port.Endpoint) port.CandidateScore { return b.scoreTime(now, &pool, &e) }
+		better = b.isFaster
+	}
 	first := b.o.Draw(len(candidates))
 	best := candidates[first]
-	scores := []port.CandidateScore{b.score(now, best)}
+	scores := []port.CandidateScore{score(now, best)}
 	if len(candidates) > 1 {
 		second := b.o.Draw(len(candidates) - 1)
 		if second >= first {
 			second++
 		}
-		scores = append(scores, b.score(now, candidates[second]))
-		if scores[1].Score < scores[0].Score {
+		scores = append(scores, score(now, candidates[second]))
+		if better(&scores[1], &scores[0], &candidates[second], &candidates[first]) {
 			best = candidates[second]
 		}
 	}
@@ -83,8 +97,11 @@
 func (b *Balancer) Report(now time.Time, r *port.LoadReport) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	l := b.entry(r.EndpointID)
-	l.reported = r.Running + r.Waiting
+	b.entry(r.EndpointID).report(now, r.Running+r.Waiting)
+}
+
+func (l *load) report(now time.Time, calls int) {
+	l.reported = calls
 	l.started, l.ended = 0, 0
 	l.reportedAt = now
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/dragonflyrail/dragonflyrail/internal/adapter/eventstream"
+	"github.com/dragonflyrail/dragonflyrail/internal/core/balance"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/stream"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
@@ -115,18 +116,18 @@
 	return out
 }
 
-// reportLoad passes the load that a plain service reports with its answer to
-// the balancer.
+// reportLoad passes the load and the slowness that a plain service reports with its
+// answer to the balancer.
 func (x *exchange) reportLoad(p *placement, a *port.Answer) {
 	if a.Load == nil || p.generation {
 		return
 	}
-	x.g.balancer.Report(x.g.Clock(), &port.LoadReport{
-		EndpointID: p.endpoint.ID, Incarnation: p.endpoint.Incarnation,
-		Running: a.Load.Running, Waiting: a.Load.Waiting,
-	})
+	x.g.balancer.Observe(x.g.Clock(), &p.endpoint, a.Load, isFailure(a.Status))
 }
 
+// isFailure reports whether a status means that the endpoint failed.
+func isFailure(status int) bool { return status >= http.StatusInternalServerError }
+
 // handleSendError classifies and ends an attempt that got no answer, or a refusal.
 func (x *exchange) handleSendError(ctx context.Context, p *placement, refusal *port.Answer, err error) stream.RunOutcome {
 	fate, kind, name := stream.OutcomeUnknown, port.FinishFailed, "lost"
@@ -194,7 +195,12 @@
 		err = errEndedWithEndpoint
 	}
 	if err == nil && !p.generation {
-		x.g.brittle.ObserveCall(&p.endpoint, x.g.Clock().Sub(began), a.Load)
+		took := x.g.Clock().Sub(began)
+		x.g.brittle.ObserveCall(&p.endpoint, took, a.Load)
+		p.failed = isFailure(b.status)
+		if b.status < http.StatusBadRequest && b.rest == nil {
+			p.sample = &balance.Sample{Took: took, Load: a.Load}
+		}
 	}
 	if err != nil {
 		x.reason = "the answer broke off: " + err.Error()
@@ -203,7 +209,7 @@
 		x.endAttempt(p, finishKind(ctx, port.FinishFailed))
 		return stream.OutcomeUnknown
 	}
-	if b.status >= http.StatusInternalServerError && x.ledger.Idempotent {
+	if isFailure(b.status) && x.ledger.Idempotent {
 		x.keptFailure = b
 		x.reason = "the endpoint answers " + http.StatusText(b.status)
 		x.endAttempt(p, port.FinishFailed)
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -157,7 +157,16 @@
 	if !ok {
 		return nil, x.noEndpoint()
 	}
-	return x.startCall(endpoint, "least calls of two drawn in pool "+x.pool, append(scores, excluded...)), nil
+	return x.startCall(endpoint, x.balanceReason(now, &endpoint, scores), append(scores, excluded...)), nil
+}
+
+// balanceReason returns why the balancer chose an endpoint.
+func (x *exchange) balanceReason(now time.Time, e *port.Endpoint, scores []port.CandidateScore) string {
+	if scores[0].Slowness == 0 {
+		return "least calls of two drawn in pool " + x.pool
+	}
+	x.g.metrics.balancedByTime.Inc(1)
+	return "shortest expected time of two drawn in pool " + x.pool + ": " + x.g.balancer.Explain(now, e)
 }
 
 // splitByLimits splits candidates into those that are available and those known
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -19,6 +19,7 @@
 
 	open           gometrics.Counter
 	answered       gometrics.Counter
+	balancedByTime gometrics.Counter
 	retries        gometrics.Counter
 	events         gometrics.Counter
 	routesVersion  gometrics.Gauge
@@ -52,6 +53,7 @@
 		registry:       r,
 		open:           counter("requests_open_count"),
 		answered:       counter("requests_answered_total"),
+		balancedByTime: counter("calls_balanced_by_time_total"),
 		retries:        counter("request_retries_total"),
 		events:         counter("stream_events_total"),
 		routesVersion:  gometrics.GetOrRegisterGauge("routes_version", r),
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/dragonflyrail/dragonflyrail/internal/core/balance"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/routing"
 	"github.com/dragonflyrail/dragonflyrail/internal/crashwatch"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
@@ -24,6 +25,12 @@
 	// refused: the endpoint refused the request, for another reason than its rate
 	// limit.
 	refused bool
+	// failed: the endpoint of a call answered that it failed. sample is what a call that
+	// succeeded shows of it, nil if it shows nothing.
+	failed bool
+	sample *balance.Sample
+	// began is the time at which the attempt began.
+	began time.Time
 	// watched is the crash watch's entry of the attempt while it is in
 	// progress.
 	watched *crashwatch.Attempt
@@ -177,6 +184,7 @@
 // cancels it.
 func (x *exchange) beginAttempt(p *placement, withdraw func()) {
 	x.inFlight = p
+	p.began = x.g.Clock()
 	p.watched = x.g.crashWatch.Begin(p.endpoint, x.identity(), withdraw)
 	if !p.generation {
 		x.g.breakers.Begin(x.g.Clock(), p.endpoint.ID)
@@ -215,7 +223,7 @@
 		g.Placer.Finished(x.req.ID, p.tokens, g.credibleFinish(p, kind))
 		return
 	}
-	g.balancer.End(p.endpoint.ID)
+	g.endCall(p, kind)
 	switch {
 	case p.refused:
 		g.refusals.Failure(g.Clock(), p.endpoint.ID)
@@ -227,6 +235,20 @@
 	}
 }
 
+// endCall informs the balancer how a call ended. A call that was cancelled, or that the
+// endpoint rejected as invalid, shows nothing of the endpoint.
+func (g *Gateway) endCall(p *placement, kind port.FinishKind) {
+	now := g.Clock()
+	switch {
+	case kind == port.FinishDone && p.sample != nil:
+		g.balancer.EndSuccess(now, &p.endpoint, *p.sample)
+	case p.refused, p.failed, kind == port.FinishFailed, kind == port.FinishNotStarted:
+		g.balancer.EndFailure(now, &p.endpoint, now.Sub(p.began))
+	default:
+		g.balancer.End(p.endpoint.ID)
+	}
+}
+
 // credibleFinish returns how an attempt ended as far as the endpoint is concerned. The
 // scheduler places nothing more at an endpoint that failed, for all daemons, so a failure
 // that may be due to this daemon's path doesn't count.
--- /dev/null
+++ b/internal/gateway/uneven_test.go
@@ -0,0 +1,77 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/dragonflyrail/dragonflyrail/internal/core/balance"
+	"github.com/dragonflyrail/dragonflyrail/internal/port"
+)
+
+// newUnevenHarness returns a gateway that compares endpoints of plain services by the
+// expected time of a call.
+func newUnevenHarness(t *testing.T) *harness {
+	b := newHarness(t)
+	b.balancer = balance.New(balance.Options{Draw: rand.New(rand.NewPCG(1, 0)).IntN, ReportMaxAge: time.Second, UnevenEndpoints: true})
+	return b
+}
+
+// statedReply returns a handler that answers with a status and a load after a delay.
+func statedReply(status int, delay time.Duration, load port.LoadHint) func(*port.Exchange) (*port.Answer, error) {
+	return func(x *port.Exchange) (*port.Answer, error) {
+		time.Sleep(delay)
+		a, err := reply(status, "x")(x)
+		a.Load = &load
+		return a, err
+	}
+}
+
+// Guards against an endpoint that answers 500 at once and draws the calls of its pool,
+// because its failures count as fast calls and the load it states with them as its own.
+func TestEndpointThatFailsAtOnceDrawsNoCalls(t *testing.T) {
+	b := newUnevenHarness(t)
+	fine := statedReply(200, 3*time.Millisecond, port.LoadHint{Running: 1, Slots: 6, Slowness: 1})
+	b.setHandlers("s", fine)
+	for range 30 {
+		if refusal := b.send(t, "/safe/", &fakeCaller{}); refusal != nil {
+			t.Fatal(refusal)
+		}
+	}
+	b.backends.handlers["s0"] = statedReply(500, 0, port.LoadHint{Running: 1, Slots: 6, Slowness: 0.1})
+	const calls = 300
+	failures := 0
+	for range calls {
+		before := len(b.backends.arrivals())
+		if refusal := b.send(t, "/once/", &fakeCaller{}); refusal != nil {
+			t.Fatal(refusal)
+		}
+		if b.backends.arrivals()[before] == "s0" {
+			failures++
+		}
+	}
+	t.Logf("the failing endpoint got %d of %d calls", failures, calls)
+	if failures > calls/3 {
+		t.Errorf("the failing endpoint got %d of %d calls, more than its third", failures, calls)
+	}
+}
+
+// Guards against a decision whose record doesn't show that the expected time decided, and
+// by which inputs.
+func TestDecisionShowsExpectedTime(t *testing.T) {
+	b := newUnevenHarness(t)
+	b.setHandlers("s", statedReply(200, time.Millisecond, port.LoadHint{Running: 1, Slots: 6, Slowness: 1.7}))
+	for range 10 {
+		if refusal := b.send(t, "/safe/", &fakeCaller{}); refusal != nil {
+			t.Fatal(refusal)
+		}
+	}
+	shown := false
+	for _, d := range b.sink.All() {
+		shown = shown || strings.Contains(d.Reason, "shortest expected time of two drawn in pool plain: service time") && d.Candidates[0].Slowness > 0
+	}
+	if !shown || b.metrics.balancedByTime.Count() == 0 {
+		t.Errorf("no decision shows the expected time; %d are counted", b.metrics.balancedByTime.Count())
+	}
+}
