Setting for the capacity of a host

Daemons don't know how much their hosts differ in processors and links, so all count as equal.

The template can't multiply the share of a core with the cores, so both are settings.

--- a/cmd/dragonfly-entry/settings.go
+++ b/cmd/dragonfly-entry/settings.go
@@ -2,12 +2,14 @@
 
 import (
 	"cmp"
+	"math"
 	"time"
 
 	"github.com/dragonflyrail/dragonflyrail/internal/adapter/daemon"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/breaker"
 	"github.com/dragonflyrail/dragonflyrail/internal/gateway"
 	"github.com/dragonflyrail/dragonflyrail/internal/keeper"
+	"github.com/dragonflyrail/dragonflyrail/internal/port"
 	"github.com/dragonflyrail/dragonflyrail/platform"
 )
 
@@ -69,10 +71,42 @@
 	// ScarceRoom lets brief generations with short objectives go before long ones when
 	// the cache of their pool is short.
 	ScarceRoom bool `json:"scarce_room"`
+	// Capacity is what the platform grants this host; nil if it doesn't state it.
+	Capacity *capacitySettings `json:"capacity"`
 	// LogBytesPerSecond bounds the log output. Warnings and errors are exempt.
 	LogBytesPerSecond int `json:"log_bytes_per_second" validate:"min=1000,max=1000000000"`
 }
 
+// capacitySettings are the limits that the platform puts on a host. All are required
+// but Cores.
+type capacitySettings struct {
+	// Processor is the share of each core that the host may use, and Cores the number
+	// of cores; zero means 1. The template can't multiply, so both are settings.
+	Processor float64 `json:"processor" validate:"gt=0,max=1024"`
+	Cores     float64 `json:"cores" validate:"min=0,max=1024"`
+	// LinkMbps is the bandwidth of the link in Mbit/s.
+	LinkMbps    float64 `json:"link_mbps" validate:"gt=0,max=1000000"`
+	MemoryMB    float64 `json:"memory_mb" validate:"min=1"`
+	Descriptors int     `json:"descriptors" validate:"min=1"`
+}
+
+// maxProcessors bounds the product of capacitySettings.Processor and Cores.
+const maxProcessors = 1024
+
+// capacity returns the host's capacity, or zero if the settings don't state it.
+// Positive values are rounded up to the smallest unit, because zero means unknown.
+func (s *entrySettings) capacity() port.HostCapacity {
+	c := s.Capacity
+	if c == nil {
+		return port.HostCapacity{}
+	}
+	processors := min(maxProcessors, c.Processor*cmp.Or(c.Cores, 1))
+	return port.HostCapacity{
+		ProcessorMilli: uint32(max(1, math.Round(processors*1000))),
+		LinkKbps:       uint32(max(1, math.Round(c.LinkMbps*1000))),
+	}
+}
+
 func defaults() entrySettings {
 	return entrySettings{
 		Common: daemon.CommonDefaults(), StoreTimeout: platform.DefaultStoreTimeout,
--- a/internal/port/record.go
+++ b/internal/port/record.go
@@ -49,6 +49,17 @@
 	// LostPools are the pools of which the daemon reaches no endpoint, in ascending
 	// order.
 	LostPools []string `json:"lost_pools,omitempty"`
+	// Capacity is the capacity of the daemon's host.
+	Capacity HostCapacity `json:"capacity,omitzero"`
+	// LoadPercent is the share of the capacity in use, from 0 to 100 in steps of 25.
+	LoadPercent uint32 `json:"load_percent,omitempty"`
+}
+
+// HostCapacity is the capacity of a host. Zero values are unknown.
+type HostCapacity struct {
+	// ProcessorMilli is in thousandths of a core, LinkKbps in kbit/s.
+	ProcessorMilli uint32 `json:"processor_milli,omitempty"`
+	LinkKbps       uint32 `json:"link_kbps,omitempty"`
 }
 
 // StateView is a router's view of the system, received through the keepers. It is
--- a/internal/testkit/settingspage/settingspage.go
+++ b/internal/testkit/settingspage/settingspage.go
@@ -32,6 +32,9 @@
 			dst = appendRows(dst, prefix, v.Field(i))
 		case field.Type.Kind() == reflect.Struct:
 			dst = appendRows(dst, prefix+name+".", v.Field(i))
+		case field.Type.Kind() == reflect.Pointer && field.Type.Elem().Kind() == reflect.Struct:
+			// An optional object has no defaults.
+			dst = appendRows(dst, prefix+name+".", reflect.Zero(field.Type.Elem()))
 		default:
 			dst = append(dst, Row{Path: prefix + name, Default: formatDefault(v.Field(i))})
 		}
--- a/internal/testkit/settingspage/settingspage_test.go
+++ b/internal/testkit/settingspage/settingspage_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 )
@@ -16,8 +17,9 @@
 	}
 	type all struct {
 		common
-		Nested nested `json:"nested"`
-		Name   string `json:"name"`
+		Nested   nested  `json:"nested"`
+		Optional *nested `json:"optional"`
+		Name     string  `json:"name"`
 	}
 	page := filepath.Join(t.TempDir(), "page.md")
 	text := "| `wait` | 2h | x |\n| `nested.a` | 4 | x |\n"
@@ -28,7 +30,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if len(got) != 2 || got[0] != "| `nested.a` | 3 |" || got[1] != "| `name` |  |" {
+	want := []string{"| `nested.a` | 3 |", "| `optional.a` |  |", "| `name` |  |"}
+	if !slices.Equal(got, want) {
 		t.Fatalf("got %q", got)
 	}
 }
