Members announce the capacity and the load of their hosts

Daemons choose among hosts without knowing how much these differ.

The entry of a member carries processor, link and load. The capacity stays set within an incarnation, like the announcement of leaving: daemons of the previous build pass entries on without it, and members would otherwise renew their own entries at each check, four times a second. For the same reason a difference in the load alone renews an entry only when the load is published. The hash of entries without the fields is that of the previous build (0xbae62676f9839d5 for the tested entry in both).

While builds are mixed, daemons of different builds repair the entries that state a capacity at the rate at which they compare digests.

go test -race ./internal/core/membership ./internal/keeper ./internal/adapter/grpcpeer ./cmd/dragonfly-entry passes.

--- a/cmd/dragonfly-entry/assemble.go
+++ b/cmd/dragonfly-entry/assemble.go
@@ -123,6 +123,7 @@
 		Self: port.Member{
 			ID: s.ID, Host: s.Host, FailureDomain: s.FailureDomain,
 			CallerAddress: s.callerAddress(), AdminAddress: s.Listen.Admin, PeerAddress: s.peerAddress(),
+			Capacity: s.capacity(),
 		},
 		Keepers: s.Keepers, Platform: src.store, Endpoints: src.store, Prober: src.runners, IsPaused: src.isPaused, Kinds: []string{route.RecordKind}, PolledKinds: record.Kinds(), ExistenceKinds: []string{port.ObjectPlatformEvacuation},
 		Decisions: sink, Logger: logger, Registry: registry,
--- a/internal/adapter/grpcpeer/convert.go
+++ b/internal/adapter/grpcpeer/convert.go
@@ -95,7 +95,8 @@
 		Host: m.Host, CallerAddress: m.CallerAddress, AdminAddress: m.AdminAddress, PeerAddress: m.PeerAddress,
 		State: string(m.State), Sequence: m.Sequence, HeardBy: m.DecidedBy,
 		Condition: string(m.Condition), Left: m.Left, Blind: m.PlatformUnreachable,
-		LostPools: m.LostPools,
+		LostPools: m.LostPools, ProcessorMilli: m.Capacity.ProcessorMilli, LinkKbps: m.Capacity.LinkKbps,
+		LoadPercent: m.LoadPercent,
 	}
 }
 
@@ -106,7 +107,8 @@
 		AdminAddress: m.GetAdminAddress(), PeerAddress: m.GetPeerAddress(),
 		State: port.MemberState(m.GetState()), Sequence: m.GetSequence(), DecidedBy: m.GetHeardBy(),
 		Condition: membership.Condition(m.GetCondition()), Left: m.GetLeft(), PlatformUnreachable: m.GetBlind(),
-		LostPools: m.GetLostPools(),
+		LostPools: m.GetLostPools(), LoadPercent: m.GetLoadPercent(),
+		Capacity: port.HostCapacity{ProcessorMilli: m.GetProcessorMilli(), LinkKbps: m.GetLinkKbps()},
 	}
 }
 
--- a/internal/adapter/grpcpeer/convert_test.go
+++ b/internal/adapter/grpcpeer/convert_test.go
@@ -29,3 +29,16 @@
 		t.Error("the listed endpoint doesn't count as listed after its own announcement")
 	}
 }
+
+// Guards against fields of a member that get lost between daemons.
+func TestMemberKeepsItsFieldsOnTheWire(t *testing.T) {
+	m := membership.Member{
+		ID: "m", Role: port.RoleKeeper, Incarnation: 2, FailureDomain: "d", Host: "h", CallerAddress: "a:1", AdminAddress: "a:2",
+		PeerAddress: "a:3", Left: true, Sequence: 4, State: port.MemberLive, Condition: membership.ConditionLinkCut, DecidedBy: "k",
+		PlatformUnreachable: true, LostPools: []string{"p"},
+		Capacity: port.HostCapacity{ProcessorMilli: 144, LinkKbps: 10_000}, LoadPercent: 75,
+	}
+	if got := memberFromWire(memberToWire(m)); !reflect.DeepEqual(got, m) {
+		t.Errorf("got %+v, want %+v", got, m)
+	}
+}
--- a/internal/adapter/grpcpeer/identity.go
+++ b/internal/adapter/grpcpeer/identity.go
@@ -26,7 +26,7 @@
 		ID: m.ID, Role: m.Role, Incarnation: incarnation,
 		FailureDomain: m.FailureDomain, Host: m.Host,
 		CallerAddress: m.CallerAddress, AdminAddress: m.AdminAddress, PeerAddress: m.PeerAddress,
-		State: port.MemberLive,
+		State: port.MemberLive, Capacity: m.Capacity,
 	}}
 }
 
@@ -70,6 +70,14 @@
 	i.mu.Unlock()
 }
 
+// SetLoadPercent sets the share of the host's capacity that later heartbeats report as
+// in use.
+func (i *Identity) SetLoadPercent(percent uint32) {
+	i.mu.Lock()
+	i.member.LoadPercent = percent
+	i.mu.Unlock()
+}
+
 // ExceedIncarnation raises the incarnation above one that other daemons hold for this id, and
 // reports whether it did. A larger incarnation comes from an earlier process whose
 // clock was ahead. If it were not exceeded, other daemons would treat the heartbeats
--- a/internal/core/membership/lattice_test.go
+++ b/internal/core/membership/lattice_test.go
@@ -45,9 +45,16 @@
 		PlatformUnreachable: rapid.Bool().Draw(t, "blind"),
 		Host:                oneOf("h1", "h2").Draw(t, "host"),
 		LostPools:           oneOf(nil, []string{"p"}, []string{"p", "q"}).Draw(t, "lost pools"),
+		Capacity:            capacityGenerator.Draw(t, "capacity"),
+		LoadPercent:         oneOf[uint32](0, 25, 100).Draw(t, "load"),
 	}
 })
 
+var capacityGenerator = oneOf(
+	port.HostCapacity{}, port.HostCapacity{ProcessorMilli: 144, LinkKbps: 10_000},
+	port.HostCapacity{ProcessorMilli: 800, LinkKbps: 1}, port.HostCapacity{ProcessorMilli: 800},
+)
+
 var endpointGenerator = rapid.Custom(func(t *rapid.T) Endpoint {
 	e := Endpoint{
 		Endpoint: port.Endpoint{
@@ -89,6 +96,57 @@
 
 func TestRecordsAreASemilattice(t *testing.T) { checkLattice(t, spread.RecordOrder{}, recordGenerator) }
 
+// Guards against a capacity that is lost, or comes back and forth, while daemons of an
+// earlier build, which drop it and the load, pass entries on.
+func TestCapacitySurvivesEntriesOfEarlierBuilds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		own := memberGenerator.Draw(t, "own entry")
+		held := own
+		for range rapid.IntRange(1, 6).Draw(t, "messages") {
+			passedOn := memberGenerator.Draw(t, "passed on")
+			passedOn.Incarnation = min(passedOn.Incarnation, own.Incarnation)
+			passedOn.Capacity, passedOn.LoadPercent = port.HostCapacity{}, 0
+			held = MemberOrder{}.Join(held, passedOn)
+			if held.Capacity != own.Capacity {
+				t.Fatalf("capacity %+v, want %+v", held.Capacity, own.Capacity)
+			}
+		}
+		next := memberGenerator.Draw(t, "next incarnation")
+		next.Incarnation = own.Incarnation + 1
+		if joined := (MemberOrder{}).Join(held, next); joined.Capacity != next.Capacity {
+			t.Fatalf("capacity %+v after a restart, want %+v", joined.Capacity, next.Capacity)
+		}
+	})
+}
+
+// Guards against repairs between daemons of different builds for entries that state no
+// capacity: the hash must be that of the earlier build.
+func TestCapacityChangesTheHashOnlyWhileSet(t *testing.T) {
+	const hashOfEarlierBuild = 0xbae62676f9839d5
+	m := Member{
+		ID: "m", Role: port.RoleKeeper, Incarnation: 7, FailureDomain: "d", Host: "127.0.0.1", CallerAddress: "a:1", PeerAddress: "a:2",
+		Sequence: 3, State: port.MemberLive, DecidedBy: "k",
+	}
+	plain := MemberOrder{}.Hash(m)
+	if plain != hashOfEarlierBuild {
+		t.Errorf("hash %#x without a capacity", plain)
+	}
+	seen := map[uint64]bool{plain: true}
+	for _, change := range []func(){
+		func() { m.LoadPercent = 25 },
+		func() { m.Capacity.ProcessorMilli = 25 },
+		func() { m.LoadPercent = 0 },
+		func() { m.Capacity = port.HostCapacity{LinkKbps: 25} },
+	} {
+		change()
+		if hash := (MemberOrder{}).Hash(m); seen[hash] {
+			t.Errorf("the hash doesn't tell %+v from another", m)
+		} else {
+			seen[hash] = true
+		}
+	}
+}
+
 // An endpoint is leaving. The platform's list still shows it as live, older
 // messages from other keepers arrive late, probes fail and succeed. Within its
 // incarnation none of these may make it live again.
--- a/internal/core/membership/member.go
+++ b/internal/core/membership/member.go
@@ -55,6 +55,11 @@
 	// LostPools are the pools of which the member reaches no endpoint, in ascending
 	// order. It is not modified.
 	LostPools []string
+	// Capacity is the capacity of the member's host. It stays set within the
+	// incarnation.
+	Capacity port.HostCapacity
+	// LoadPercent is the share of the capacity in use, in steps of 25.
+	LoadPercent uint32
 }
 
 func stateRank(s port.MemberState) int {
@@ -71,8 +76,11 @@
 }
 
 // MemberOrder is the semilattice of members. The larger incarnation replaces
-// the smaller one entirely; within an incarnation Left stays set and the state
-// with the larger heartbeat sequence wins.
+// the smaller one entirely; within an incarnation Left and the capacity stay set and
+// the state with the larger heartbeat sequence wins.
+//
+// Daemons of earlier builds pass entries on without the capacity. If it didn't stay
+// set, a member would renew its own entry each time it comes back from one of them.
 type MemberOrder struct{}
 
 // Key is the member's id.
@@ -86,11 +94,15 @@
 	}
 	if a.Incarnation == b.Incarnation {
 		newer.Left = a.Left || b.Left
+		newer.Capacity = port.HostCapacity{
+			ProcessorMilli: max(a.Capacity.ProcessorMilli, b.Capacity.ProcessorMilli),
+			LinkKbps:       max(a.Capacity.LinkKbps, b.Capacity.LinkKbps),
+		}
 	}
 	return newer
 }
 
-// compareMembers is a total order over all fields except Left. Identity fields
+// compareMembers is a total order over all fields except Left and Capacity. Identity fields
 // don't change within an incarnation; they are compared so that two members
 // misconfigured with the same id still converge to one state on all daemons.
 func compareMembers(a, b *Member) int {
@@ -103,6 +115,7 @@
 		cmp.Compare(a.DecidedBy, b.DecidedBy),
 		compareBools(a.PlatformUnreachable, b.PlatformUnreachable),
 		slices.Compare(a.LostPools, b.LostPools),
+		cmp.Compare(a.LoadPercent, b.LoadPercent),
 		cmp.Compare(a.PeerAddress, b.PeerAddress),
 		cmp.Compare(a.CallerAddress, b.CallerAddress),
 		cmp.Compare(a.AdminAddress, b.AdminAddress),
@@ -134,6 +147,13 @@
 	for _, pool := range m.LostPools {
 		h.String(pool)
 	}
+	// The same holds for the capacity and the load.
+	if m.Capacity != (port.HostCapacity{}) || m.LoadPercent != 0 {
+		h.Bool(true)
+		h.Uint64(uint64(m.Capacity.ProcessorMilli))
+		h.Uint64(uint64(m.Capacity.LinkKbps))
+		h.Uint64(uint64(m.LoadPercent))
+	}
 	return h.Sum()
 }
 
@@ -157,14 +177,22 @@
 		ID: m.ID, Role: m.Role, Incarnation: m.Incarnation,
 		FailureDomain: m.FailureDomain, Host: m.Host,
 		CallerAddress: m.CallerAddress, AdminAddress: m.AdminAddress, PeerAddress: m.PeerAddress,
-		State: m.Effective(), LostPools: m.LostPools,
+		State: m.Effective(), LostPools: m.LostPools, Capacity: m.Capacity, LoadPercent: m.LoadPercent,
 	}
 }
 
 // SameReport reports whether a member reports the same about itself in two entries.
 func (m *Member) SameReport(other *Member) bool {
+	return m.SameReportExceptLoad(other) && m.LoadPercent == other.LoadPercent
+}
+
+// SameReportExceptLoad is SameReport without the load. Daemons of earlier builds pass
+// entries on without it, so a member that renewed its entry for each difference in the
+// load would do so all the time.
+func (m *Member) SameReportExceptLoad(other *Member) bool {
 	return m.Incarnation == other.Incarnation && m.Left == other.Left &&
-		m.PlatformUnreachable == other.PlatformUnreachable && slices.Equal(m.LostPools, other.LostPools)
+		m.PlatformUnreachable == other.PlatformUnreachable && slices.Equal(m.LostPools, other.LostPools) &&
+		m.Capacity == other.Capacity
 }
 
 // NewMemberTable returns an empty table of members.
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -307,6 +307,12 @@
 	k.putSelf()
 }
 
+// PublishLoad announces to the other daemons the share of the host's capacity in use.
+func (k *Keeper) PublishLoad(percent uint32) {
+	k.identity.SetLoadPercent(percent)
+	k.putSelfIfChanged((*membership.Member).SameReport)
+}
+
 // Records returns the records in force, without deleted ones.
 func (k *Keeper) Records() []port.Record { return grpcpeer.LiveRecords(k.node) }
 
--- a/internal/keeper/members.go
+++ b/internal/keeper/members.go
@@ -93,14 +93,18 @@
 
 // putSelf puts this keeper's own entry into the member table if the entry is
 // missing or differs. The latter includes an entry that marks this keeper as
-// failed, which it refutes.
-func (k *Keeper) putSelf() {
+// failed, which it refutes. A difference in the load alone is no reason: PublishLoad
+// puts a changed load.
+func (k *Keeper) putSelf() { k.putSelfIfChanged((*membership.Member).SameReportExceptLoad) }
+
+// putSelfIfChanged does the same unless the entry in the table reports the same.
+func (k *Keeper) putSelfIfChanged(same func(known, own *membership.Member) bool) {
 	known, held := k.node.Members.Get(k.identity.ID())
 	if held && k.identity.ExceedIncarnation(known.Incarnation) {
 		k.options.Logger.Warn().Str("event", "incarnation_raised").Uint64("seen", known.Incarnation).Msg("")
 	}
 	own := k.identity.Current()
-	if held && known.SameReport(&own) && known.State == port.MemberLive {
+	if held && same(&known, &own) && known.State == port.MemberLive {
 		return
 	}
 	if held {
