Coordinators are chosen among the large hosts

A host with a seventh of a core may coordinate a pool of 48 runners, and each host that joins may take a pool over.

Coordinators are chosen by the same hashing as before, among the hosts with at least half the processors of the largest one that may coordinate. Hosts whose processors aren't known count as the largest, so without capacities nothing changes.

--- a/cmd/dragonfly-entry/assemble.go
+++ b/cmd/dragonfly-entry/assemble.go
@@ -87,7 +87,7 @@
 	pools := scheduling.NewPoolScheduler(scheduler, nil)
 	registry.GetOrRegister("scheduling_runs_held", gometrics.NewFunctionalGauge(func() int64 { return int64(pools.RunCount()) }))
 	a.placer = scheduling.NewClient(scheduling.Options{
-		Self: s.ID, Members: a.keeper, Logger: logger,
+		Self: s.ID, Capacity: s.capacity(), Members: a.keeper, Logger: logger,
 		Dial: func(address string) scheduling.Peer { return grpcpeer.DialScheduling(address) },
 	}, pools)
 	(&grpcpeer.SchedulingService{Scheduler: pools, Admitter: a.placer}).Register(a.peers)
--- a/internal/scheduling/client.go
+++ b/internal/scheduling/client.go
@@ -48,9 +48,11 @@
 
 // Options configures a Client.
 type Options struct {
-	// Self is this daemon's id.
-	Self    string
-	Members Members
+	// Self is this daemon's id, and Capacity the capacity of its host as the other
+	// daemons know it. Capacity applies while Members doesn't list this daemon.
+	Self     string
+	Capacity port.HostCapacity
+	Members  Members
 	// Dial connects to the pool scheduler at a daemon's peer address.
 	Dial   func(address string) Peer
 	Logger *log.Logger
--- a/internal/scheduling/coordinator.go
+++ b/internal/scheduling/coordinator.go
@@ -30,7 +30,8 @@
 		if id == c.opts.Self {
 			c.limiter.TakeOver()
 		}
-		c.opts.Logger.Info().Str("event", "coordinator_changed").Str("pool", pool).Str("from", previous).Str("to", id).Msg("")
+		c.opts.Logger.Info().Str("event", "coordinator_changed").Str("pool", pool).Str("from", previous).Str("to", id).
+			Int("candidates", s.ringSize).Msg("")
 	}
 	return daemon{id: id, address: s.addresses[id]}
 }
@@ -51,7 +52,9 @@
 	memberList []port.Member
 	validUntil time.Time
 	ring       *rendezvous.Rendezvous
-	addresses  map[string]string
+	// ringSize is the number of daemons in ring.
+	ringSize  int
+	addresses map[string]string
 	// listedRing does not leave out the daemons that are now avoided.
 	listedRing *rendezvous.Rendezvous
 }
@@ -75,45 +78,73 @@
 		}
 		switch {
 		case m.ID == c.opts.Self:
-			group.add(m.ID, true)
+			group.add(m, true)
 		case m.CallerAddress == "" || m.State != port.MemberLive && m.State != port.MemberLeaving:
 		case now.Before(c.avoidUntil[m.ID]):
-			group.add(m.ID, false)
+			group.add(m, false)
 			s.validUntil = earlier(s.validUntil, c.avoidUntil[m.ID])
 		default:
-			group.add(m.ID, true)
+			group.add(m, true)
 			s.addresses[m.ID] = m.PeerAddress
 		}
 	}
-	if !slices.Contains(leaving.listed, c.opts.Self) && !slices.Contains(live.listed, c.opts.Self) {
-		live.add(c.opts.Self, true)
+	isSelf := func(h host) bool { return h.id == c.opts.Self }
+	if !slices.ContainsFunc(leaving.listed, isSelf) && !slices.ContainsFunc(live.listed, isSelf) {
+		live.add(&port.Member{ID: c.opts.Self, Capacity: c.opts.Capacity}, true)
 	}
-	s.ring = rendezvous.New(firstNonEmpty(live.reachable, leaving.reachable), xxhash.Sum64String)
-	s.listedRing = rendezvous.New(firstNonEmpty(live.listed, leaving.listed), xxhash.Sum64String)
+	large := largeHosts(firstNonEmpty(live.reachable, leaving.reachable))
+	s.ring, s.ringSize = rendezvous.New(large, xxhash.Sum64String), len(large)
+	s.listedRing = rendezvous.New(largeHosts(firstNonEmpty(live.listed, leaving.listed)), xxhash.Sum64String)
 	c.cachedCandidates = s
 	return s
 }
 
+// host is a daemon and the processors of its host in thousandths of a core, zero if
+// they are not known.
+type host struct {
+	id             string
+	processorMilli uint32
+}
+
 // memberGroup holds the daemons in one state: all, and those that are not avoided
 // now.
-type memberGroup struct{ listed, reachable []string }
+type memberGroup struct{ listed, reachable []host }
 
-func (g *memberGroup) add(id string, reachable bool) {
-	g.listed = append(g.listed, id)
+func (g *memberGroup) add(m *port.Member, reachable bool) {
+	h := host{id: m.ID, processorMilli: m.Capacity.ProcessorMilli}
+	g.listed = append(g.listed, h)
 	if reachable {
-		g.reachable = append(g.reachable, id)
+		g.reachable = append(g.reachable, h)
 	}
 }
 
 // firstNonEmpty returns the live daemons, or the leaving ones if none is live. A daemon
 // that is leaving coordinates only while no live one can.
-func firstNonEmpty(live, leaving []string) []string {
+func firstNonEmpty(live, leaving []host) []host {
 	if len(live) > 0 {
 		return live
 	}
 	return leaving
 }
 
+// largeHosts returns the ids of the hosts that may coordinate pools: those with at
+// least half the processors of the largest, and those whose processors are not known.
+// Small hosts that join or leave change no coordinator, and a placement takes longer
+// on a small host than on a large one.
+func largeHosts(hosts []host) []string {
+	var largest uint32
+	for _, h := range hosts {
+		largest = max(largest, h.processorMilli)
+	}
+	var ids []string
+	for _, h := range hosts {
+		if h.processorMilli == 0 || uint64(h.processorMilli)*2 >= uint64(largest) {
+			ids = append(ids, h.id)
+		}
+	}
+	return ids
+}
+
 // candidatesTTL bounds the time for which computed candidates are used.
 const candidatesTTL = time.Minute
 
