Directories name hosts by their free capacity

Callers choose evenly among the addresses of an answer, so a host with a seventh of a core gets as many of them as one with 0.8 of a core.

If the hosts of the caller's failure domain, or all others, differ in capacity, the answer leaves small ones out in turn: each host is named in proportion to its free capacity, between a third and four times the mean. Callers lose a connection with each host that is left out, so one daemon keeps its set: a host has its turn once in two minutes, and loads change at most a quarter of the set within a second. Different daemons leave out different hosts. Near hosts keep their part of the answer, and of each group at least two hosts are named. Hosts of equal capacity give the former answer, whatever their loads.

--- a/cmd/dragonfly-entry/settings.go
+++ b/cmd/dragonfly-entry/settings.go
@@ -173,7 +173,7 @@
 	grace := time.Duration(s.Grace * float64(time.Second))
 	graceFraction := func(p float64) time.Duration { return time.Duration(p * float64(grace)) }
 	return gateway.Options{
-		ID: s.ID, CallerAddress: s.callerAddress(),
+		ID: s.ID, CallerAddress: s.callerAddress(), Capacity: s.capacity(),
 		Breaker: breaker.Options{
 			Failures: breakerFailures, OpenFor: breakerOpenFor, MaxOpenFor: breakerMaxOpenFor,
 			MaxEndpoints: breakerMaxEndpoints,
--- a/internal/gateway/decisions.go
+++ b/internal/gateway/decisions.go
@@ -45,6 +45,9 @@
 	// path to an endpoint or to all endpoints of a pool.
 	verdictPathLost     = "path_lost"
 	verdictPathRestored = "path_restored"
+	// verdictSelect: the set of daemons in the answers to callers has changed because of
+	// the capacities of their hosts.
+	verdictSelect = "select"
 )
 
 // Subjects of decisions.
@@ -52,6 +55,8 @@
 	subjectRequest  = "request"
 	subjectEndpoint = "endpoint"
 	subjectPool     = "pool"
+	// subjectDirectory is the directory; the id is the callers' failure domain.
+	subjectDirectory = "directory"
 )
 
 // randomIndex is the balancer's source of random numbers.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -96,7 +96,10 @@
 type Options struct {
 	ID            string
 	CallerAddress string
-	Breaker       breaker.Options
+	// Capacity is the capacity of this host as the other daemons know it. It applies
+	// while the view doesn't list this daemon.
+	Capacity port.HostCapacity
+	Breaker  breaker.Options
 	// RetryShare and RetryBurst bound, for each pool, the requests sent to a
 	// second endpoint, see breaker.Budget. The bounds apply to all daemons
 	// together.
@@ -145,8 +148,10 @@
 	paths *reachability.Tracker
 	// publishedLostPools holds the lost pools as published last.
 	publishedLostPools lostPools
-	otherCheckCalls    singleflight.Group
-	relays             relays
+	// entrySelections are the daemons that callers are led to.
+	entrySelections entrySelections
+	otherCheckCalls singleflight.Group
+	relays          relays
 	// brittle holds the endpoints that crash when they refuse too much.
 	brittle *brittle.Tracker
 	// limitBackoffs holds the endpoints and pools that accept no requests for
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -41,6 +41,9 @@
 	relaysSent     gometrics.Counter
 	relaysDeclined gometrics.Counter
 	relaysServed   gometrics.Counter
+	// entryLeftOut is the number of daemons that the last answer to a caller leaves out.
+	entryLeftOut gometrics.Gauge
+	entryChanges gometrics.Counter
 }
 
 func newInstruments(r gometrics.Registry) *instruments {
@@ -74,6 +77,8 @@
 		relaysSent:     counter("relays_sent_total"),
 		relaysDeclined: counter("relays_declined_total"),
 		relaysServed:   counter("relays_served_total"),
+		entryLeftOut:   gometrics.GetOrRegisterGauge("entry_hosts_left_out", r),
+		entryChanges:   counter("entry_selection_changes_total"),
 	}
 }
 
