--- a/cmd/dragonfly-entry/assemble.go
+++ b/cmd/dragonfly-entry/assemble.go
@@ -89,7 +89,7 @@
 	registry.GetOrRegister("scheduling_runs_held", gometrics.NewFunctionalGauge(func() int64 { return int64(pools.RunCount()) }))
 	registry.GetOrRegister("scheduling_reserved_prompts", gometrics.NewFunctionalGauge(func() int64 { return int64(scheduler.ReservedPrompts()) }))
 	a.placer = scheduling.NewClient(scheduling.Options{
-		Self: s.ID, Members: a.keeper, Logger: logger,
+		Self: s.ID, Capacity: s.capacity(), Members: a.keeper, Logger: logger,
 		Dial: func(address string) scheduling.Peer { return grpcpeer.DialScheduling(address) },
 	}, pools)
 	(&grpcpeer.SchedulingService{Scheduler: pools, Admitter: a.placer}).Register(a.peers)
@@ -125,6 +125,7 @@
 		Self: port.Member{
 			ID: s.ID, Host: s.Host, FailureDomain: s.FailureDomain,
 			CallerAddress: s.callerAddress(), AdminAddress: s.Listen.Admin, PeerAddress: s.peerAddress(),
+			Capacity: s.capacity(),
 		},
 		Keepers: s.Keepers, Platform: src.store, Endpoints: src.store, Prober: src.runners, IsPaused: src.isPaused, Kinds: []string{route.RecordKind}, PolledKinds: record.Kinds(), ExistenceKinds: []string{port.ObjectPlatformEvacuation},
 		Decisions: sink, Logger: logger, Registry: registry,
