--- a/internal/core/routing/runner.go
+++ b/internal/core/routing/runner.go
@@ -53,8 +53,10 @@
 	changes    [numChanges]change
 	nextChange int
 
-	// speed is the estimated speed of the runner.
-	speed speed.Endpoint
+	// speed is the estimated speed of the runner. speedAt is the time of its last sample,
+	// or of the figure that was handed over if there is no sample.
+	speed   speed.Endpoint
+	speedAt time.Time
 
 	breaker breaker
 	// meter enforces the rate limit that the runner sets.
--- a/internal/core/routing/speed.go
+++ b/internal/core/routing/speed.go
@@ -20,6 +20,7 @@
 		return
 	}
 	r := e.runner
+	r.speedAt = now
 	r.speed.State(now, sample.Slowness)
 	r.speed.ObserveStep(milliseconds(sample.PerToken) / (1 + stepGrowthPerRun*r.count()))
 	r.speed.ObserveGap(now, sample.Gap)
