Hand over what a coordinator has learned to its successor

Cause: a new coordinator starts without speeds, use of organisations and booked retries. Reading how held requests behave at a change showed three faults: a run that the former coordinator places after the change is reported to the successor only up to 250 ms later, which places others in the same room; a request held at a frozen or cut-off daemon waits there until its deadline, as the connection stays open; and when the coordinator changes back before the updates are sent, the end of the count and the new report of a run are in one message, whose ends are applied last, so nobody counts the run any more.

Change: with uneven_endpoints or scarce_room, the daemon that coordinated a pool by its list of members sends one Scheduling.HandOver message within 20 ms of the change, and repeats it once after 200 ms if it fails. Daemons that answer Unimplemented get no repetition. The receiver applies it, keeps it for 5 s if it is not the coordinator by its own list, and drops older sequence numbers, older holders and messages older than 5 s. If the coordinator changes again within 5 s, the last holder also sends to the second successor. A daemon that ends finishes its messages first. Each decision is logged and counted. A placement is reported at once if the coordinator has changed; a held request leaves a daemon that is no longer listed as live or leaving; a new report of a run replaces its queued FinishUntracked.

--- a/cmd/dragonfly-entry/assemble.go
+++ b/cmd/dragonfly-entry/assemble.go
@@ -86,11 +86,15 @@
 	})
 	pools := scheduling.NewPoolScheduler(scheduler, nil)
 	registry.GetOrRegister("scheduling_runs_held", gometrics.NewFunctionalGauge(func() int64 { return int64(pools.RunCount()) }))
-	a.placer = scheduling.NewClient(scheduling.Options{
-		Self: s.ID, Members: a.keeper, Logger: logger,
+	placing := scheduling.Options{
+		Self: s.ID, Members: a.keeper, Logger: logger, Registry: registry,
 		Dial: func(address string) scheduling.Peer { return grpcpeer.DialScheduling(address) },
-	}, pools)
-	(&grpcpeer.SchedulingService{Scheduler: pools, Admitter: a.placer}).Register(a.peers)
+	}
+	if s.UnevenEndpoints || s.ScarceRoom {
+		placing.Learned = scheduler
+	}
+	a.placer = scheduling.NewClient(placing, pools)
+	(&grpcpeer.SchedulingService{Scheduler: pools, Admitter: a.placer, Successor: a.placer}).Register(a.peers)
 	a.relays = grpcrelay.NewClient()
 	a.gateway = gateway.New(s.options(), gateway.Ports{
 		Endpoints: runners,
--- a/internal/adapter/grpcpeer/scheduling.go
+++ b/internal/adapter/grpcpeer/scheduling.go
@@ -31,6 +31,8 @@
 	peerv1.UnimplementedSchedulingServer
 	Scheduler *scheduling.PoolScheduler
 	Admitter  Admitter
+	// Successor may be nil. Then this daemon takes no handovers.
+	Successor Successor
 }
 
 // Admitter decides, with this daemon's own limiter, whether requests may be sent to
--- a/internal/scheduling/client.go
+++ b/internal/scheduling/client.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/phuslu/log"
+	gometrics "github.com/rcrowley/go-metrics"
 
 	"github.com/dragonflyrail/dragonflyrail/internal/core/ratelimit"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
@@ -35,6 +36,10 @@
 	Update(ctx context.Context, adopted []port.RunningRequest, events []RunEvent) error
 	// Admit returns ErrAdmissionUnsupported if the daemon's build does not support admission.
 	Admit(ctx context.Context, pool string, asks []ratelimit.Candidate, maxWait time.Duration) (ratelimit.Grant, error)
+	// HandOver sends what this daemon has learned about a pool to the new coordinator and
+	// returns whether that keeps it. It returns ErrHandOverUnsupported if the daemon does
+	// not take handovers.
+	HandOver(ctx context.Context, m *port.HandOver) (accepted bool, err error)
 	Close()
 }
 
@@ -55,6 +60,11 @@
 	Dial   func(address string) Peer
 	Logger *log.Logger
 	Clock  func() time.Time
+	// Learned is handed over when the coordinator of a pool changes. Nil means that this
+	// daemon neither sends nor takes handovers.
+	Learned LearnedState
+	// Registry may be nil.
+	Registry gometrics.Registry
 }
 
 // Client places generations through the daemon that coordinates the pool. It is
@@ -74,6 +84,9 @@
 	lastCoordinators map[string]string
 	// cachedCandidates is read through candidatesLocked.
 	cachedCandidates *candidates
+
+	// handOvers is nil if this daemon neither sends nor takes handovers.
+	handOvers *handOvers
 }
 
 // openRun is a run that this daemon started. coordinator is the id of the daemon
@@ -107,7 +120,7 @@
 	return &Client{
 		opts: opts, local: local, limiter: ratelimit.NewLimiter(), shareLimiter: ratelimit.NewShareLimiter(),
 		runs: make(map[string]*openRun), peers: make(map[string]*peerState), avoidUntil: make(map[string]time.Time),
-		lastCoordinators: make(map[string]string),
+		lastCoordinators: make(map[string]string), handOvers: newHandOvers(&opts),
 	}
 }
 
@@ -122,10 +135,7 @@
 		if r.Attempt > 1 {
 			c.flushPeer(ctx, coordinator)
 		}
-		d, err := c.peer(coordinator).Place(ctx, r, func(d *port.Decision) {
-			d.Coordinator = coordinator.id
-			onHold(d)
-		})
+		d, err := c.placeAt(ctx, coordinator, r, onHold)
 		d.Coordinator = coordinator.id
 		if err == nil {
 			c.recordPlacement(coordinator.id, r, &d)
@@ -156,9 +166,11 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.runs[r.RequestID] = &openRun{
+	run := &openRun{
 		running: port.RunningRequest{Request: *r, EndpointID: d.Endpoint.ID}, coordinator: coordinator, reportedAt: c.opts.Clock(),
 	}
+	c.runs[r.RequestID] = run
+	c.reportPlacementLocked(run)
 }
 
 // Progress records the number of tokens that a run has produced. The first
--- a/internal/scheduling/coordinator.go
+++ b/internal/scheduling/coordinator.go
@@ -181,20 +181,26 @@
 			coordinator = c.coordinatorLocked(pool)
 			coordinators[pool] = coordinator
 		}
-		if r.coordinator == coordinator.id {
-			continue
+		if r.coordinator != coordinator.id {
+			c.reassignRunLocked(r, coordinator)
 		}
-		c.reportEvent(r, RunEvent{RequestID: r.running.Request.RequestID, Finish: port.FinishUntracked})
-		r.coordinator, r.reportedAt = coordinator.id, c.opts.Clock()
-		if coordinator.id == c.opts.Self {
-			c.local.Update([]port.RunningRequest{r.running}, nil)
-			continue
-		}
-		p := c.peerLocked(coordinator)
-		p.pendingRuns = append(p.pendingRuns, r.running)
 	}
 }
 
+// reassignRunLocked reports a run to a new coordinator, and to the former one that it
+// need not count the run any more.
+func (c *Client) reassignRunLocked(r *openRun, coordinator daemon) {
+	c.reportEvent(r, RunEvent{RequestID: r.running.Request.RequestID, Finish: port.FinishUntracked})
+	r.coordinator, r.reportedAt = coordinator.id, c.opts.Clock()
+	if coordinator.id == c.opts.Self {
+		c.local.Update([]port.RunningRequest{r.running}, nil)
+		return
+	}
+	p := c.peerLocked(coordinator)
+	p.dropUntracked(r.running.Request.RequestID)
+	p.pendingRuns = append(p.pendingRuns, r.running)
+}
+
 // Run sends updates on this daemon's runs to the coordinators until the context
 // ends.
 func (c *Client) Run(ctx context.Context) {
@@ -206,10 +212,12 @@
 	for {
 		select {
 		case <-ctx.Done():
+			c.finishHandOvers(ctx)
 			return
 		case <-changed:
 			changed = c.opts.Members.Changed()
 			c.reassignRuns()
+			c.sendHandOvers(ctx)
 		case <-progress.C:
 			c.reportRuns()
 			c.reassignRuns()
@@ -217,6 +225,7 @@
 			c.expireLimits()
 		case <-flush.C:
 			c.flush(ctx)
+			c.sendHandOvers(ctx)
 		}
 	}
 }
--- /dev/null
+++ b/internal/scheduling/handover_test.go
@@ -0,0 +1,528 @@
+package scheduling
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/dragonflyrail/dragonflyrail/internal/core/routing"
+	"github.com/dragonflyrail/dragonflyrail/internal/port"
+)
+
+// memberView is the list of members that one daemon has.
+type memberView struct {
+	mu      sync.Mutex
+	members []port.Member
+	changed chan struct{}
+}
+
+func (v *memberView) Members() []port.Member {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.members
+}
+
+func (v *memberView) Changed() <-chan struct{} {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.changed
+}
+
+func (v *memberView) set(members []port.Member) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.members = members
+	close(v.changed)
+	v.changed = make(chan struct{})
+}
+
+// logBuffer is safe for concurrent use.
+type logBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+// count returns the number of lines that contain all of the given texts.
+func (b *logBuffer) count(texts ...string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := 0
+	for line := range strings.Lines(b.text.String()) {
+		all := true
+		for _, text := range texts {
+			all = all && strings.Contains(line, text)
+		}
+		if all {
+			n++
+		}
+	}
+	return n
+}
+
+// handOverFleet is a fleet whose daemons have lists of members and logs of their own.
+type handOverFleet struct {
+	*fleet
+	t     *testing.T
+	views map[string]*memberView
+	logs  map[string]*logBuffer
+
+	mu     sync.Mutex
+	states map[string]port.MemberState
+	// cut holds the daemons that can't be called, frozen those that accept requests and
+	// never answer.
+	cut, frozen map[string]bool
+	// messages holds the handovers that were attempted.
+	messages []attempted
+	// faults holds the faults of the next handovers, see fleet.nextFault.
+	faults []int
+}
+
+type attempted struct {
+	to      string
+	message port.HandOver
+}
+
+func newHandOverFleet(t *testing.T, names ...string) *handOverFleet {
+	f := &handOverFleet{
+		fleet: newFleet(names...), t: t, views: map[string]*memberView{}, logs: map[string]*logBuffer{},
+		states: map[string]port.MemberState{}, cut: map[string]bool{}, frozen: map[string]bool{},
+	}
+	f.noHandOver = map[string]bool{}
+	for _, name := range names {
+		f.states[name] = port.MemberLive
+		f.views[name] = &memberView{changed: make(chan struct{})}
+		f.logs[name] = &logBuffer{}
+		f.clients[name] = NewClient(Options{
+			Self: name, Members: f.views[name], Clock: f.clock.Now, Learned: f.routingSchedulers[name],
+			Logger: &log.Logger{Writer: &log.IOWriter{Writer: f.logs[name]}},
+			Dial: func(address string) Peer {
+				return &linkedPeer{fakePeer: fakePeer{fleet: f.fleet, to: address}, fleet: f}
+			},
+		}, f.schedulers[name])
+	}
+	f.showAll()
+	f.check()
+	return f
+}
+
+// set changes the state of a daemon. The lists of members change with showAll or show.
+func (f *handOverFleet) set(name string, state port.MemberState) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.states[name] = state
+}
+
+// show lets some daemons see the present states.
+func (f *handOverFleet) show(names ...string) {
+	f.mu.Lock()
+	var members []port.Member
+	for _, name := range f.names {
+		members = append(members, port.Member{ID: name, State: f.states[name], CallerAddress: name, PeerAddress: name})
+	}
+	f.mu.Unlock()
+	for _, name := range names {
+		f.views[name].set(members)
+	}
+}
+
+func (f *handOverFleet) showAll() { f.show(f.names...) }
+
+// check lets some daemons, or all, notice changes and send their handovers. It returns
+// when all messages have been answered.
+func (f *handOverFleet) check(names ...string) {
+	if len(names) == 0 {
+		names = f.names
+	}
+	for _, name := range names {
+		f.clients[name].finishHandOvers(context.Background())
+	}
+}
+
+// holder returns the coordinator of the pool as a daemon sees it.
+func (f *handOverFleet) holder(at string) string { return f.clients[at].coordinator("pool").id }
+
+// change makes the present coordinator leave, as all daemons see it, and returns it with
+// its successor and another daemon.
+func (f *handOverFleet) change() (former, successor, other string) {
+	former = f.holder("a")
+	f.set(former, port.MemberLeaving)
+	f.showAll()
+	successor = f.holder("a")
+	for _, name := range f.names {
+		if name != former && name != successor {
+			other = name
+		}
+	}
+	return former, successor, other
+}
+
+// learn lets a daemon's scheduler observe the speed of a runner.
+func (f *handOverFleet) learn(name string, runner int, slowness float64) {
+	s, now := f.routingSchedulers[name], f.clock.Now()
+	id := fmt.Sprint("sample-", name, runner, now.UnixNano())
+	s.Adopt(now, &port.RunningRequest{Request: *newRequest(now, id, 10), EndpointID: fmt.Sprint("runner-", runner)})
+	s.ObserveStream(now, id, port.StreamSample{Slowness: slowness})
+	s.Finished(now, id, 0, port.FinishUntracked)
+}
+
+// knows returns the slowness of the runners that a daemon knows, by endpoint.
+func (f *handOverFleet) knows(name string) map[string]float64 {
+	out := map[string]float64{}
+	for _, e := range f.routingSchedulers[name].HandOver(f.clock.Now(), "pool").Speeds {
+		out[e.Endpoint] = e.Stated
+	}
+	return out
+}
+
+func (f *handOverFleet) attempts() []attempted {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]attempted(nil), f.messages...)
+}
+
+// wantLines fails the test unless a daemon has logged n lines with all of the texts.
+func (f *handOverFleet) wantLines(name string, n int, texts ...string) {
+	f.t.Helper()
+	if got := f.logs[name].count(texts...); got != n {
+		f.t.Errorf("%s logged %d lines with %q, want %d:\n%s", name, got, texts, n, f.logs[name].text.String())
+	}
+}
+
+// linkedPeer is a fakePeer with the faults of a handOverFleet.
+type linkedPeer struct {
+	fakePeer
+	fleet *handOverFleet
+}
+
+func (p *linkedPeer) state() (cut, frozen bool) {
+	p.fleet.mu.Lock()
+	defer p.fleet.mu.Unlock()
+	return p.fleet.cut[p.to], p.fleet.frozen[p.to]
+}
+
+func (p *linkedPeer) Place(ctx context.Context, r *port.GenerationRequest, onHold func(*port.Decision)) (port.Decision, error) {
+	cut, frozen := p.state()
+	if cut {
+		return port.Decision{}, errLost
+	}
+	if frozen {
+		onHold(&port.Decision{Verdict: port.VerdictHold})
+		<-ctx.Done()
+		return port.Decision{}, ctx.Err()
+	}
+	d, err := p.fakePeer.Place(ctx, r, onHold)
+	if cut, _ := p.state(); cut || ctx.Err() != nil {
+		return port.Decision{}, errLost
+	}
+	return d, err
+}
+
+func (p *linkedPeer) Update(ctx context.Context, adopted []port.RunningRequest, events []RunEvent) error {
+	if cut, frozen := p.state(); cut || frozen {
+		return errLost
+	}
+	return p.fakePeer.Update(ctx, adopted, events)
+}
+
+func (p *linkedPeer) HandOver(ctx context.Context, m *port.HandOver) (bool, error) {
+	f := p.fleet
+	f.mu.Lock()
+	f.messages = append(f.messages, attempted{p.to, *m})
+	fault := 0
+	if len(f.faults) > 0 {
+		fault, f.faults = f.faults[0], f.faults[1:]
+	}
+	if f.cut[p.to] || f.frozen[p.to] {
+		fault = 1
+	}
+	f.mu.Unlock()
+	if fault == 1 {
+		return false, errLost
+	}
+	received := *m
+	accepted, err := p.fakePeer.HandOver(ctx, &received)
+	if fault == 2 {
+		return false, errLost
+	}
+	return accepted, err
+}
+
+// Guards against a successor that starts without what the former coordinator has learned.
+// The message must be sent once, and its sending and its use must be logged.
+func TestSuccessorGetsWhatWasLearned(t *testing.T) {
+	f := newHandOverFleet(t, "a", "b", "c")
+	f.learn(f.holder("a"), 1, 2.4)
+	former, successor, other := f.change()
+	f.clock.advance(20 * time.Millisecond)
+	f.check()
+	f.check()
+	if got := f.knows(successor)["runner-1"]; got != 2.4 {
+		t.Fatalf("the successor knows a slowness of %v, want 2.4", got)
+	}
+	if n := len(f.attempts()); n != 1 || len(f.knows(other)) != 0 {
+		t.Fatalf("%d messages, another daemon knows %v, want one message to the successor", n, f.knows(other))
+	}
+	f.wantLines(former, 1, `"event":"handover_sent"`, `"pool":"pool"`, `"peer":"`+successor+`"`, `"sequence":1`, `"speeds":1`, `"age_ms":`)
+	f.wantLines(successor, 1, `"event":"handover_applied"`, `"peer":"`+former+`"`, `"sequence":1`, `"speeds":1`)
+	if s, a := f.clients[former].handOvers.sent.Count(), f.clients[successor].handOvers.applied.Count(); s != 1 || a != 1 {
+		t.Errorf("%d sent and %d applied are counted, want 1 and 1", s, a)
+	}
+}
+
+// Guards against a handover that is given up after one lost message, or repeated without
+// end. Without it the successor learns from samples of its own.
+func TestLostHandOverIsRepeatedOnce(t *testing.T) {
+	for _, c := range []struct {
+		faults           []int
+		attempts, failed int
+		arrives          bool
+	}{{[]int{1}, 2, 1, true}, {[]int{1, 1}, 2, 2, false}} {
+		f := newHandOverFleet(t, "a", "b", "c")
+		f.learn(f.holder("a"), 1, 2.4)
+		f.faults = c.faults
+		former, successor, _ := f.change()
+		f.check()
+		f.check()
+		if n := len(f.attempts()); n != c.attempts || (f.knows(successor)["runner-1"] == 2.4) != c.arrives {
+			t.Errorf("faults %v: %d attempts, the successor knows %v", c.faults, n, f.knows(successor))
+		}
+		f.wantLines(former, c.failed, `"event":"handover_failed"`, `"peer":"`+successor+`"`)
+		f.learn(successor, 2, 1.3)
+		if got := f.knows(successor)["runner-2"]; got != 1.3 {
+			t.Errorf("faults %v: the successor's own sample is %v", c.faults, got)
+		}
+	}
+}
+
+// Guards against bookings that are added twice because the answer to a message was lost
+// and the message repeated.
+func TestRepeatedHandOverIsAppliedOnce(t *testing.T) {
+	f := newHandOverFleet(t, "a", "b", "c")
+	holder := f.holder("a")
+	due := f.clock.Now().Add(20 * time.Second)
+	f.routingSchedulers[holder].ApplyHandOver(f.clock.Now(), &port.HandOver{
+		Pool: "pool", At: f.clock.Now(), Bookings: []port.RetryBooking{{Organisation: "o", Due: due}},
+	})
+	f.faults = []int{2}
+	former, successor, _ := f.change()
+	f.check()
+	f.wantLines(successor, 1, `"event":"handover_applied"`, `"bookings":1`)
+	f.wantLines(successor, 1, `"event":"handover_dropped"`, `"reason":"older_sequence"`)
+	f.wantLines(former, 1, `"event":"handover_sent"`, `"accepted":true`, `"attempt":2`)
+	if n := len(f.routingSchedulers[successor].HandOver(f.clock.Now(), "pool").Bookings); n != 1 {
+		t.Errorf("%d bookings at the successor, want 1", n)
+	}
+}
+
+// Guards against old messages that replace or add to what the present coordinator knows:
+// those that arrive late, with an older sequence number, of an older start of the sender,
+// or from the holder before the last one.
+func TestOldHandOversAreDropped(t *testing.T) {
+	f := newHandOverFleet(t, "a", "b", "c")
+	f.learn(f.holder("a"), 1, 2.4)
+	first, _, _ := f.change()
+	now := f.clock.Now()
+	f.clock.advance(200 * time.Millisecond)
+	second, third, _ := f.change()
+	message := func(sender string, incarnation, sequence uint64, at time.Time) *port.HandOver {
+		return &port.HandOver{
+			Pool: "pool", Sender: sender, Incarnation: incarnation, Sequence: sequence, At: at,
+			Speeds: []port.EndpointSpeed{{Endpoint: "runner-0", Stated: float64(sequence)}},
+		}
+	}
+	receive := func(m *port.HandOver, want bool, reason string) {
+		t.Helper()
+		accepted, err := f.clients[third].ReceiveHandOver(m)
+		if err != nil || accepted != want {
+			t.Errorf("message %d of %s: accepted %v, error %v, want %v", m.Sequence, m.Sender, accepted, err, want)
+		}
+		if reason != "" {
+			f.wantLines(third, 1, `"event":"handover_dropped"`, `"peer":"`+m.Sender+`"`, fmt.Sprintf(`"sequence":%d,`, m.Sequence), `"reason":"`+reason+`"`)
+		}
+	}
+	receive(message(second, 5, 7, f.clock.Now()), true, "")
+	receive(message(first, 1, 1, now), false, dropOlderHolder)
+	receive(message(second, 5, 6, f.clock.Now()), false, dropOlderSequence)
+	receive(message(second, 4, 9, f.clock.Now()), false, dropOlderSequence)
+	receive(message(second, 5, 8, f.clock.Now().Add(-handOverKeep-time.Millisecond)), false, dropLate)
+	if got := f.knows(third)["runner-0"]; got != 7 {
+		t.Errorf("the coordinator knows a slowness of %v, want that of the first message", got)
+	}
+	if n := f.clients[third].handOvers.dropped.Count(); n != 4 {
+		t.Errorf("%d dropped messages are counted, want 4", n)
+	}
+}
+
+// Guards against a handover that is lost because it arrives before the change of members,
+// and against one that is applied although its receiver never became the coordinator.
+func TestEarlyHandOverIsKept(t *testing.T) {
+	for _, becomes := range []bool{true, false} {
+		f := newHandOverFleet(t, "a", "b", "c")
+		former := f.holder("a")
+		f.learn(former, 1, 2.4)
+		f.set(former, port.MemberLeaving)
+		f.show(former)
+		successor := f.holder(former)
+		f.check(former)
+		f.check(successor)
+		f.wantLines(successor, 1, `"event":"handover_kept"`)
+		if known := f.knows(successor); len(known) != 0 {
+			t.Fatalf("applied before the successor lists itself as the coordinator: %v", known)
+		}
+		f.clock.advance(handOverKeep)
+		if becomes {
+			f.show(successor)
+		} else {
+			f.clock.advance(time.Millisecond)
+		}
+		f.check(successor)
+		f.check(successor)
+		if got := f.knows(successor)["runner-1"] == 2.4; got != becomes {
+			t.Errorf("applied %v, want %v", got, becomes)
+		}
+		if !becomes {
+			f.wantLines(successor, 1, `"event":"handover_dropped"`, `"reason":"not_coordinator"`)
+		}
+	}
+}
+
+// Guards against losing what was learned meanwhile when the coordinator changes back
+// within a second.
+func TestChangeBackKeepsWhatWasLearned(t *testing.T) {
+	f := newHandOverFleet(t, "a", "b", "c")
+	f.learn(f.holder("a"), 1, 2.4)
+	former, successor, _ := f.change()
+	f.check()
+	f.clock.advance(500 * time.Millisecond)
+	f.learn(successor, 2, 1.3)
+	f.set(former, port.MemberLive)
+	f.showAll()
+	f.check()
+	if got := f.knows(former); got["runner-1"] != 2.4 || got["runner-2"] != 1.3 {
+		t.Fatalf("after the change back the coordinator knows %v", got)
+	}
+}
+
+// Guards against losing everything when two coordinators change within a second and the
+// one in between never knew that it was the coordinator.
+func TestSecondSuccessorGetsWhatWasLearned(t *testing.T) {
+	f := newHandOverFleet(t, "a", "b", "c")
+	former := f.holder("a")
+	f.learn(former, 1, 2.4)
+	f.set(former, port.MemberLeaving)
+	f.show(former)
+	between := f.holder(former)
+	f.check(former)
+	f.clock.advance(300 * time.Millisecond)
+	f.set(between, port.MemberDead)
+	f.showAll()
+	f.check()
+	last := f.holder("a")
+	if got := f.knows(last)["runner-1"]; last == between || got != 2.4 {
+		t.Fatalf("the coordinator %s after %s knows a slowness of %v", last, between, got)
+	}
+}
+
+// Guards against repeated calls to daemons of a previous build, and to those without the
+// setting.
+func TestHandOverToPreviousBuildIsNotRepeated(t *testing.T) {
+	f := newHandOverFleet(t, "a", "b", "c")
+	f.learn(f.holder("a"), 1, 2.4)
+	former, successor, _ := f.change()
+	f.noHandOver[successor] = true
+	f.check()
+	if n := len(f.attempts()); n != 1 {
+		t.Fatalf("%d attempts, want 1", n)
+	}
+	f.wantLines(former, 1, `"event":"handover_failed"`, ErrHandOverUnsupported.Error())
+}
+
+// Guards against a daemon that drains and exits without handing over, or that hands over
+// while no other daemon can coordinate.
+func TestDrainingDaemonHandsOver(t *testing.T) {
+	f := newHandOverFleet(t, "a", "b", "c")
+	former := f.holder("a")
+	for _, name := range f.names {
+		if name != former {
+			f.set(name, port.MemberDead)
+		}
+	}
+	f.set(former, port.MemberLeaving)
+	f.showAll()
+	f.check()
+	f.learn(former, 1, 2.4)
+	if n := len(f.attempts()); n != 0 {
+		t.Fatalf("%d messages while the draining daemon is the only one", n)
+	}
+	for _, name := range f.names {
+		if name != former {
+			f.set(name, port.MemberLive)
+		}
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		f.clients[former].Run(ctx)
+	}()
+	f.showAll()
+	cancel()
+	<-ended
+	if got := f.knows(f.holder("a"))["runner-1"]; f.holder("a") == former || got != 2.4 {
+		t.Fatalf("after the drain the coordinator %s knows a slowness of %v", f.holder("a"), got)
+	}
+}
+
+// Guards against a partition that costs more than the message: it must neither block the
+// former coordinator nor be retried when the network is back.
+func TestPartitionDuringHandOver(t *testing.T) {
+	f := newHandOverFleet(t, "a", "b", "c")
+	f.learn(f.holder("a"), 1, 2.4)
+	former, successor, _ := f.change()
+	f.cut[successor] = true
+	f.check(former)
+	d := f.clients[former].Place(t.Context(), newRequest(f.clock.Now(), "during", 100), ignoreHold)
+	if d.Verdict != port.VerdictPlace {
+		t.Fatalf("verdict %v during the partition, reason %q", d.Verdict, d.Reason)
+	}
+	f.cut[successor] = false
+	f.clock.advance(avoidDuration)
+	f.check()
+	f.exchangeUpdates()
+	if n := len(f.attempts()); n != handOverAttempts {
+		t.Errorf("%d attempts, want %d", n, handOverAttempts)
+	}
+	if n := f.schedulers[successor].RunCount(); n != 1 {
+		t.Errorf("the successor counts %d runs after the partition, want 1", n)
+	}
+}
+
+// Guards against memory that grows with each sender that ever existed.
+func TestSendersAreForgotten(t *testing.T) {
+	f := newHandOverFleet(t, "a", "b", "c")
+	holder := f.holder("a")
+	for i := range 4 * maxHandOverSenders {
+		f.clock.advance(time.Second)
+		m := &port.HandOver{Pool: "pool", Sender: fmt.Sprint("gone-", i), Sequence: 1, At: f.clock.Now()}
+		if _, err := f.clients[holder].ReceiveHandOver(m); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if n := len(f.clients[holder].handOvers.received); n > maxHandOverSenders {
+		t.Fatalf("%d senders are remembered", n)
+	}
+}
+
+var _ LearnedState = (*routing.Scheduler)(nil)
--- /dev/null
+++ b/internal/scheduling/held.go
@@ -0,0 +1,66 @@
+package scheduling
+
+import (
+	"context"
+	"slices"
+	"sync"
+
+	"github.com/dragonflyrail/dragonflyrail/internal/port"
+)
+
+// placeAt places a generation through another daemon. A request that is held there stays
+// there if the pool's coordinator changes. It is withdrawn only when that daemon is no
+// longer listed as live or leaving: a frozen or cut-off daemon keeps the connection open
+// for seconds, and the request would be refused at its deadline.
+func (c *Client) placeAt(ctx context.Context, coordinator daemon, r *port.GenerationRequest, onHold func(*port.Decision)) (port.Decision, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var watch sync.Once
+	return c.peer(coordinator).Place(ctx, r, func(d *port.Decision) {
+		d.Coordinator = coordinator.id
+		watch.Do(func() { go c.cancelWhenGone(ctx, cancel, coordinator.id) })
+		onHold(d)
+	})
+}
+
+// cancelWhenGone calls cancel when a daemon is no longer listed as live or leaving. It
+// returns when the context ends.
+func (c *Client) cancelWhenGone(ctx context.Context, cancel context.CancelFunc, id string) {
+	for {
+		changed := c.opts.Members.Changed()
+		if !isServing(c.opts.Members.Members(), id) {
+			cancel()
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+func isServing(members []port.Member, id string) bool {
+	return slices.ContainsFunc(members, func(m port.Member) bool {
+		return m.ID == id && (m.State == port.MemberLive || m.State == port.MemberLeaving)
+	})
+}
+
+// reportPlacementLocked reports a run that was placed by a daemon that is no longer the
+// pool's coordinator to the successor. Until the successor knows of the run, it would
+// place others in the same room. The caller holds c.mu.
+func (c *Client) reportPlacementLocked(r *openRun) {
+	coordinator := c.coordinatorLocked(r.running.Request.Pool)
+	if r.coordinator != coordinator.id {
+		c.reassignRunLocked(r, coordinator)
+	}
+}
+
+// dropUntracked removes the queued events that end a run because another daemon counts
+// it. If the coordinator changes back before they are sent, they would end the run that
+// is reported again, as a message's runs are applied before its events.
+func (p *peerState) dropUntracked(requestID string) {
+	p.pendingEvents = slices.DeleteFunc(p.pendingEvents, func(e RunEvent) bool {
+		return e.RequestID == requestID && e.Finish == port.FinishUntracked
+	})
+}
--- a/internal/scheduling/scheduling_test.go
+++ b/internal/scheduling/scheduling_test.go
@@ -48,6 +48,8 @@
 	clients           map[string]*Client
 	// noAdmission holds the daemons of a build without support for admission.
 	noAdmission map[string]bool
+	// noHandOver holds the daemons of a build without support for handovers.
+	noHandOver map[string]bool
 	// nextFault returns the fault of the next call: 0 none, 1 the request is lost,
 	// 2 the request is carried out and the reply is lost.
 	nextFault func() int
@@ -148,6 +150,18 @@
 	return g, err
 }
 
+func (l *fakePeer) HandOver(_ context.Context, m *port.HandOver) (bool, error) {
+	if l.fleet.noHandOver[l.to] {
+		return false, ErrHandOverUnsupported
+	}
+	var accepted bool
+	var refused error
+	if err := l.call(func() { accepted, refused = l.fleet.clients[l.to].ReceiveHandOver(m) }); err != nil {
+		return false, err
+	}
+	return accepted, refused
+}
+
 func (l *fakePeer) Close() {}
 
 // exchangeUpdates lets every client send all of its updates.
