Placement by expected time in pools of uneven endpoints

Cause: scores counted prompts in tokens and took all runners of a pool for equally fast. A long generation went to a runner where it takes 2.4 times as long, and a slow runner got as many unread prompts as a fast one.

Change: where Options.UnevenEndpoints is set and a runner of the pool states its slowness, the shard keeps the pool's medians, computed at ticks, and each runner its slowness.

- The backlog, the own prompt and the delay that it causes weigh tokens x present slowness.
The expected completion (remaining steps x step time x usual slowness) joins the score; 6 s count as 1.
- The bound on unread prompts compares backlog x usual slowness.
- A runner whose longest recent gap or whose step time exceeds the route's limit is a last resort for answers of four events or more.
A request waits for another one for at most half of the time until its latest placement.
It doesn't wait if no other runner could serve it, and isn't refused if a risky one can serve it.
- The latest placement follows from the own prompt at a fast runner, by a learned time per prompt token.
- Destinations of moves weigh the same parts for the remaining tokens.
- Candidates show the slowness, also on the wire.

port.Endpoint gets EventTokens, from the pool's configuration, because the limit is per token and the gap per event.

Measured: without a stated slowness all scores equal those recorded before the change (TestScoresWithoutStatedSlownessAreUnchanged). Race tests of core/routing, port, gateway and grpcpeer pass.

--- a/internal/adapter/grpcpeer/scheduling.go
+++ b/internal/adapter/grpcpeer/scheduling.go
@@ -267,7 +267,7 @@
 func candidateToWire(c port.CandidateScore) *peerv1.Candidate {
 	return &peerv1.Candidate{
 		Endpoint: c.Endpoint, Score: float32(c.Score), Overflow: float32(c.Overflow), Gap: float32(c.Gap),
-		Prefill: float32(c.Prefill), Prefix: float32(c.Prefix), Excluded: c.Excluded,
+		Prefill: float32(c.Prefill), Prefix: float32(c.Prefix), Excluded: c.Excluded, Slowness: float32(c.Slowness),
 	}
 }
 
@@ -275,6 +275,7 @@
 	return port.CandidateScore{
 		Endpoint: c.GetEndpoint(), Score: float64(c.GetScore()), Overflow: float64(c.GetOverflow()), Gap: float64(c.GetGap()),
 		Prefill: float64(c.GetPrefill()), Prefix: float64(c.GetPrefix()), Excluded: c.GetExcluded(),
+		Slowness: float64(c.GetSlowness()),
 	}
 }
 
--- a/internal/core/routing/bench_test.go
+++ b/internal/core/routing/bench_test.go
@@ -48,11 +48,29 @@
 
 // BenchmarkRank measures the scoring of all candidates alone.
 func BenchmarkRank(b *testing.B) {
+	benchmarkRank(b, func(*Scheduler) {})
+}
+
+// BenchmarkRankUneven measures the same where speeds are compared.
+func BenchmarkRankUneven(b *testing.B) {
+	benchmarkRank(b, func(s *Scheduler) {
+		s.options.UnevenEndpoints = true
+		for i := range s.shards["pool"].runners {
+			s.state(i, []float64{0.7, 1, 1.3, 2.4}[i%4])
+		}
+		s.Tick(start)
+	})
+}
+
+func benchmarkRank(b *testing.B, prepare func(*Scheduler)) {
 	for _, n := range candidateCounts {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			s := loadedScheduler(b, n)
+			prepare(s)
 			sh := s.shards["pool"]
-			e := sh.newEntry(start, request("a", 300))
+			r := request("a", 300)
+			r.Objective, r.TokenGap = time.Second, 45*time.Millisecond
+			e := sh.newEntry(start, r)
 			b.ReportAllocs()
 			for b.Loop() {
 				q := sh.query(start, e)
--- a/internal/core/routing/endpoints.go
+++ b/internal/core/routing/endpoints.go
@@ -100,7 +100,7 @@
 		if known != nil {
 			touched.drop(known)
 		}
-		r := &runner{endpoint: *e, shard: s.shard(e.Pool)}
+		r := &runner{endpoint: *e, shard: s.shard(e.Pool), usual: 1, present: 1}
 		s.runners.Store(e.ID, r)
 		touched.add(r)
 	}
--- a/internal/core/routing/held.go
+++ b/internal/core/routing/held.go
@@ -69,16 +69,26 @@
 		e.org.limiter.Release()
 		return s.permanentRefusal(&k)
 	}
-	if c := k.chosen(); c != nil && !s.overShare(e) && !s.mustQueue(e) {
-		s.queue.Charge(r.Organisation, e.cost)
-		s.place(now, e, c)
-		e.state = entryRunning
-		s.scheduler.insert(e)
-		return s.placement(e, &k, ReasonPlaced)
+	if d, placed := s.placeNow(now, e, &k); placed {
+		return d
 	}
 	return s.hold(now, e, &k)
 }
 
+// placeNow places a new request unless no runner can be chosen, or it must wait
+// for others.
+func (s *shard) placeNow(now time.Time, e *entry, k *ranking) (port.Decision, bool) {
+	c := k.chosen()
+	if c == nil || s.overShare(e) || s.mustQueue(e) {
+		return port.Decision{}, false
+	}
+	s.queue.Charge(e.request.Organisation, e.cost)
+	s.place(now, e, c)
+	e.state = entryRunning
+	s.scheduler.insert(e)
+	return s.placement(e, k, ReasonPlaced), true
+}
+
 func (s *shard) newEntry(now time.Time, r *port.GenerationRequest) *entry {
 	limits := s.scheduler.limits(r.Organisation)
 	e := &entry{
@@ -117,13 +127,13 @@
 }
 
 // placementDeadline returns the latest time to place a request so that its
-// first token meets the objective, based on the pool's recent prefill time.
+// first token meets the objective, based on the expected prefill time.
 // It is zero if the request has no objective.
 func (s *shard) placementDeadline(r *port.GenerationRequest) time.Time {
 	if r.Objective <= 0 {
 		return time.Time{}
 	}
-	return r.Arrived.Add(r.Objective - s.prefillTime)
+	return r.Arrived.Add(r.Objective - s.expectedPrefill(r.PromptTokens))
 }
 
 // lengthSubject returns the properties of a request that its answer length
@@ -175,6 +185,7 @@
 		q.gapMillis = milliseconds(gap)
 	}
 	q.prefix, q.prefixBlocks = s.prefixes.find(now, e.request.PrefixHashes)
+	q.speedQuery = s.speedQuery(now, e)
 	return q
 }
 
@@ -222,6 +233,11 @@
 func (s *shard) hold(now time.Time, e *entry, k *ranking) port.Decision {
 	w := s.scheduler.weights(e.request.Model)
 	if reason := s.holdRefusal(now, e, &w); reason != "" {
+		// A risky runner is better than a refusal.
+		k.waits = false
+		if d, placed := s.placeNow(now, e, k); placed {
+			return d
+		}
 		e.org.limiter.Release()
 		d := s.scheduler.refusal(reason, s.bookRetry(now, e))
 		d.Candidates = k.candidates()
@@ -426,6 +442,7 @@
 	defer s.mu.Unlock()
 	s.now = now
 	s.updateRouters()
+	s.updateSpeeds(now)
 	s.release(now)
 	s.refuseOverdue(now)
 	for _, e := range append([]*entry(nil), s.uncollected...) {
--- a/internal/core/routing/reasons.go
+++ b/internal/core/routing/reasons.go
@@ -42,6 +42,9 @@
 	ExcludedSize     = "larger_than_cache"
 	ExcludedPrefill  = "prompts_ahead"
 	ExcludedLimit    = "at_rate_limit"
+	// ExcludedGap means that the runner exceeded the limit for the gap recently, and
+	// that another one can still serve the request on time.
+	ExcludedGap      = "gap_over_limit"
 	ExcludedPaused   = "asked_for_pause"
 	ExcludedRefusing = "refuses_all_calls"
 	// ExcludedUnanswered: nobody has answered the health checks since a connection
--- a/internal/core/routing/relocate.go
+++ b/internal/core/routing/relocate.go
@@ -64,12 +64,18 @@
 	runners := s.byModel[e.request.Model]
 	ratio, allowance := s.growthRatio(), s.allowance(len(runners))
 	multipleFailures := s.multipleFailures(now, runners)
+	prompt := e.unprocessedPrompt()
 	for _, r := range runners {
 		c := scored{runner: r}
 		capacity := r.capacity()
 		chance, peak := s.overflow(now.UnixNano(), &q, r, &ratio, allowance, capacity)
 		c.overflow = (chance + (peak+q.peak)/capacity) / 2
 		c.total = q.weights.Overflow*c.overflow + tieBreakNoise*s.random.Float64()
+		if q.uneven {
+			q.weighBySpeed(r, &c, prompt, 0)
+			c.gap = prompt / prefillScale * r.count() / batchScale * r.present
+			c.total += q.weights.Gap*c.gap + q.weights.Prefill*c.prefill + c.completion
+		}
 		if terms.FailureDomain != "" && r.endpoint.FailureDomain != terms.FailureDomain {
 			c.total += otherDomainCost
 		}
--- a/internal/core/routing/runner.go
+++ b/internal/core/routing/runner.go
@@ -55,6 +55,11 @@
 
 	// speed is the estimated speed of the runner.
 	speed speed.Endpoint
+	// usual and present are its slowness relative to the pool's median, usually and
+	// at this moment, and longestGap is the longest recent time between two events
+	// in milliseconds, all as of the last tick or sample.
+	usual, present float64
+	longestGap     float64
 
 	breaker breaker
 	// meter enforces the rate limit that the runner sets.
--- a/internal/core/routing/score.go
+++ b/internal/core/routing/score.go
@@ -61,6 +61,7 @@
 	// multipleFailures is set if too many runners have failed for a single
 	// failure to count.
 	multipleFailures bool
+	speedQuery
 }
 
 // scored is one candidate of a decision.
@@ -71,6 +72,14 @@
 	gap      float64
 	prefill  float64
 	prefix   float64
+	// completion is the expected time until the end, slowness the runner's usual
+	// one; both are zero where speeds aren't compared.
+	completion float64
+	slowness   float64
+	// risky marks a runner that may exceed the request's limit for the gap, late
+	// one at which the first token is expected after the objective.
+	risky    bool
+	late     bool
 	excluded string
 }
 
@@ -86,6 +95,11 @@
 	tried       int
 	breakerOpen int
 	tooSmall    int
+	// temporary counts the runners, other than risky ones, that are excluded only
+	// until load there ends.
+	temporary int
+	// waits is set if the request is held rather than placed on a risky runner.
+	waits bool
 	// expectedUse and capacity are sums of the expected peaks and the
 	// capacities over the pool.
 	expectedUse float64
@@ -104,6 +118,7 @@
 		c := s.score(nanos, q, r, &ratio, allowance, out)
 		out.insert(&c)
 	}
+	out.waits = q.mayWait && out.temporary > 0
 }
 
 func (s *shard) score(now int64, q *query, r *runner, ratio *footprint, allowance float64, out *ranking) scored {
@@ -118,12 +133,16 @@
 	q.timeParts(r, &c)
 	c.total = q.weights.Overflow*c.overflow + q.weights.Gap*c.gap +
 		q.weights.Prefill*c.prefill - q.weights.Prefix*c.prefix + tieBreakNoise*s.random.Float64()
+	c.total += c.completion
 	limit := q.overflowLimit
 	if !r.preferred {
 		c.total += nonPreferredCost
 		limit *= nonPreferredLimitFactor
 	}
 	c.excluded = s.exclusion(q, r, capacity, chance > limit, out)
+	if q.limitsGap && !c.risky && isTemporary(c.excluded) {
+		out.temporary++
+	}
 	return c
 }
 
@@ -161,14 +180,19 @@
 	count := r.count()
 	batch := float64(r.report.Running + r.report.Waiting)
 	step := r.tokenMillis() / q.gapMillis * (1 + stepGrowthPerRun*max(-batch, count-batch))
-	prompt := float64(q.request.PromptTokens)
+	prompt, cached := float64(q.request.PromptTokens), 0.0
 	if q.prefix != nil && q.prefix.has(r) {
-		cached := min(prompt, float64(q.prefixBlocks*r.blockTokens()))
+		cached = min(prompt, float64(q.prefixBlocks*r.blockTokens()))
 		c.prefix = cached / prefillScale
 		prompt -= cached
 	}
-	c.gap = stepTimeWeight*step + prompt/prefillScale*count/batchScale
+	delay := prompt / prefillScale * count / batchScale
 	c.prefill = (r.ownPrefill + r.othersPrefill) / prefillScale
+	if q.uneven {
+		delay *= r.present
+		q.weighBySpeed(r, c, prompt, cached)
+	}
+	c.gap = stepTimeWeight*step + delay
 }
 
 // exclusion returns the reason why the runner can't be chosen, or "", and
@@ -204,10 +228,15 @@
 }
 
 // hasPrefillBacklog reports whether the runner's prefill backlog exceeds the
-// limit.
+// limit. Where speeds are compared, the backlog counts in the tokens that a
+// runner of the pool's median speed prefills in the same time.
 func (s *shard) hasPrefillBacklog(r *runner) bool {
 	limit := s.scheduler.options.PrefillBacklogLimit
-	return limit > 0 && r.ownPrefill+r.othersPrefill > float64(limit)
+	backlog := r.ownPrefill + r.othersPrefill
+	if s.uneven {
+		backlog *= r.usual
+	}
+	return limit > 0 && backlog > float64(limit)
 }
 
 // recordUsage stores the utilisation and throughput of the pool from a
@@ -250,12 +279,16 @@
 	if (a.excluded == "") != (b.excluded == "") {
 		return a.excluded == ""
 	}
+	if a.lastResort() != b.lastResort() {
+		return b.lastResort()
+	}
 	return a.total < b.total
 }
 
-// chosen returns the best candidate, or nil if all are excluded.
+// chosen returns the best candidate, or nil if all are excluded or the request
+// waits for a better one.
 func (k *ranking) chosen() *scored {
-	if k.count == 0 || k.best[0].excluded != "" {
+	if k.count == 0 || k.best[0].excluded != "" || k.waits && k.best[0].risky {
 		return nil
 	}
 	return &k.best[0]
@@ -266,6 +299,9 @@
 	out := make([]port.CandidateScore, k.count)
 	for i := range out {
 		c := &k.best[i]
+		if k.waits && c.risky && c.excluded == "" {
+			c.excluded = ExcludedGap
+		}
 		out[i] = port.CandidateScore{
 			Endpoint: c.runner.endpoint.ID,
 			Score:    c.total,
@@ -273,6 +309,7 @@
 			Gap:      c.gap,
 			Prefill:  c.prefill,
 			Prefix:   c.prefix,
+			Slowness: c.slowness,
 			Excluded: c.excluded,
 		}
 	}
--- a/internal/core/routing/shard.go
+++ b/internal/core/routing/shard.go
@@ -53,6 +53,9 @@
 	peak        float64
 	generated   int
 	refreshAt   int
+	// backlog is the prefill backlog of the runner at the placement, in tokens, this
+	// request's prompt included.
+	backlog float64
 	// placedAt is when this scheduler placed the request, zero if another
 	// one did.
 	placedAt time.Time
@@ -94,6 +97,7 @@
 	routers    int
 	// prefillTime is the recent time from placement to the first token.
 	prefillTime time.Duration
+	poolSpeed
 	// utilisation is the pool's expected peak over its capacity at the last
 	// ranking.
 	utilisation float64
@@ -151,6 +155,7 @@
 	e.generated = 0
 	e.refreshAt = 1
 	s.countRun(now, e, c.runner)
+	e.backlog = c.runner.ownPrefill + c.runner.othersPrefill
 	e.org.work.add(now, e.cost)
 	e.org.rates[e.item.Lane].add(now, 1)
 	c.runner.breaker.dispatched()
@@ -244,6 +249,7 @@
 		return
 	}
 	e.runner.breaker.answered(e.placedAt)
+	s.observePrefill(e, now.Sub(e.placedAt))
 	s.prefillTime += time.Duration(prefillTimeSmoothing * float64(now.Sub(e.placedAt)-s.prefillTime))
 }
 
--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -190,14 +190,15 @@
 	return found && e.State == state
 }
 
-// withCache sets a runner's cache size from its pool's configuration.
+// withCache sets a runner's cache size and the tokens of its events from its pool's
+// configuration.
 func (g *Gateway) withCache(e port.Endpoint) port.Endpoint {
 	index := g.index.Load()
 	if index == nil {
 		return e
 	}
 	if p, ok := index.Pool(e.Pool); ok && p.Engine != nil {
-		e.CacheTokens = p.Engine.CacheTokens
+		e.CacheTokens, e.EventTokens = p.Engine.CacheTokens, p.Engine.EventTokens
 	}
 	return e
 }
--- a/internal/port/endpoint.go
+++ b/internal/port/endpoint.go
@@ -41,6 +41,9 @@
 	// CacheTokens is the capacity of a runner's cache in tokens, if the operators
 	// set it. The runner's own report takes precedence.
 	CacheTokens int `json:"cache_tokens,omitempty"`
+	// EventTokens is the number of tokens in one event of a runner's streams, if the
+	// operators set it; zero counts as one.
+	EventTokens int `json:"event_tokens,omitempty"`
 	// Revision is the revision of the platform's registry that State is based on.
 	// An entry with a larger revision replaces a known one, even one that is
 	// leaving: an endpoint whose entry had expired is listed again. It is zero if
