--- a/internal/core/routing/kinds.go
+++ b/internal/core/routing/kinds.go
@@ -190,11 +190,11 @@
 // residence returns the expected time in seconds for which a request uses the cache.
 func (s *shard) residence(e *entry) float64 {
 	steps := e.cost / max(1, e.print.peak())
-	return s.prefillTime.Seconds() + steps*s.stepMillis()/1000
+	return s.prefillTime.Seconds() + steps*s.meanStepMillis()/1000
 }
 
-// stepMillis returns the mean step time of the pool's runners.
-func (s *shard) stepMillis() float64 {
+// meanStepMillis returns the mean step time of the pool's runners.
+func (s *shard) meanStepMillis() float64 {
 	if len(s.runners) == 0 {
 		return unknownTokenMillis
 	}
@@ -214,10 +214,10 @@
 	if l := s.scheduler.options.PrefillBacklogLimit; l > 0 {
 		limit = float64(l)
 	}
-	if !s.kinds.differ || s.prefillPerMilli == 0 || e.request.Objective <= 0 {
+	if !s.kinds.differ || s.promptMillis == 0 || e.request.Objective <= 0 {
 		return limit
 	}
-	perMilli := prefillMargin * s.prefillPerMilli
+	perMilli := prefillMargin / s.promptMillis
 	prompt := float64(e.request.PromptTokens)
 	timeLeft := milliseconds(e.request.Arrived.Add(e.request.Objective).Sub(now))
 	if own := timeLeft*perMilli - prompt; own > 0 {
@@ -229,20 +229,6 @@
 	return limit
 }
 
-// observePrefill updates the pool's prefill rate with one prompt, which was read behind
-// the backlog at its placement. Short times are mostly delays of messages.
-func (s *shard) observePrefill(elapsed time.Duration, tokens float64) {
-	if elapsed < minPrefillTime || tokens <= 0 {
-		return
-	}
-	sample := tokens / milliseconds(elapsed)
-	if s.prefillPerMilli == 0 {
-		s.prefillPerMilli = sample
-		return
-	}
-	s.prefillPerMilli += prefillTimeSmoothing * (sample - s.prefillPerMilli)
-}
-
 // minPrefillTime is the shortest time to a first token that says something about the
 // prefill rate.
 const minPrefillTime = 50 * time.Millisecond
--- a/internal/core/routing/shard.go
+++ b/internal/core/routing/shard.go
@@ -51,11 +51,11 @@
 	print       footprint
 	cost        float64
 	peak        float64
-	// backlog is the number of unread prompt tokens at the runner when the request was
-	// placed there.
-	backlog   float64
-	generated int
-	refreshAt int
+	generated   int
+	refreshAt   int
+	// backlog is the prefill backlog of the runner at the placement, in tokens, this
+	// request's prompt included.
+	backlog float64
 	// placedAt is when this scheduler placed the request, zero if another
 	// one did.
 	placedAt time.Time
@@ -98,9 +98,7 @@
 	routers    int
 	// prefillTime is the recent time from placement to the first token.
 	prefillTime time.Duration
-	// prefillPerMilli is the recent number of prompt tokens that a runner reads in a
-	// millisecond beside its runs, zero if it isn't known.
-	prefillPerMilli float64
+	poolSpeed
 	// utilisation is the pool's expected peak over its capacity at the last
 	// ranking.
 	utilisation float64
@@ -158,8 +156,8 @@
 	e.placedAt = now
 	e.generated = 0
 	e.refreshAt = 1
-	e.backlog = c.runner.ownPrefill + c.runner.othersPrefill
 	s.countRun(now, e, c.runner)
+	e.backlog = c.runner.ownPrefill + c.runner.othersPrefill
 	e.org.work.add(now, e.cost)
 	e.org.rates[e.item.Lane].add(now, 1)
 	c.runner.breaker.dispatched()
@@ -253,7 +251,7 @@
 		return
 	}
 	e.runner.breaker.answered(e.placedAt)
-	s.observePrefill(now.Sub(e.placedAt), e.backlog+float64(e.request.PromptTokens))
+	s.observePrefill(e, now.Sub(e.placedAt))
 	s.prefillTime += time.Duration(prefillTimeSmoothing * float64(now.Sub(e.placedAt)-s.prefillTime))
 }
 
