Streams of resumable routes continue at another endpoint

Cause: a stream that broke off after its first event was lost unless a copy of its run existed. The mark of a route as resumable was read and used by no decision.

Change: on routes with resumable and max_attempts of 2 or more, a stream that breaks off and has no usable copy is placed anew and sent to another endpoint with Last-Event-Id, within max_attempts, the bound on refusals and the retry budget. It is placed as a new request whose prompt includes the tokens that the caller has. The answer keeps its headers. Each event of the new run is passed on only if its id follows the last one delivered: the same prefix and the number plus the step of the stream's ids, which is 1 while only one id is known. An answer of another status or type, or another first event, ends the attempt. A stream of no events that ends properly ends the answer as a whole one. A stream whose events don't all have such ids is not continued.

Last-Event-Id of callers was and is forwarded on all routes (it is none of the system's headers). On resumable routes the answer is now passed on only if its first event comes after the caller's last one; an id without a number is left to the endpoint.

--- /dev/null
+++ b/internal/gateway/continue.go
@@ -0,0 +1,150 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/dragonflyrail/dragonflyrail/internal/adapter/eventstream"
+	"github.com/dragonflyrail/dragonflyrail/internal/core/continuity"
+	"github.com/dragonflyrail/dragonflyrail/internal/port"
+)
+
+// lastEventIDHeader holds the id of the last event that the caller has of a stream.
+const lastEventIDHeader = "Last-Event-Id"
+
+// errNotNextEvent means that an endpoint sent an event that doesn't follow the last one of
+// the caller.
+var errNotNextEvent = errors.New("its event doesn't follow the caller's last one")
+
+// continuation is the remainder of a stream that a new run is to continue.
+type continuation struct {
+	began time.Time
+	// tokens is the number of tokens that the caller has. The new run prefills them with
+	// the prompt.
+	tokens int
+}
+
+// apply changes the request for a placement to that for the remainder.
+func (c *continuation) apply(r *port.GenerationRequest, deadline time.Time) {
+	r.Arrived, r.Deadline = c.began, c.began.Add(deadline.Sub(c.began)/placementDivisor)
+	r.PromptTokens += c.tokens
+	if r.MaxTokens > 0 {
+		r.MaxTokens = max(1, r.MaxTokens-c.tokens)
+	}
+	if r.LengthHint > 0 {
+		r.LengthHint = max(1, r.LengthHint-c.tokens)
+	}
+}
+
+// isResumable reports whether a new run may continue the stream of the request.
+func (x *exchange) isResumable() bool {
+	r := x.req.Admission.Route
+	return continuity.AllowsResumption(r.Resumable, r.MaxAttempts)
+}
+
+// expectCallersPlace makes the stream begin after the event that the caller names as its
+// last one, if its route is resumable.
+func (r *relay) expectCallersPlace() {
+	if id := r.x.req.Header.Get(lastEventIDHeader); id != "" && r.x.isResumable() {
+		r.place, r.checked = continuity.After(id), true
+	}
+}
+
+// continueElsewhere has another endpoint continue the stream after the caller's last event,
+// if the stream broke off, there is no copy of its run, and its route is resumable. It
+// returns the stream that continues and a function that ends its request, or nil.
+func (r *relay) continueElsewhere(ctx context.Context, streamErr error) (*port.Answer, context.CancelFunc) {
+	x := r.x
+	if errors.Is(streamErr, io.EOF) || !x.responseStarted || !x.isResumable() {
+		return nil, nil
+	}
+	lastID, _ := r.place.LastID()
+	cause := streamErr.Error()
+	if !r.ended {
+		r.endBroken(ctx, streamErr)
+	}
+	x.continuing = &continuation{began: x.g.Clock(), tokens: x.delivered.Events * x.eventTokens()}
+	defer func() { x.continuing = nil }()
+	for {
+		if why := r.whyNotContinued(ctx); why != continuity.ContinueElsewhere {
+			return nil, r.notContinued(lastID, why)
+		}
+		p, refusal := x.placeUnlessQuarantined(ctx)
+		if refusal != nil {
+			return nil, r.notContinued(lastID, refusal.Error())
+		}
+		if next, stop := r.sendContinuation(ctx, p, lastID); next != nil {
+			x.record(verdictResume, "continued without a copy after event "+lastID+", because the stream broke off: "+cause, "", nil)
+			x.g.metrics.streamsContinued.Inc(1)
+			return next, stop
+		}
+	}
+}
+
+// whyNotContinued returns why the stream is not sent to another endpoint.
+func (r *relay) whyNotContinued(ctx context.Context) string {
+	x := r.x
+	_, hasPlace := r.place.LastID()
+	i := continuity.Interruption{
+		Resumable: x.req.Admission.Route.Resumable, HasPlace: hasPlace,
+		Attempts: x.mayHaveRun, MaxAttempts: x.req.Admission.Route.MaxAttempts,
+		Refusals: x.attempts - x.mayHaveRun, MaxRefusals: x.g.options().MaxRefusals,
+		Withdraw: x.g.budgets.pool(x.pool).Retry,
+	}
+	ending := &Refusal{}
+	if x.interrupted(ctx, ending) {
+		i.Ending = ending.Detail
+	} else if refusal := x.quarantineRefusal(); refusal != nil {
+		i.Ending = refusal.Error()
+	}
+	return i.Decide()
+}
+
+func (r *relay) notContinued(lastID, why string) context.CancelFunc {
+	r.x.record(verdictResume, "not continued after event "+lastID+": "+why, "", nil)
+	r.x.g.metrics.streamsNotContinued.Inc(1)
+	r.x.reason += "; not continued: " + why
+	return nil
+}
+
+// sendContinuation sends the request for the remainder of the stream to one endpoint. It
+// returns nil if the endpoint doesn't answer with a stream; the attempt has then ended.
+func (r *relay) sendContinuation(ctx context.Context, p *placement, lastID string) (*port.Answer, context.CancelFunc) {
+	x := r.x
+	ctx, withdraw := context.WithCancelCause(ctx)
+	stop := func() { withdraw(nil) }
+	x.beginAttempt(p, func() { withdraw(errWithdrawn) })
+	out := x.outbound(p)
+	out.LastEventID = lastID
+	stopCheck := x.checkPathIfSilent(p)
+	answer, err := x.send(ctx, out)
+	stopCheck()
+	switch {
+	case err != nil:
+		x.handleSendError(ctx, p, answer, err)
+	case answer.Status != http.StatusOK || !eventstream.IsEventStream(answer.Header.Get("Content-Type")):
+		_ = answer.Body.Close()
+		x.mayHaveRun++
+		x.reason = errNoContinuation.Error()
+		x.endAttempt(p, port.FinishCancelled)
+	default:
+		x.mayHaveRun++
+		r.p, r.checked, r.begun, r.ended = p, true, false, false
+		x.delivered.Runners++
+		x.release(r.run.setSource(p.endpoint, answer.Body))
+		return answer, stop
+	}
+	stop()
+	return nil, nil
+}
+
+// eventTokens returns the number of tokens in one event of the request's pool.
+func (x *exchange) eventTokens() int {
+	if x.engine == nil {
+		return 0
+	}
+	return max(1, x.engine.EventTokens)
+}
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/dragonflyrail/dragonflyrail/internal/adapter/eventstream"
+	"github.com/dragonflyrail/dragonflyrail/internal/core/continuity"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/stream"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
@@ -18,12 +19,22 @@
 	p           *placement
 	run         *run
 	lastEventAt time.Time
+	// place is where the caller is in the stream.
+	place continuity.Sequence
+	// checked: events are relayed only if they follow the caller's last one, because a new
+	// run continues the stream.
+	checked bool
+	// begun: an event of the present endpoint was relayed.
+	begun bool
+	// ended: the last attempt has been ended.
+	ended bool
 }
 
 // relayEvents relays a stream of events. Each event is sent as soon as it is
 // complete.
 func (x *exchange) relayEvents(ctx context.Context, p *placement, a *port.Answer) stream.RunOutcome {
 	r := &relay{x: x, p: p, run: &run{x: x}}
+	r.expectCallersPlace()
 	x.delivered = &port.Delivery{HeldMillis: x.heldFor.Milliseconds(), Runners: 1}
 	r.run.setSource(p.endpoint, a.Body)
 	defer func() { x.release(r.run.end()) }()
@@ -34,14 +45,20 @@
 	for {
 		err := r.relayFrom(a)
 		if errors.Is(err, errCallerGone) {
-			return x.endCallerGone(p, err)
+			return x.endCallerGone(r.p, err)
 		}
 		if errors.Is(err, io.EOF) {
 			err = r.checkEnd(ctx, a)
 		}
 		next := r.resumeFromCopy(ctx, err)
 		if next == nil {
-			return x.finishStream(ctx, p, a, err)
+			var stop context.CancelFunc
+			if next, stop = r.continueElsewhere(ctx, err); next != nil {
+				defer stop()
+			}
+		}
+		if next == nil {
+			return r.finishStream(ctx, a, err)
 		}
 		defer next.Body.Close()
 		a = next
@@ -76,6 +93,9 @@
 		if err != nil {
 			return err
 		}
+		if r.checked && !r.place.IsNext(event.ID) {
+			return errNotNextEvent
+		}
 		if err := r.relayEvent(a, &event); err != nil {
 			return errors.Join(errCallerGone, err)
 		}
@@ -84,9 +104,12 @@
 
 func (r *relay) relayEvent(a *port.Answer, event *eventstream.Event) error {
 	x := r.x
-	first := !x.responseStarted
+	first := !r.begun
+	r.begun = true
 	if first {
 		x.g.crashWatch.Answering(r.p.watched)
+	}
+	if !x.responseStarted {
 		observe(x.g.metrics.firstEvent, x.g.Clock().Sub(x.req.Arrived))
 		if err := x.beginAnswer(a); err != nil {
 			return err
@@ -119,6 +142,7 @@
 	x.g.metrics.events.Inc(1)
 	r.recordTiming(now)
 	r.run.setLastID(id)
+	r.place.Add(id)
 	if r.p.generation {
 		r.p.tokens += max(1, x.engine.EventTokens)
 		x.g.Placer.Progress(x.req.ID, r.p.tokens)
@@ -205,13 +229,12 @@
 
 // finishStream classifies the end of a stream and ends the attempt. err is io.EOF if the
 // stream is whole.
-func (x *exchange) finishStream(ctx context.Context, p *placement, a *port.Answer, err error) stream.RunOutcome {
+func (r *relay) finishStream(ctx context.Context, a *port.Answer, err error) stream.RunOutcome {
+	x := r.x
 	if !errors.Is(err, io.EOF) || ctx.Err() != nil {
-		x.reason = "the stream broke off: " + err.Error()
-		x.connectionLost, x.left = ctx.Err() == nil, ctx.Err() != nil
-		x.recordIfWithdrawn(ctx)
-		x.g.metrics.attemptFailed("cut")
-		x.endAttempt(p, finishKind(ctx, port.FinishFailed))
+		if !r.ended {
+			r.endBroken(ctx, err)
+		}
 		if x.responseStarted {
 			return stream.OutcomeRan
 		}
@@ -219,14 +242,31 @@
 	}
 	if !x.responseStarted {
 		if err := x.beginAnswer(a); err != nil {
-			return x.endCallerGone(p, err)
+			return x.endCallerGone(r.p, err)
 		}
 	}
-	x.endAttempt(p, port.FinishDone)
+	x.endAttempt(r.p, port.FinishDone)
 	x.reason = "the stream is whole"
 	return stream.OutcomeDone
 }
 
+// endBroken ends an attempt whose stream broke off.
+func (r *relay) endBroken(ctx context.Context, err error) {
+	x := r.x
+	r.ended = true
+	x.reason = "the stream broke off: " + err.Error()
+	x.left = ctx.Err() != nil
+	x.connectionLost = !x.left && !errors.Is(err, errNotNextEvent)
+	x.recordIfWithdrawn(ctx)
+	x.g.metrics.attemptFailed("cut")
+	kind := finishKind(ctx, port.FinishFailed)
+	if errors.Is(err, errNotNextEvent) {
+		// The endpoint is fine; it doesn't continue this stream.
+		kind = port.FinishCancelled
+	}
+	x.endAttempt(r.p, kind)
+}
+
 func (x *exchange) endCallerGone(p *placement, err error) stream.RunOutcome {
 	x.reason = "the caller has gone: " + err.Error()
 	x.cause = CauseCallerGone
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -70,6 +70,8 @@
 	isTrial bool
 	// crashingPart is the fingerprint of the part of the prompt that it is not sent for.
 	crashingPart string
+	// continuing is set while a new run is to continue the stream of an earlier one.
+	continuing *continuation
 	// quarantineRequest caches the result of the method identity.
 	quarantineRequest *quarantine.Request
 }
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -341,6 +341,8 @@
 			{Name: "once", Host: "h", PathPrefix: "/once/", Targets: []route.Target{{Pool: "plain"}}, Repeat: route.RepeatNever, MaxAttempts: 1, Timeout: time.Minute},
 			{Name: "brief", Host: "h", PathPrefix: "/brief/", Targets: []route.Target{{Pool: "plain"}}, Repeat: route.RepeatSafe, MaxAttempts: 2, Timeout: 50 * time.Millisecond},
 			{Name: "stream", Host: "h", PathPrefix: "/stream/", Targets: []route.Target{{Pool: "engines"}}, Repeat: route.RepeatNever, Streams: true, MaxAttempts: 1, Timeout: time.Minute},
+			{Name: "resume", Host: "h", PathPrefix: "/resume/", Targets: []route.Target{{Pool: "engines"}}, Repeat: route.RepeatNever, Streams: true, MaxAttempts: 2, Timeout: time.Minute, Resumable: true},
+			{Name: "two", Host: "h", PathPrefix: "/two/", Targets: []route.Target{{Pool: "engines"}}, Repeat: route.RepeatNever, Streams: true, MaxAttempts: 2, Timeout: time.Minute},
 			{Name: "open", Host: "h", PathPrefix: "/open/", Targets: []route.Target{{Pool: "plain"}}, Repeat: route.RepeatSafe, MaxAttempts: 2, Timeout: time.Minute, Open: true},
 		},
 		Pools: []route.Pool{
@@ -448,6 +450,21 @@
 	return b.sendPartsUntil(t.Context(), t, id, path, c, parts...)
 }
 
+// sendAfter sends a request of a caller that has all events up to the one with an id.
+func (b *harness) sendAfter(t *testing.T, lastEventID, path string, c *fakeCaller) *Refusal {
+	t.Helper()
+	pass, refusal := b.Admit("h", path, "aa")
+	if refusal != nil {
+		return refusal
+	}
+	requestNumber++
+	return b.Serve(t.Context(), &Request{
+		ID: fmt.Sprint("r", requestNumber), Method: "POST", Target: path, Host: "h", Header: http.Header{"Last-Event-Id": {lastEventID}}, Admission: pass,
+		Arrived: time.Now(), CallerTimeout: time.Minute, Path: path, KeySHA256: "aa",
+		Generation: &GenerationParams{Model: "m", PromptTokens: 1000, MaxTokens: 400},
+	}, c)
+}
+
 // sendPartsUntil is sendParts for a caller that leaves when the context ends.
 func (b *harness) sendPartsUntil(ctx context.Context, t *testing.T, id, path string, c *fakeCaller, parts ...uint64) *Refusal {
 	t.Helper()
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -20,28 +20,32 @@
 	open           gometrics.Counter
 	answered       gometrics.Counter
 	balancedByTime gometrics.Counter
-	retries        gometrics.Counter
-	events         gometrics.Counter
-	routesVersion  gometrics.Gauge
-	placementDelay gometrics.Histogram
-	firstEvent     gometrics.Histogram
-	eventGap       gometrics.Histogram
-	answerDelay    gometrics.Histogram
-	copyDuration   gometrics.Histogram
-	moves          gometrics.Counter
-	panics         gometrics.Counter
-	crashes        gometrics.Counter
-	limitHits      gometrics.Counter
-	leaveNotices   gometrics.Counter
-	pauseNotices   gometrics.Counter
-	paused         gometrics.Gauge
-	evacuated      gometrics.Gauge
-	pathsLost      gometrics.Gauge
-	poolsLost      gometrics.Gauge
-	pathChecks     gometrics.Counter
-	relaysSent     gometrics.Counter
-	relaysDeclined gometrics.Counter
-	relaysServed   gometrics.Counter
+	// streamsContinued counts the streams that a new run continued, streamsNotContinued
+	// those of resumable routes that ended incomplete.
+	streamsContinued    gometrics.Counter
+	streamsNotContinued gometrics.Counter
+	retries             gometrics.Counter
+	events              gometrics.Counter
+	routesVersion       gometrics.Gauge
+	placementDelay      gometrics.Histogram
+	firstEvent          gometrics.Histogram
+	eventGap            gometrics.Histogram
+	answerDelay         gometrics.Histogram
+	copyDuration        gometrics.Histogram
+	moves               gometrics.Counter
+	panics              gometrics.Counter
+	crashes             gometrics.Counter
+	limitHits           gometrics.Counter
+	leaveNotices        gometrics.Counter
+	pauseNotices        gometrics.Counter
+	paused              gometrics.Gauge
+	evacuated           gometrics.Gauge
+	pathsLost           gometrics.Gauge
+	poolsLost           gometrics.Gauge
+	pathChecks          gometrics.Counter
+	relaysSent          gometrics.Counter
+	relaysDeclined      gometrics.Counter
+	relaysServed        gometrics.Counter
 }
 
 func newInstruments(r gometrics.Registry) *instruments {
@@ -50,32 +54,34 @@
 		return gometrics.GetOrRegisterHistogram(name, r, gometrics.NewExpDecaySample(sampleSize, sampleAlpha))
 	}
 	return &instruments{
-		registry:       r,
-		open:           counter("requests_open_count"),
-		answered:       counter("requests_answered_total"),
-		balancedByTime: counter("calls_balanced_by_time_total"),
-		retries:        counter("request_retries_total"),
-		events:         counter("stream_events_total"),
-		routesVersion:  gometrics.GetOrRegisterGauge("routes_version", r),
-		placementDelay: histogram("request_hold_us"),
-		firstEvent:     histogram("stream_first_event_us"),
-		eventGap:       histogram("stream_event_gap_us"),
-		answerDelay:    histogram("endpoint_answer_us"),
-		copyDuration:   histogram("run_copy_us"),
-		moves:          counter("runs_moved_total"),
-		panics:         counter("panics_total"),
-		crashes:        counter("endpoint_crashes_total"),
-		limitHits:      counter("endpoint_limits_kept_total"),
-		leaveNotices:   counter("endpoint_leave_notices_total"),
-		pauseNotices:   counter("endpoint_pause_notices_total"),
-		paused:         gometrics.GetOrRegisterGauge("endpoints_paused", r),
-		evacuated:      gometrics.GetOrRegisterGauge("evacuated_failure_domains", r),
-		pathsLost:      gometrics.GetOrRegisterGauge("endpoint_paths_lost", r),
-		poolsLost:      gometrics.GetOrRegisterGauge("pool_paths_lost", r),
-		pathChecks:     counter("path_checks_total"),
-		relaysSent:     counter("relays_sent_total"),
-		relaysDeclined: counter("relays_declined_total"),
-		relaysServed:   counter("relays_served_total"),
+		registry:            r,
+		open:                counter("requests_open_count"),
+		answered:            counter("requests_answered_total"),
+		balancedByTime:      counter("calls_balanced_by_time_total"),
+		streamsContinued:    counter("streams_continued_total"),
+		streamsNotContinued: counter("streams_not_continued_total"),
+		retries:             counter("request_retries_total"),
+		events:              counter("stream_events_total"),
+		routesVersion:       gometrics.GetOrRegisterGauge("routes_version", r),
+		placementDelay:      histogram("request_hold_us"),
+		firstEvent:          histogram("stream_first_event_us"),
+		eventGap:            histogram("stream_event_gap_us"),
+		answerDelay:         histogram("endpoint_answer_us"),
+		copyDuration:        histogram("run_copy_us"),
+		moves:               counter("runs_moved_total"),
+		panics:              counter("panics_total"),
+		crashes:             counter("endpoint_crashes_total"),
+		limitHits:           counter("endpoint_limits_kept_total"),
+		leaveNotices:        counter("endpoint_leave_notices_total"),
+		pauseNotices:        counter("endpoint_pause_notices_total"),
+		paused:              gometrics.GetOrRegisterGauge("endpoints_paused", r),
+		evacuated:           gometrics.GetOrRegisterGauge("evacuated_failure_domains", r),
+		pathsLost:           gometrics.GetOrRegisterGauge("endpoint_paths_lost", r),
+		poolsLost:           gometrics.GetOrRegisterGauge("pool_paths_lost", r),
+		pathChecks:          counter("path_checks_total"),
+		relaysSent:          counter("relays_sent_total"),
+		relaysDeclined:      counter("relays_declined_total"),
+		relaysServed:        counter("relays_served_total"),
 	}
 }
 
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -70,8 +70,10 @@
 	x.endpoint, x.coordinator = d.Endpoint.ID, d.Coordinator
 	x.record(d.Verdict.String(), d.Reason, "", d.Candidates)
 	if d.Verdict == port.VerdictPlace {
-		x.heldFor = x.g.Clock().Sub(x.req.Arrived)
-		observe(x.g.metrics.placementDelay, x.heldFor)
+		if x.continuing == nil {
+			x.heldFor = x.g.Clock().Sub(x.req.Arrived)
+			observe(x.g.metrics.placementDelay, x.heldFor)
+		}
 		return x.startAttempt(&placement{endpoint: d.Endpoint, generation: true}), nil
 	}
 	refusal := &Refusal{Cause: CauseOverloaded, Detail: d.Reason, RetryAfter: d.RetryAfter}
@@ -105,7 +107,7 @@
 func (x *exchange) generationRequest() *port.GenerationRequest {
 	params := x.req.Generation
 	timeLeft := x.deadline.Sub(x.req.Arrived)
-	return &port.GenerationRequest{
+	r := &port.GenerationRequest{
 		RequestID: x.req.ID, Organisation: x.req.Admission.Organisation, Pool: x.pool, Model: params.Model,
 		Route: x.req.Admission.Route.Name, Objective: x.req.Admission.Route.Objective, Rank: x.req.Admission.Rank,
 		TokenGap:     x.req.Admission.Route.GapObjective / time.Duration(max(1, x.engine.EventTokens)),
@@ -113,6 +115,10 @@
 		Excluded: x.excluded(), Attempt: x.attempts + 1, NotSent: x.attempts > 0 && !x.reachedEndpoint,
 		Arrived: x.req.Arrived, Deadline: x.req.Arrived.Add(timeLeft / placementDivisor),
 	}
+	if c := x.continuing; c != nil {
+		c.apply(r, x.deadline)
+	}
+	return r
 }
 
 // prefixHashes returns one hash for each block of the prompt's parts; each hash
--- a/internal/gateway/streams_test.go
+++ b/internal/gateway/streams_test.go
@@ -108,12 +108,17 @@
 // serveStream serves one stream from the engine until it ends; it calls hook
 // before each event.
 func serveStream(t *testing.T, b *harness, e *fakeEngine, hook func(n int)) (*fakeCaller, *Refusal) {
+	t.Helper()
+	return serveStreamAt(t, b, "/stream/", e, hook)
+}
+
+func serveStreamAt(t *testing.T, b *harness, path string, e *fakeEngine, hook func(n int)) (*fakeCaller, *Refusal) {
 	t.Helper()
 	b.setHandlers("e", e.send)
 	b.backends.copyHandler = e.copy
 	got := &fakeCaller{}
 	done := make(chan *Refusal, 1)
-	go func() { done <- b.send(t, "/stream/", got) }()
+	go func() { done <- b.send(t, path, got) }()
 	eventually.True(t, "the run begins", func() bool { return e.currentRunner() != "" })
 	for n := 1; n <= e.total; n++ {
 		hook(n)
--- a/internal/port/exchange.go
+++ b/internal/port/exchange.go
@@ -23,6 +23,9 @@
 	Organisation string
 	// Remaining is the time left until the caller no longer needs a response.
 	Remaining time.Duration
+	// LastEventID is the id of the last event that the caller has of a stream, which the
+	// endpoint continues after it; empty for none. It replaces that in Header.
+	LastEventID string
 	// Repeatable is set if the request does no harm if it is lost and sent again, and the
 	// endpoint has room for connections that are kept unused. It may then be sent over a
 	// connection that was unused for long.
