A test of quarantined streams that could be continued

Cause: a continuation sends a request to a second endpoint, which it may crash as well; no test showed that the quarantine applies to it.

Change: TestQuarantinedStreamIsNotContinued, for a request that is quarantined before its stream breaks off and one that waits at the second endpoint.

Result: go test -race -count=3 -run QuarantinedStream ./internal/gateway passes.

--- a/internal/gateway/continue_test.go
+++ b/internal/gateway/continue_test.go
@@ -276,3 +276,35 @@
 		}
 	})
 }
+
+// Guards against a continuation that crashes a second endpoint: the request was quarantined
+// before its stream broke off, or while it waits at the second endpoint.
+func TestQuarantinedStreamIsNotContinued(t *testing.T) {
+	for _, whileItWaits := range []bool{false, true} {
+		b := newHarness(t)
+		b.setHandlers("e", func(x *port.Exchange) (*port.Answer, error) {
+			if !whileItWaits {
+				b.quarantineRequest("/resume/")
+				return cutStream(events(1, 3))(x)
+			}
+			b.backends.mu.Lock()
+			b.backends.silent = map[string]bool{"e0": true, "e1": true, "e2": true}
+			b.backends.mu.Unlock()
+			return cutStream(events(1, 3))(x)
+		})
+		sent := 1
+		if whileItWaits {
+			sent = 2
+			go func() {
+				eventually.True(t, "the request waits at the second endpoint", func() bool { return len(b.backends.arrivals()) == sent })
+				b.quarantineRequest("/resume/")
+				b.crashWatch.Tick()
+			}()
+		}
+		got := &fakeCaller{}
+		checkIncomplete(t, b.send(t, "/resume/", got), got, events(1, 3))
+		if n := len(b.backends.arrivals()); n != sent {
+			t.Errorf("%d requests sent, want %d", n, sent)
+		}
+	}
+}
