--- a/internal/core/balance/timing.go
+++ b/internal/core/balance/timing.go
@@ -75,6 +75,15 @@
 	l.report(now, load.Running+load.Waiting)
 }
 
+// StatesSlowness reports whether an endpoint states its slowness, so that the rules on
+// speed apply to it.
+func (b *Balancer) StatesSlowness(endpoint string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l := b.loads[endpoint]
+	return b.o.UnevenEndpoints && l != nil && l.timing.speed.HasStated()
+}
+
 // state applies what the endpoint states with the answer of a call.
 func (t *timing) state(now time.Time, load *port.LoadHint) {
 	t.slots = load.Slots
