--- a/cmd/dragonfly-standin/fleet.go
+++ b/cmd/dragonfly-standin/fleet.go
@@ -35,6 +35,7 @@
 	ColdFor       time.Duration `long:"cold-for" default:"0s" description:"how long the runner is cold after its start; too many requests in that time end it"`
 	ColdRate      float64       `long:"cold-per-second" default:"0" description:"requests per second that the runner tolerates while it is cold"`
 	Unframed      bool          `long:"unframed" description:"end answers with their connection, with neither a length nor chunks"`
+	Slowness      float64       `long:"slowness" default:"0" description:"time that work takes, as a multiple of the usual one, apart from slow periods; answers state it. 0 states nothing"`
 	WithoutNotice bool          `long:"unsaid" description:"leave by removing the entry, without a leave notice"`
 }
 
@@ -45,6 +46,7 @@
 	r := &standin.Runner{
 		ID: c.ID, Born: born, EventEvery: c.EventEvery, Work: c.Work, CacheTokens: standin.CacheTokens,
 		OnCrash: func() { os.Exit(exitCrashed) }, Cold: standin.NewCold(c.ColdFor, c.ColdRate), Unframed: c.Unframed,
+		Pace: standin.NewPace(c.Slowness, c.ID, time.Now()),
 	}
 	var registration *standin.Registration
 	return c.serveWith("fleet-runner", standin.NewRunnerHandler(r), hooks{
