Hosts announce their load

The directories' answers follow free capacity, so daemons have to know how much of each host is in use.

Each announcement is logged and shown by a gauge. The bytes that the daemon relays aren't counted, so the load of the link is left out.

--- a/cmd/dragonfly-entry/assemble.go
+++ b/cmd/dragonfly-entry/assemble.go
@@ -48,6 +48,8 @@
 	callers  *http.Server
 	servers  []httpListener
 	peers    *grpc.Server
+	// load is nil if the capacity of the host is not known.
+	load *loadReporter
 }
 
 // httpListener is an HTTP server, the address to listen on, and the name of the
@@ -91,6 +93,9 @@
 		Dial: func(address string) scheduling.Peer { return grpcpeer.DialScheduling(address) },
 	}, pools)
 	(&grpcpeer.SchedulingService{Scheduler: pools, Admitter: a.placer}).Register(a.peers)
+	if capacity := s.capacity(); capacity.ProcessorMilli > 0 {
+		a.load = newLoadReporter(capacity.ProcessorMilli, a.keeper.PublishLoad, logger, registry)
+	}
 	a.relays = grpcrelay.NewClient()
 	a.gateway = gateway.New(s.options(), gateway.Ports{
 		Endpoints: runners,
@@ -179,6 +184,9 @@
 	background.Go(func() { a.run(runCtx) })
 	background.Go(func() { a.gateway.Run(runCtx) })
 	background.Go(func() { a.placer.Run(runCtx) })
+	if a.load != nil {
+		background.Go(func() { a.load.run(runCtx) })
+	}
 	a.logger.Info().Str("event", "started").Str("callers", a.settings.Listen.Callers).
 		Str("admin", a.settings.Listen.Admin).Str("peers", a.settings.Listen.Peers).Msg("")
 	select {
