Daemons of different builds agree on a member's entry

Daemons of the previous build compare entries without the load. Where two processes with one id report entries that differ in the load and in an address, they kept another entry than the new ones.

The load is compared last. A property test exchanges entries between daemons of both builds in any order; with the load compared before the addresses it fails.

go test -race ./internal/core/membership passes.

--- a/internal/core/membership/lattice_test.go
+++ b/internal/core/membership/lattice_test.go
@@ -119,6 +119,63 @@
 	})
 }
 
+// Guards against daemons of different builds that never agree: entries are exchanged
+// between daemons in any order, some of which drop the capacity and the load. Then all
+// daemons must hold the same state, and those of the new build the same capacity and
+// load.
+func TestMixedBuildsConverge(t *testing.T) {
+	earlier := func(m Member) Member {
+		m.Capacity, m.LoadPercent = port.HostCapacity{}, 0
+		return m
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		numNew, numEarlier := rapid.IntRange(1, 3).Draw(t, "new"), rapid.IntRange(1, 3).Draw(t, "earlier")
+		n := numNew + numEarlier
+		held := make([]Member, n)
+		receive := func(to int, m Member) {
+			if to >= numNew {
+				held[to] = earlier(MemberOrder{}.Join(held[to], earlier(m)))
+				return
+			}
+			held[to] = MemberOrder{}.Join(held[to], m)
+		}
+		base := memberGenerator.Draw(t, "base")
+		for i := range held {
+			// Entries that differ in many fields are hardly ever equal up to the load.
+			held[i] = memberGenerator.Draw(t, "entry")
+			if rapid.Bool().Draw(t, "similar") {
+				similar := base
+				similar.Host, similar.Left = held[i].Host, held[i].Left
+				similar.Capacity, similar.LoadPercent = held[i].Capacity, held[i].LoadPercent
+				held[i] = similar
+			}
+			if i >= numNew {
+				held[i] = earlier(held[i])
+			}
+		}
+		for range rapid.IntRange(0, 20).Draw(t, "messages") {
+			receive(rapid.IntRange(0, n-1).Draw(t, "to"), held[rapid.IntRange(0, n-1).Draw(t, "from")])
+		}
+		// Two rounds in which each sends to each suffice for any state.
+		for range 2 {
+			for from := range n {
+				for to := range n {
+					receive(to, held[from])
+				}
+			}
+		}
+		hash := MemberOrder{}.Hash
+		for i := range held {
+			if hash(earlier(held[i])) != hash(earlier(held[0])) {
+				t.Fatalf("different states:\n%+v\n%+v", held[0], held[i])
+			}
+			if i < numNew && hash(held[i]) != hash(held[0]) {
+				t.Fatalf("different capacities or loads:\n%+v\n%+v", held[0], held[i])
+			}
+		}
+	})
+}
+
 // Guards against repairs between daemons of different builds for entries that state no
 // capacity: the hash must be that of the earlier build.
 func TestCapacityChangesTheHashOnlyWhileSet(t *testing.T) {
--- a/internal/core/membership/member.go
+++ b/internal/core/membership/member.go
@@ -115,13 +115,15 @@
 		cmp.Compare(a.DecidedBy, b.DecidedBy),
 		compareBools(a.PlatformUnreachable, b.PlatformUnreachable),
 		slices.Compare(a.LostPools, b.LostPools),
-		cmp.Compare(a.LoadPercent, b.LoadPercent),
 		cmp.Compare(a.PeerAddress, b.PeerAddress),
 		cmp.Compare(a.CallerAddress, b.CallerAddress),
 		cmp.Compare(a.AdminAddress, b.AdminAddress),
 		cmp.Compare(a.Host, b.Host),
 		cmp.Compare(a.FailureDomain, b.FailureDomain),
 		cmp.Compare(a.Role, b.Role),
+		// Last, so that daemons of earlier builds, which don't know the load, choose the
+		// same entry.
+		cmp.Compare(a.LoadPercent, b.LoadPercent),
 	)
 }
 
