Hand over to restarted daemons; tests with real daemons

Cause: a daemon that is killed and restarted within seconds is never listed as dead. Its deputy, which other daemons ask because the daemon doesn't answer, kept what it had learned, and the restarted daemon began without any knowledge: the test with real daemons waited for the handover in vain.

Change: a daemon that stood in for an unreachable one hands over as well. A held request whose call has ended is withdrawn even if it was released at the same moment, and a daemon whose caller leaves tells the coordinator that the request doesn't run.

--- a/internal/adapter/grpcpeer/handover_test.go
+++ b/internal/adapter/grpcpeer/handover_test.go
@@ -1,14 +1,21 @@
 package grpcpeer
 
 import (
+	"context"
 	"errors"
 	"fmt"
+	"io"
+	"maps"
 	"net"
 	"reflect"
+	"slices"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/phuslu/log"
 	"google.golang.org/grpc"
 	"google.golang.org/protobuf/proto"
 
@@ -16,6 +23,7 @@
 	"github.com/dragonflyrail/dragonflyrail/internal/core/routing"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 	"github.com/dragonflyrail/dragonflyrail/internal/scheduling"
+	"github.com/dragonflyrail/dragonflyrail/internal/testkit/eventually"
 )
 
 // fakeSuccessor records the messages that it gets.
@@ -62,6 +70,62 @@
 	}
 }
 
+// members is a list of members that changes once.
+type members struct {
+	list    atomic.Pointer[[]port.Member]
+	changed chan struct{}
+}
+
+func (m *members) Members() []port.Member   { return *m.list.Load() }
+func (m *members) Changed() <-chan struct{} { return m.changed }
+
+func (m *members) set(states map[string]port.MemberState, addresses map[string]string) {
+	var list []port.Member
+	for _, id := range slices.Sorted(maps.Keys(states)) {
+		list = append(list, port.Member{ID: id, State: states[id], CallerAddress: id, PeerAddress: addresses[id]})
+	}
+	m.list.Store(&list)
+}
+
+// Guards against learned speeds that don't reach the successor with the timers and
+// connections of real daemons.
+func TestSpeedsReachSuccessor(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	addresses := map[string]string{}
+	m := &members{changed: make(chan struct{})}
+	m.set(map[string]port.MemberState{"former": port.MemberLive}, addresses)
+	schedulers := map[string]*routing.Scheduler{}
+	var running sync.WaitGroup
+	for _, id := range []string{"former", "successor"} {
+		s := routing.NewScheduler(routing.Options{RouterID: id})
+		s.SetEndpoints(time.Now(), oneRunner())
+		pools := scheduling.NewPoolScheduler(s, nil)
+		client := scheduling.NewClient(scheduling.Options{
+			Self: id, Members: m, Learned: s, Logger: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
+			Dial: func(address string) scheduling.Peer { return DialScheduling(address) },
+		}, pools)
+		peer := startSchedulingServer(t, (&SchedulingService{Scheduler: pools, Successor: client}).Register)
+		addresses[id], schedulers[id] = strings.TrimPrefix(peer.conn.Target(), "passthrough:///"), s
+		running.Go(func() { client.Run(ctx) })
+	}
+	s, now := schedulers["former"], time.Now()
+	s.Adopt(now, &port.RunningRequest{Request: *generation("run", 10), EndpointID: "e"})
+	s.ObserveStream(now, "run", port.StreamSample{Slowness: 2.4})
+	// Both daemons must know the first list before it changes.
+	time.Sleep(100 * time.Millisecond)
+	began := time.Now()
+	m.set(map[string]port.MemberState{"former": port.MemberLeaving, "successor": port.MemberLive}, addresses)
+	close(m.changed)
+	eventually.True(t, "the speed is at the successor", func() bool {
+		h := schedulers["successor"].HandOver(time.Now(), "pool")
+		return len(h.Speeds) == 1 && h.Speeds[0].Stated == 2.4
+	})
+	t.Logf("the speed was at the successor after %v", time.Since(began))
+	cancel()
+	running.Wait()
+}
+
 // Guards against repeating a message to a daemon of a previous build, and to one without
 // the setting. Both must answer alike.
 func TestHandOverUnsupported(t *testing.T) {
--- a/internal/scheduling/client.go
+++ b/internal/scheduling/client.go
@@ -142,6 +142,7 @@
 			return d
 		}
 		if ctx.Err() != nil {
+			c.discardPlacement(coordinator, r.RequestID)
 			return port.Decision{Verdict: port.VerdictRefuse, Reason: cancelReason(ctx.Err())}
 		}
 		c.handlePeerFailure(coordinator, err)
--- a/internal/scheduling/handover.go
+++ b/internal/scheduling/handover.go
@@ -57,8 +57,9 @@
 }
 
 // handOvers decides which messages are sent to successors and what is done with
-// received ones. It only knows the list of members: a coordinator that cannot be
-// reached for a moment does not change. It is safe for concurrent use.
+// received ones. A daemon that stood in for one that it could not reach sends as well: a
+// daemon that restarts within seconds was never listed as dead, and starts without any
+// knowledge. A receiver only goes by its list of members. It is safe for concurrent use.
 type handOvers struct {
 	self        string
 	incarnation uint64
@@ -138,7 +139,7 @@
 	}
 	var out []handOver
 	for _, pool := range h.learned.Pools() {
-		from, to := previous.listedRing.Lookup(pool), s.listedRing.Lookup(pool)
+		from, to := previous.ring.Lookup(pool), s.ring.Lookup(pool)
 		switch {
 		case from == to:
 			continue
--- a/internal/scheduling/handover_test.go
+++ b/internal/scheduling/handover_test.go
@@ -485,30 +485,61 @@
 	}
 }
 
-// Guards against a partition that costs more than the message: it must neither block the
-// former coordinator nor be retried when the network is back.
+// Guards against a partition that costs more than the message: the former coordinator
+// must neither block nor send without end, and the message must arrive when the network
+// is back.
 func TestPartitionDuringHandOver(t *testing.T) {
 	f := newHandOverFleet(t, "a", "b", "c")
 	f.learn(f.holder("a"), 1, 2.4)
 	former, successor, _ := f.change()
 	f.cut[successor] = true
 	f.check(former)
+	f.check(former)
+	if n := len(f.attempts()); n != handOverAttempts {
+		t.Fatalf("%d attempts, want %d", n, handOverAttempts)
+	}
 	d := f.clients[former].Place(t.Context(), newRequest(f.clock.Now(), "during", 100), ignoreHold)
 	if d.Verdict != port.VerdictPlace {
 		t.Fatalf("verdict %v during the partition, reason %q", d.Verdict, d.Reason)
 	}
+	f.check(former)
 	f.cut[successor] = false
 	f.clock.advance(avoidDuration)
 	f.check()
 	f.exchangeUpdates()
-	if n := len(f.attempts()); n != handOverAttempts {
-		t.Errorf("%d attempts, want %d", n, handOverAttempts)
+	if got := f.knows(successor)["runner-1"]; got != 2.4 {
+		t.Errorf("after the partition the successor knows a slowness of %v, want 2.4", got)
 	}
 	if n := f.schedulers[successor].RunCount(); n != 1 {
 		t.Errorf("the successor counts %d runs after the partition, want 1", n)
 	}
 }
 
+// Guards against a daemon that restarts within seconds and starts without any knowledge,
+// because it was never listed as dead and its deputy therefore never as the coordinator.
+func TestDeputyHandsOverToRestartedDaemon(t *testing.T) {
+	f := newHandOverFleet(t, "a", "b", "c")
+	holder := f.holder("a")
+	f.cut[holder] = true
+	for _, name := range f.names {
+		if name != holder {
+			f.clients[name].Place(t.Context(), newRequest(f.clock.Now(), "by "+name, 100), ignoreHold)
+		}
+	}
+	f.check()
+	for _, name := range f.names {
+		if name != holder && f.holder(name) == name {
+			f.learn(name, 1, 2.4)
+		}
+	}
+	f.cut[holder] = false
+	f.clock.advance(avoidDuration)
+	f.check()
+	if got := f.knows(holder)["runner-1"]; got != 2.4 {
+		t.Fatalf("the restarted daemon knows a slowness of %v, want 2.4", got)
+	}
+}
+
 // Guards against memory that grows with each sender that ever existed.
 func TestSendersAreForgotten(t *testing.T) {
 	f := newHandOverFleet(t, "a", "b", "c")
--- a/internal/scheduling/held.go
+++ b/internal/scheduling/held.go
@@ -46,6 +46,18 @@
 	})
 }
 
+// discardPlacement tells a coordinator that a request doesn't run, in case that it was
+// placed while its caller left. The coordinator would count it until runExpiry.
+func (c *Client) discardPlacement(coordinator daemon, requestID string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.runs[requestID] != nil {
+		return
+	}
+	p := c.peerLocked(coordinator)
+	p.pendingEvents = append(p.pendingEvents, RunEvent{RequestID: requestID, Finish: port.FinishUntracked})
+}
+
 // reportPlacementLocked reports a run that was placed by a daemon that is no longer the
 // pool's coordinator to the successor. Until the successor knows of the run, it would
 // place others in the same room. The caller holds c.mu.
--- a/internal/scheduling/held_test.go
+++ b/internal/scheduling/held_test.go
@@ -199,3 +199,28 @@
 		t.Fatalf("verdict %v, reason %q", d.Verdict, d.Reason)
 	}
 }
+
+// Guards against requests that are placed for callers that have left, and that then take
+// up room until they expire: a held one that is released at the moment when its call
+// ends, and one that is placed before its caller's end is known.
+func TestPlacementWithoutCallerIsNotCounted(t *testing.T) {
+	f := newHandOverFleet(t, "a", "b", "c")
+	relay, holder := f.relayOf(), f.holder("a")
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	for range 50 {
+		if f.schedulers[holder].wait(ctx, newRequest(f.clock.Now(), "released", 100)) {
+			t.Fatal("a released request would be placed although its call has ended")
+		}
+	}
+	ctx, cancel = context.WithCancel(t.Context())
+	f.nextFault = func() int { cancel(); return 0 }
+	d := f.clients[relay].Place(ctx, newRequest(f.clock.Now(), "placed", 100), ignoreHold)
+	if d.Verdict != port.VerdictRefuse || f.schedulers[holder].RunCount() != 1 {
+		t.Fatalf("verdict %v, %d runs counted, want a refusal and a run that nobody has", d.Verdict, f.schedulers[holder].RunCount())
+	}
+	f.clients[relay].flushSync()
+	if n := f.schedulers[holder].RunCount(); n != 0 {
+		t.Fatalf("%d runs are counted after the caller left, want 0", n)
+	}
+}
--- a/internal/scheduling/poolscheduler.go
+++ b/internal/scheduling/poolscheduler.go
@@ -77,7 +77,9 @@
 	defer timer.Stop()
 	select {
 	case <-b.scheduler.Ready(r.RequestID):
-		return true
+		// Many calls end together when a daemon that relays them goes. Each one that ends
+		// releases others, which would then be placed for nobody.
+		return ctx.Err() == nil
 	case <-timer.C:
 		return false
 	case <-ctx.Done():
