--- a/internal/scheduling/client.go
+++ b/internal/scheduling/client.go
@@ -94,6 +94,10 @@
 type openRun struct {
 	running     port.RunningRequest
 	coordinator string
+	// former is the coordinator before the last change; it is told about the run until
+	// formerUntil. It is empty if there is none.
+	former      string
+	formerUntil time.Time
 	// reportedTokens is the token count last reported to the coordinator,
 	// reportedAt the time of that report.
 	reportedTokens int
@@ -265,14 +269,23 @@
 	c.reportEvent(r, RunEvent{RequestID: requestID, Relocated: true, Moved: moved})
 }
 
-// reportEvent queues an event for the run's coordinator, or passes it to this
-// daemon's own scheduler. The caller holds c.mu.
+// reportEvent passes an event to the run's coordinator, and to the former one for a
+// while. The caller holds c.mu.
 func (c *Client) reportEvent(r *openRun, e RunEvent) {
-	if r.coordinator == c.opts.Self {
+	c.queueEvent(r.coordinator, e)
+	if r.former != r.coordinator {
+		c.queueEvent(r.former, e)
+	}
+}
+
+// queueEvent queues an event for a coordinator, or passes it to this daemon's own
+// scheduler. The caller holds c.mu.
+func (c *Client) queueEvent(coordinator string, e RunEvent) {
+	if coordinator == c.opts.Self {
 		c.local.Update(nil, []RunEvent{e})
 		return
 	}
-	if p := c.peers[r.coordinator]; p != nil {
+	if p := c.peers[coordinator]; p != nil {
 		p.pendingEvents = append(p.pendingEvents, e)
 	}
 }
--- a/internal/scheduling/coordinator.go
+++ b/internal/scheduling/coordinator.go
@@ -166,6 +166,9 @@
 		if r.coordinator == d.id {
 			r.coordinator = ""
 		}
+		if r.former == d.id {
+			r.former = ""
+		}
 	}
 	c.reassignRunsLocked()
 }
@@ -175,6 +178,7 @@
 func (c *Client) reassignRunsLocked() {
 	coordinators := map[string]daemon{}
 	for _, r := range c.runs {
+		c.endFormerLocked(r, c.opts.Clock())
 		pool := r.running.Request.Pool
 		coordinator, known := coordinators[pool]
 		if !known {
@@ -187,20 +191,6 @@
 	}
 }
 
-// reassignRunLocked reports a run to a new coordinator, and to the former one that it
-// need not count the run any more.
-func (c *Client) reassignRunLocked(r *openRun, coordinator daemon) {
-	c.reportEvent(r, RunEvent{RequestID: r.running.Request.RequestID, Finish: port.FinishUntracked})
-	r.coordinator, r.reportedAt = coordinator.id, c.opts.Clock()
-	if coordinator.id == c.opts.Self {
-		c.local.Update([]port.RunningRequest{r.running}, nil)
-		return
-	}
-	p := c.peerLocked(coordinator)
-	p.dropUntracked(r.running.Request.RequestID)
-	p.pendingRuns = append(p.pendingRuns, r.running)
-}
-
 // Run sends updates on this daemon's runs to the coordinators until the context
 // ends.
 func (c *Client) Run(ctx context.Context) {
--- a/internal/scheduling/held.go
+++ b/internal/scheduling/held.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
@@ -68,6 +69,41 @@
 	}
 }
 
+// reassignRunLocked reports a run to a new coordinator. The former one is told about the
+// run for a while longer. The caller holds c.mu.
+func (c *Client) reassignRunLocked(r *openRun, coordinator daemon) {
+	now := c.opts.Clock()
+	if r.former != coordinator.id {
+		c.untrackFormerLocked(r)
+	}
+	r.former, r.formerUntil = r.coordinator, now.Add(formerInformedFor)
+	r.coordinator, r.reportedAt = coordinator.id, now
+	if coordinator.id == c.opts.Self {
+		c.local.Update([]port.RunningRequest{r.running}, nil)
+		return
+	}
+	p := c.peerLocked(coordinator)
+	p.dropUntracked(r.running.Request.RequestID)
+	p.pendingRuns = append(p.pendingRuns, r.running)
+}
+
+// endFormerLocked ends the reports of a run to its former coordinator when their time is
+// over. The caller holds c.mu.
+func (c *Client) endFormerLocked(r *openRun, now time.Time) {
+	if r.former != "" && !now.Before(r.formerUntil) {
+		c.untrackFormerLocked(r)
+		r.former = ""
+	}
+}
+
+// untrackFormerLocked tells the former coordinator that it need not count the run any
+// more. The caller holds c.mu.
+func (c *Client) untrackFormerLocked(r *openRun) {
+	if r.former != "" && r.former != r.coordinator {
+		c.queueEvent(r.former, RunEvent{RequestID: r.running.Request.RequestID, Finish: port.FinishUntracked})
+	}
+}
+
 // dropUntracked removes the queued events that end a run because another daemon counts
 // it. If the coordinator changes back before they are sent, they would end the run that
 // is reported again, as a message's runs are applied before its events.
@@ -76,3 +112,8 @@
 		return e.RequestID == requestID && e.Finish == port.FinishUntracked
 	})
 }
+
+// formerInformedFor is how long the former coordinator of a run is told about the run. It
+// must not take the runners for empty while it still holds requests, most of which are
+// placed or refused within this time.
+const formerInformedFor = 5 * time.Second
--- a/internal/scheduling/held_test.go
+++ b/internal/scheduling/held_test.go
@@ -84,8 +84,13 @@
 		t.Fatalf("verdict %v by %s, reason %q, want a placement by %s", d.Verdict, d.Coordinator, d.Reason, former)
 	}
 	f.clients[relay].flushSync()
+	if !f.tracks(successor, "held") {
+		t.Fatal("the successor does not count the run")
+	}
+	f.clock.advance(formerInformedFor)
+	f.exchangeUpdates()
 	if !f.tracks(successor, "held") || f.tracks(former, "held") {
-		t.Fatalf("the run is counted by the successor: %v, by the former coordinator: %v", f.tracks(successor, "held"), f.tracks(former, "held"))
+		t.Fatalf("later the run is counted by the successor: %v, by the former coordinator: %v", f.tracks(successor, "held"), f.tracks(former, "held"))
 	}
 	if len(h.holds) != 0 {
 		t.Errorf("the request was held again by %s", <-h.holds)
@@ -168,10 +173,12 @@
 	relay, holder := f.relayOf(), f.holder("a")
 	f.clients[relay].Place(t.Context(), newRequest(f.clock.Now(), "run", 100), ignoreHold)
 	for range 2 {
-		f.set(holder, port.MemberLeaving)
-		f.showAll()
+		_, second, _ := f.change()
+		f.clients[relay].reassignRuns()
+		f.change()
 		f.clients[relay].reassignRuns()
 		f.set(holder, port.MemberLive)
+		f.set(second, port.MemberLive)
 		f.showAll()
 		f.clients[relay].reassignRuns()
 	}
@@ -179,10 +186,11 @@
 	if !f.tracks(holder, "run") {
 		t.Fatal("the coordinator does not count the run")
 	}
+	f.clock.advance(formerInformedFor)
 	f.exchangeUpdates()
 	for _, name := range f.names {
-		if name != holder && f.tracks(name, "run") {
-			t.Errorf("%s, which is not the coordinator, still counts the run", name)
+		if f.tracks(name, "run") != (name == holder) {
+			t.Errorf("%s counts the run: %v, the coordinator is %s", name, f.tracks(name, "run"), holder)
 		}
 	}
 }
@@ -224,3 +232,44 @@
 		t.Fatalf("%d runs are counted after the caller left, want 0", n)
 	}
 }
+
+// Guards against a burst of placements on full runners: when the relaying daemons report
+// their runs to the successor, the former coordinator must not take the runners for
+// empty and place all requests that it holds at once. It must see runs end, too.
+func TestFormerCoordinatorPlacesOnlyInFreeRoom(t *testing.T) {
+	f := newHandOverFleet(t, "a", "b", "c")
+	relay := f.relayOf()
+	h, filling := f.hold(relay)
+	<-h.holds
+	former, successor, _ := f.change()
+	exchange := func() {
+		f.clients[relay].reassignRuns()
+		f.clients[relay].reportRuns()
+		f.clients[relay].flushSync()
+		f.schedulers[former].Expire()
+	}
+	for range 10 {
+		exchange()
+		f.clock.advance(progressInterval)
+	}
+	select {
+	case d := <-h.decision:
+		t.Fatalf("verdict %v, reason %q while all runners are full", d.Verdict, d.Reason)
+	case <-time.After(50 * time.Millisecond):
+	}
+	f.clients[relay].Finished(filling[0], 10, port.FinishDone)
+	exchange()
+	if d := <-h.decision; d.Verdict != port.VerdictPlace || d.Coordinator != former {
+		t.Fatalf("verdict %v by %s, reason %q, want a placement by %s", d.Verdict, d.Coordinator, d.Reason, former)
+	}
+	for range formerInformedFor/progressInterval + 1 {
+		f.clock.advance(progressInterval)
+		exchange()
+	}
+	if n := f.schedulers[former].RunCount(); n != 0 {
+		t.Errorf("the former coordinator still counts %d runs", n)
+	}
+	if n := f.schedulers[successor].RunCount(); n != numRunners {
+		t.Errorf("the successor counts %d runs, want %d", n, numRunners)
+	}
+}
