--- a/internal/scheduling/client.go
+++ b/internal/scheduling/client.go
@@ -96,6 +96,10 @@
 type openRun struct {
 	running     port.RunningRequest
 	coordinator string
+	// former is the coordinator before the last change; it is told about the run until
+	// formerUntil. It is empty if there is none.
+	former      string
+	formerUntil time.Time
 	// reportedTokens is the token count last reported to the coordinator,
 	// reportedAt the time of that report.
 	reportedTokens int
@@ -145,6 +149,7 @@
 			return d
 		}
 		if ctx.Err() != nil {
+			c.discardPlacement(coordinator, r.RequestID)
 			return port.Decision{Verdict: port.VerdictRefuse, Reason: cancelReason(ctx.Err())}
 		}
 		c.handlePeerFailure(coordinator, err)
@@ -281,17 +286,26 @@
 	}
 }
 
-// reportEvent adds what the run's stream has shown to an event, and queues it for the
-// run's coordinator or passes it to this daemon's own scheduler. The caller holds c.mu.
+// reportEvent adds what the run's stream has shown to an event, and passes it to the
+// run's coordinator, and to the former one for a while. The caller holds c.mu.
 func (c *Client) reportEvent(r *openRun, e RunEvent) {
 	if e.Finish != port.FinishUntracked {
 		e.Sample = r.meter.sample()
 	}
-	if r.coordinator == c.opts.Self {
+	c.queueEvent(r.coordinator, e)
+	if r.former != r.coordinator {
+		c.queueEvent(r.former, e)
+	}
+}
+
+// queueEvent queues an event for a coordinator, or passes it to this daemon's own
+// scheduler. The caller holds c.mu.
+func (c *Client) queueEvent(coordinator string, e RunEvent) {
+	if coordinator == c.opts.Self {
 		c.local.Update(nil, []RunEvent{e})
 		return
 	}
-	if p := c.peers[r.coordinator]; p != nil {
+	if p := c.peers[coordinator]; p != nil {
 		p.pendingEvents = append(p.pendingEvents, e)
 	}
 }
