Expected steps of a request are computed once

Cause: a held request is ranked often, and each ranking read the survival curve a dozen times.

Change: the entry keeps the expected steps until its answer has grown. The benchmarks Rank and Decision also run where speeds are compared.

--- a/internal/core/routing/bench_test.go
+++ b/internal/core/routing/bench_test.go
@@ -27,9 +27,19 @@
 // BenchmarkDecision measures one placement and its end for several numbers
 // of candidates.
 func BenchmarkDecision(b *testing.B) {
+	benchmarkDecision(b, func(*Scheduler) {})
+}
+
+// BenchmarkDecisionUneven measures the same where speeds are compared.
+func BenchmarkDecisionUneven(b *testing.B) {
+	benchmarkDecision(b, stateSpeeds)
+}
+
+func benchmarkDecision(b *testing.B, prepare func(*Scheduler)) {
 	for _, n := range candidateCounts {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			s := loadedScheduler(b, n)
+			prepare(s)
 			r := request("a", 300)
 			now := start
 			b.ReportAllocs()
@@ -53,13 +63,16 @@
 
 // BenchmarkRankUneven measures the same where speeds are compared.
 func BenchmarkRankUneven(b *testing.B) {
-	benchmarkRank(b, func(s *Scheduler) {
-		s.options.UnevenEndpoints = true
-		for i := range s.shards["pool"].runners {
-			s.state(i, []float64{0.7, 1, 1.3, 2.4}[i%4])
-		}
-		s.Tick(start)
-	})
+	benchmarkRank(b, stateSpeeds)
+}
+
+// stateSpeeds switches the rules on speed on, and lets all runners state a slowness.
+func stateSpeeds(s *Scheduler) {
+	s.options.UnevenEndpoints = true
+	for i := range s.shards["pool"].runners {
+		s.state(i, []float64{0.7, 1, 1.3, 2.4}[i%4])
+	}
+	s.Tick(start)
 }
 
 func benchmarkRank(b *testing.B, prepare func(*Scheduler)) {
--- a/internal/core/routing/shard.go
+++ b/internal/core/routing/shard.go
@@ -53,6 +53,11 @@
 	peak        float64
 	generated   int
 	refreshAt   int
+	// steps is the expected number of further tokens once stepsAt are generated; it is
+	// valid if stepsKnown is set.
+	steps      float64
+	stepsAt    int
+	stepsKnown bool
 	// backlog is the prefill backlog of the runner at the placement, in tokens, this
 	// request's prompt included.
 	backlog float64
--- a/internal/core/routing/speed.go
+++ b/internal/core/routing/speed.go
@@ -154,7 +154,7 @@
 	if !s.uneven {
 		return speedQuery{}
 	}
-	steps := expectedSteps(&e.survival, e.generated, e.request.MaxTokens)
+	steps := e.expectedSteps()
 	q := speedQuery{
 		uneven:           true,
 		completionMillis: steps * s.stepMillis,
@@ -205,6 +205,17 @@
 // eventTokens returns the number of tokens in one event of the runner's streams.
 func (r *runner) eventTokens() float64 { return float64(max(1, r.endpoint.EventTokens)) }
 
+// expectedSteps returns the expected number of tokens that the request still gets. It
+// is computed once for each number of generated tokens, as a held request is tried
+// often.
+func (e *entry) expectedSteps() float64 {
+	if !e.stepsKnown || e.stepsAt != e.generated {
+		e.steps = expectedSteps(&e.survival, e.generated, e.request.MaxTokens)
+		e.stepsKnown, e.stepsAt = true, e.generated
+	}
+	return e.steps
+}
+
 // stepMarks are the numbers of further tokens between which the expected number of
 // steps is interpolated.
 var stepMarks = [...]int{0, 4, 8, 16, 32, 64, 128, 256, 512, 1024, 2048, 4096, 8192}
