policybench: a pool of uneven runners

Change: workload "uneven" has 15 runners, of which a third need 2.4 times as long, and each is 2.5 times slower for 0.2 to 0.6 s in 15% of the time. Streams have events of 4 tokens, and there are no load reports, as for the daemons. The capacity includes the slow runners and periods. An oracle knows the speeds, the state of all engines and the lengths of all answers; the same oracle without the speeds shows what the rest of its knowledge is worth.

--- a/internal/tools/policybench/main.go
+++ b/internal/tools/policybench/main.go
@@ -94,18 +94,19 @@
 	}
 	out := &report{Seeds: o.Seeds, Length: o.Length.Seconds(), Capacity: map[string]float64{}}
 	var jobs []func()
-	for _, w := range []workload{kegsetu(), bayanihan()} {
+	for _, suite := range suites() {
+		w := suite.workload
 		if o.Workload != "" && o.Workload != w.name {
 			continue
 		}
-		capacity := w.capacity(1)
+		capacity := suite.capacity(&w)
 		out.Capacity[w.name] = capacity
 		fmt.Printf("%s: the pool carries %.2f requests/s\n", w.name, capacity)
-		for _, sc := range scenarios() {
+		for _, sc := range suite.scenarios {
 			if o.Scenario != "" && !strings.Contains(o.Scenario, sc.name) {
 				continue
 			}
-			for _, p := range policies() {
+			for _, p := range suite.policies {
 				if !strings.Contains(p.name, o.Policy) {
 					continue
 				}
@@ -127,6 +128,23 @@
 	return out.write(o)
 }
 
+// suite is a workload with the scenarios and policies that it is run with.
+type suite struct {
+	workload  workload
+	capacity  func(*workload) float64
+	scenarios []scenario
+	policies  []policy
+}
+
+func suites() []suite {
+	even := func(w *workload) float64 { return w.capacity(1) }
+	return []suite{
+		{kegsetu(), even, scenarios(), policies()},
+		{bayanihan(), even, scenarios(), policies()},
+		{unevenWorkload(), unevenCapacity, unevenScenarios(), unevenPolicies()},
+	}
+}
+
 func runAll(jobs []func(), workers int) {
 	var wait sync.WaitGroup
 	todo := make(chan func())
@@ -192,6 +210,7 @@
 	fmt.Println()
 	r.addComparisons()
 	r.addFloodComparisons()
+	r.addUnevenComparisons()
 	for _, aim := range r.Aims {
 		fmt.Println(aim)
 	}
--- a/internal/tools/policybench/policies.go
+++ b/internal/tools/policybench/policies.go
@@ -101,10 +101,15 @@
 
 // singleScheduler returns a constructor of one scheduler for the whole pool.
 func singleScheduler(unread int) func(*workload, *sim, uint64) []port.Scheduler {
+	return schedulerWith(routing.Options{PrefillBacklogLimit: unread})
+}
+
+// schedulerWith returns a constructor of one scheduler with these options.
+func schedulerWith(o routing.Options) func(*workload, *sim, uint64) []port.Scheduler {
 	return func(_ *workload, _ *sim, seed uint64) []port.Scheduler {
-		return []port.Scheduler{routing.NewScheduler(routing.Options{
-			RouterID: "router-0", BusyThreshold: 1, PrefillBacklogLimit: unread, Random: rand.New(rand.NewPCG(seed, 100)),
-		})}
+		o := o
+		o.RouterID, o.BusyThreshold, o.Random = "router-0", 1, rand.New(rand.NewPCG(seed, 100))
+		return []port.Scheduler{routing.NewScheduler(o)}
 	}
 }
 
--- a/internal/tools/policybench/result.go
+++ b/internal/tools/policybench/result.go
@@ -46,10 +46,14 @@
 	retryServed    = "returned_served_pct"
 	worstShare     = "worst_org_pct"
 	spread         = "placement_cv"
+	// reportRun is the mean time from the placement of a report to its end.
+	reportRun = "report_run_s"
+	goodShort = "goodput_short_pct"
 )
 
 var measures = []string{
 	stallTime, preemptions, gapP50, gapP95, gapP99, firstP95, firstShortP95, firstReportP95, goodput, goodputReport, refusals, retryServed, worstShare, spread,
+	reportRun, goodShort,
 }
 
 func newResult() *result {
@@ -68,6 +72,7 @@
 	var good, offered [10]float64
 	refused, retried, served := 0.0, 0.0, 0.0
 	reports, goodReports := 0.0, 0.0
+	var reportRuns []float64
 	stall := time.Duration(0)
 	for _, c := range s.all {
 		offered[c.organisation]++
@@ -100,6 +105,9 @@
 		if c.arrived > s.floodStart {
 			r.completion[c.organisation] = append(r.completion[c.organisation], (c.finished - c.arrived).Seconds())
 		}
+		if c.kind == reportKind {
+			reportRuns = append(reportRuns, (c.finished - c.placed).Seconds())
+		}
 		if s.withinTargets(c) {
 			good[c.organisation]++
 			if c.kind == reportKind {
@@ -126,6 +134,8 @@
 	v[firstReportP95] = quantile(firstOf[reportKind], 0.95)
 	v[goodput] = 100 * allGood / total
 	v[goodputReport] = 100 * goodReports / reports
+	v[goodShort] = 100 * (allGood - goodReports) / (total - reports)
+	v[reportRun], _ = meanAndDeviation(reportRuns)
 	v[refusals] = 100 * refused / total
 	v[retryServed] = 100
 	if retried > 0 {
@@ -153,9 +163,12 @@
 
 func (s *sim) withinTargets(c *call) bool {
 	k := &s.w.kinds[c.kind]
-	if c.finished == 0 || c.first-c.arrived > k.firstTokenTarget {
+	if c.finished == 0 || c.first-c.arrived > s.w.target(c) {
 		return false
 	}
+	if s.w.gapTarget > 0 {
+		return c.longestGap <= s.w.gapTarget
+	}
 	return c.finished-c.arrived <= k.completionBase+time.Duration(c.output)*completionPerToken
 }
 
--- a/internal/tools/policybench/sim.go
+++ b/internal/tools/policybench/sim.go
@@ -24,6 +24,9 @@
 	flood   bool
 	// waves replaces some of the runners every few seconds.
 	waves bool
+	// uneven makes a third of the runners slower than the others, and each runner
+	// slow for brief periods. There are no load reports.
+	uneven bool
 }
 
 // Parameters of the simulation.
@@ -80,6 +83,9 @@
 	stepping bool
 	dead     bool
 	leaving  bool
+	// usual and present are how long work takes, as a multiple of the time that
+	// the engine's configuration gives: without and with slow periods.
+	usual, present float64
 }
 
 // sim simulates one run: the engines, the routers' decision code and the
@@ -114,7 +120,7 @@
 	}
 	s := &sim{w: w, scenario: sc, calls: make(map[string]*call), result: newResult(), end: length + drainTime, floodStart: length / 3}
 	for i := range w.runners {
-		s.engines = append(s.engines, &engineSlot{index: i, model: enginemodel.New(w.engine)})
+		s.engines = append(s.engines, &engineSlot{index: i, model: enginemodel.New(w.engine), usual: 1, present: 1})
 	}
 	s.routers = p.make(&w, s, seed)
 	s.held = make([][]*call, len(s.routers))
@@ -130,13 +136,18 @@
 			PromptTokens: c.prompt, PrefixHashes: w.prefixHashes(c), Attempt: 1, Arrived: at(c.arrived),
 		}
 		if w.hasRoutes {
-			c.request.Route, c.request.Objective = w.kinds[c.kind].name, w.kinds[c.kind].firstTokenTarget
+			c.request.Route, c.request.Objective = w.kinds[c.kind].name, w.target(c)
+			c.request.TokenGap = w.gapTarget / time.Duration(w.tokensPerEvent())
 		}
 		s.calls[c.id] = c
 		s.schedule(c.arrived, func(now time.Duration) { s.submit(now, c) })
 	}
 	s.setEndpoints(0)
-	s.schedule(0, s.sendReports)
+	if sc.uneven {
+		s.makeUneven(seed)
+	} else {
+		s.schedule(0, s.sendReports)
+	}
 	s.schedule(tickEvery, s.tickRouters)
 	s.scheduleFaults(length)
 	for s.queue.Len() > 0 {
@@ -192,9 +203,13 @@
 		if e.leaving {
 			state = port.EndpointLeaving
 		}
-		es = append(es, port.Endpoint{
+		endpoint := port.Endpoint{
 			ID: runnerName(e.index), Kind: port.KindRunner, Pool: "pool", Incarnation: 1, State: state, Models: []string{modelName},
-		})
+		}
+		if s.scenario.uneven {
+			endpoint.EventTokens, endpoint.CacheTokens = s.w.eventTokens, s.w.engine.BlocksTotal*s.w.engine.BlockTokens
+		}
+		es = append(es, endpoint)
 	}
 	for _, r := range s.distinctRouters() {
 		r.SetEndpoints(at(now), es)
@@ -352,23 +367,32 @@
 
 func (s *sim) handleToken(now time.Duration, t enginemodel.TokenEvent) {
 	c := s.calls[t.JobID]
-	if c.tokens == 0 {
+	c.generated++
+	if !t.Final && c.generated%s.w.tokensPerEvent() != 0 {
+		return
+	}
+	first := c.tokens == 0
+	if first {
 		c.first = now
 	} else {
 		gap := now - c.last
 		s.result.recordGap(gap)
 		c.stall += max(0, gap-stallThreshold)
+		c.longestGap = max(c.longestGap, gap)
 	}
-	c.last = now
-	c.tokens++
+	c.previous, c.last = c.last, now
+	c.tokens = c.generated
 	r := s.routers[c.router]
+	if s.scenario.uneven {
+		s.observe(now, r, c, first)
+	}
 	if t.Final {
 		c.finished = now
 		r.Finished(at(now), c.id, c.tokens, port.FinishDone)
 		s.submitReadyShared(now, c.router)
 		return
 	}
-	if c.tokens == 1 || c.tokens%progressEvery == 0 {
+	if first || c.tokens%progressEvery == 0 {
 		r.Progress(at(now), c.id, c.tokens)
 	}
 }
--- a/internal/tools/policybench/workload.go
+++ b/internal/tools/policybench/workload.go
@@ -50,6 +50,25 @@
 	// hasRoutes gives each kind a separate route whose objective is the kind's
 	// target for the time to the first token.
 	hasRoutes bool
+	// eventTokens is the number of tokens in one event of a stream, zero for one.
+	eventTokens int
+	// gapTarget bounds the time between two events; zero for no bound. It replaces
+	// the target for the complete answer.
+	gapTarget time.Duration
+	// patientTarget is the target for the first token of the reports of every second
+	// organisation; zero for the same as the others'.
+	patientTarget time.Duration
+}
+
+// tokensPerEvent returns the number of tokens in one event of a stream.
+func (w *workload) tokensPerEvent() int { return max(1, w.eventTokens) }
+
+// target returns the target for the time to the first token of a call.
+func (w *workload) target(c *call) time.Duration {
+	if w.patientTarget > 0 && c.kind == reportKind && c.organisation%2 == 1 {
+		return w.patientTarget
+	}
+	return w.kinds[c.kind].firstTokenTarget
 }
 
 const (
@@ -145,18 +164,28 @@
 	arrived      time.Duration
 	router       int
 
-	request    port.GenerationRequest
-	engine     int
+	request port.GenerationRequest
+	engine  int
+	// tokens counts the tokens in complete events, generated all that the engine
+	// has generated.
 	tokens     int
+	generated  int
 	last       time.Duration
-	placed     time.Duration
-	first      time.Duration
-	finished   time.Duration
-	stall      time.Duration
-	refused    int
-	retried    bool
-	dispatched bool
-	lost       bool
+	previous   time.Duration
+	longestGap time.Duration
+	// observedAt, observedTokens and observedGap describe the stream up to, and since,
+	// the last sample of its speed.
+	observedAt     time.Duration
+	observedTokens int
+	observedGap    time.Duration
+	placed         time.Duration
+	first          time.Duration
+	finished       time.Duration
+	stall          time.Duration
+	refused        int
+	retried        bool
+	dispatched     bool
+	lost           bool
 }
 
 func (w *workload) sample(r *rand.Rand, organisation int) *call {
