--- a/internal/tools/policybench/policies.go
+++ b/internal/tools/policybench/policies.go
@@ -101,12 +101,11 @@
 
 // singleScheduler returns a constructor of one scheduler for the whole pool.
 func singleScheduler(unread int) func(*workload, *sim, uint64) []port.Scheduler {
-	return schedulerOf(routing.Options{PrefillBacklogLimit: unread})
+	return schedulerWith(routing.Options{PrefillBacklogLimit: unread})
 }
 
-// schedulerOf returns a constructor of one scheduler with the given options for the whole
-// pool.
-func schedulerOf(o routing.Options) func(*workload, *sim, uint64) []port.Scheduler {
+// schedulerWith returns a constructor of one scheduler with these options.
+func schedulerWith(o routing.Options) func(*workload, *sim, uint64) []port.Scheduler {
 	return func(_ *workload, _ *sim, seed uint64) []port.Scheduler {
 		o := o
 		o.RouterID, o.BusyThreshold, o.Random = "router-0", 1, rand.New(rand.NewPCG(seed, 100))
--- a/internal/tools/policybench/surge_test.go
+++ b/internal/tools/policybench/surge_test.go
@@ -17,7 +17,7 @@
 	var out surgeResult
 	for seed := range uint64(seeds) {
 		r := run(w, scenario{name: "surge", load: load, lag: defaultReportLag, surge: surge}, capacity, length, seed+1, p)
-		out.short += r.Values[goodputShort] / seeds
+		out.short += r.Values[goodShort] / seeds
 		out.reports += r.Values[goodputReport] / seeds
 		out.worstOrganisation += r.Values[worstShare] / seeds
 		out.preempted += r.Values[preemptions] / seeds
@@ -34,8 +34,8 @@
 	w.kinds[reportKind].firstTokenTarget = 4 * time.Second
 	w.kinds[reportKind].completionBase = 8 * time.Second
 	capacity := w.capacity(1)
-	before := policy{"without the rules for scarce room", schedulerOf(routing.Options{PrefillBacklogLimit: unreadLimit})}
-	after := policy{"with them", schedulerOf(routing.Options{PrefillBacklogLimit: unreadLimit, ScarceRoom: true})}
+	before := policy{"without the rules for scarce room", schedulerWith(routing.Options{PrefillBacklogLimit: unreadLimit})}
+	after := policy{"with them", schedulerWith(routing.Options{PrefillBacklogLimit: unreadLimit, ScarceRoom: true})}
 	outstanding := policy{"least outstanding", baselineScheduler(leastOutstanding)}
 	for _, surge := range []float64{1.5, 2.3} {
 		least, without, with := runSurge(t, outstanding, w, capacity, surge), runSurge(t, before, w, capacity, surge), runSurge(t, after, w, capacity, surge)
--- a/test/capacity_test.go
+++ b/test/capacity_test.go
@@ -9,11 +9,11 @@
 	"github.com/dragonflyrail/dragonflyrail/platform/testfleet"
 )
 
-var coordinatorLine = regexp.MustCompile(`"event":"coordinator_changed".*"to":"([^"]*)"`)
+var coordinatorChange = regexp.MustCompile(`"event":"coordinator_changed".*"to":"([^"]*)"`)
 
 // coordinator returns the daemon that coordinates the runners' pool by a daemon's log.
 func coordinator(d *testfleet.Daemon) string {
-	lines := coordinatorLine.FindAllSubmatch(d.Log(), -1)
+	lines := coordinatorChange.FindAllSubmatch(d.Log(), -1)
 	if len(lines) == 0 {
 		return ""
 	}
