A slow caller doesn't make its runner count as slow

Cause: the time between two events was taken after each was written to the caller, so that a caller who reads slowly showed as a long gap at the runner, which then was a last resort for long generations of all callers.

Change: where a write takes 20 ms or more, the times before and after that event are no samples.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -115,6 +115,7 @@
 			return err
 		}
 	}
+	began := x.g.Clock()
 	if err := x.responder.Write(event.Raw); err != nil {
 		return err
 	}
@@ -122,7 +123,7 @@
 		return err
 	}
 	x.g.crashWatch.Progress(r.p.watched)
-	r.countEvent(event.ID)
+	r.countEvent(event.ID, x.g.Clock().Sub(began) >= slowWrite)
 	if first && r.p.generation {
 		x.g.moveIfLeaving(r.run)
 	}
@@ -134,9 +135,13 @@
 	return x.responder.Begin(a.Status, a.Header, a.Length)
 }
 
+// slowWrite is the time of a write from which on the caller holds the stream up. The time
+// between two events is at least twice as long.
+const slowWrite = 20 * time.Millisecond
+
 // countEvent updates the metrics and the scheduler after an event was sent to
-// the caller.
-func (r *relay) countEvent(id string) {
+// the caller. delayed is set if the caller held the stream up.
+func (r *relay) countEvent(id string, delayed bool) {
 	x := r.x
 	now := x.g.Clock()
 	x.g.metrics.events.Inc(1)
@@ -145,6 +150,11 @@
 	r.place.Add(id)
 	if r.p.generation {
 		r.p.tokens += max(1, x.engine.EventTokens)
+		if delayed {
+			// The times before and after this event include the caller's.
+			x.g.Placer.Delayed(x.req.ID)
+			defer x.g.Placer.Delayed(x.req.ID)
+		}
 		x.g.Placer.Progress(x.req.ID, r.p.tokens)
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -37,6 +37,9 @@
 	// to hold it.
 	Place(ctx context.Context, r *port.GenerationRequest, held func(*port.Decision)) port.Decision
 	Progress(requestID string, tokens int)
+	// Delayed reports that the caller of a run held its stream up, so that the time
+	// until the next event doesn't show how fast the endpoint is.
+	Delayed(requestID string)
 	// Observe reports the slowness that the endpoint of a run states with the beginning
 	// of its answer, as in port.LoadHint; zero for none.
 	Observe(requestID string, slowness float64)
--- a/internal/gateway/notices_test.go
+++ b/internal/gateway/notices_test.go
@@ -184,6 +184,8 @@
 
 func (s *staleCoordinator) Progress(string, int) {}
 
+func (s *staleCoordinator) Delayed(string) {}
+
 // useStaleCoordinator replaces the placer by one that prefers the given runners.
 func (b *harness) useStaleCoordinator(ids ...string) {
 	s := &staleCoordinator{stalePlacer: stalePlacer{Placer: b.Placer}}
--- a/internal/scheduling/client.go
+++ b/internal/scheduling/client.go
@@ -209,6 +209,16 @@
 	}
 }
 
+// Delayed excludes the time until the run's next event from its samples, because the
+// caller held the stream up.
+func (c *Client) Delayed(requestID string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r := c.runs[requestID]; r != nil {
+		r.meter.interrupt()
+	}
+}
+
 // reportRun reports the progress of an open run to its coordinator. The caller
 // holds c.mu.
 func (c *Client) reportRun(r *openRun) {
--- a/internal/scheduling/meter_test.go
+++ b/internal/scheduling/meter_test.go
@@ -110,6 +110,25 @@
 	}
 }
 
+// Guards against runners that count as slow because a caller reads slowly.
+func TestSlowCallerIsNoSlowRunner(t *testing.T) {
+	const ms = time.Millisecond
+	f, logs, coordinator, other := measuredFleet()
+	c := f.clients[other]
+	c.Place(t.Context(), newRequest(f.clock.Now(), "run", 1000), ignoreHold)
+	f.stream(c, "run", 0, 500*ms, 40*ms)
+	c.Delayed("run")
+	f.stream(c, "run", 8, 900*ms)
+	c.Delayed("run")
+	f.stream(c, "run", 12, 1*ms, 40*ms)
+	c.Finished("run", 20, port.FinishDone)
+	f.exchangeUpdates()
+	want := []port.StreamSample{{PerToken: 10 * ms, Gap: 40 * ms}}
+	if got := logs[coordinator].take(); !slices.Equal(got, want) {
+		t.Errorf("samples %+v, want %+v", got, want)
+	}
+}
+
 // Guards against a new coordinator that never learns what endpoints state, because their
 // long answers began before it took over.
 func TestSuccessorLearnsStatedSlowness(t *testing.T) {
