--- a/internal/core/routing/speed_test.go
+++ b/internal/core/routing/speed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -181,7 +182,7 @@
 	}{
 		{"both idle", [3]int{0, 3, 0}, 0, 0},
 		{"a few more runs at the fast one", [3]int{3, 6, 0}, 0, 0},
-		{"more runs at both", [3]int{4, 6, 1}, 0, 0},
+		{"four runs more at the fast one", [3]int{4, 6, 0}, 0, 0},
 		{"the fast one nearly full", [3]int{6, 6, 0}, 0, 2},
 		{"a large backlog at the fast one", [3]int{1, 6, 0}, 7000, 2},
 	} {
@@ -234,6 +235,24 @@
 	wantRunner(t, s.Submit(at(time.Second), shortRequest("later")), 0)
 }
 
+// Guards against a prompt that delays the streams of a slow runner for longer than it
+// would delay as many streams elsewhere.
+func TestDelayOfStreamsIsWeighedInTime(t *testing.T) {
+	s := unevenScheduler(t, 1, 1, 2.4)
+	gap := map[string]float64{}
+	for i := range 3 {
+		addRuns(t, s, i, 3)
+		s.runner(runnerID(i)).measuredTokenMillis = 9
+	}
+	for _, c := range s.Submit(start, longRequest("long")).Candidates {
+		gap[c.Endpoint] = c.Gap
+	}
+	delay := 3000.0 / prefillScale * 3 / batchScale
+	if got := gap[runnerID(2)] - gap[runnerID(0)]; math.Abs(got-1.4*delay) > 1e-9 {
+		t.Fatalf("gap of the slow runner larger by %v, want %v", got, 1.4*delay)
+	}
+}
+
 // Guards against a bound in tokens that lets prompts wait 2.4 times as long at a
 // slow runner, and leaves a fast one idle that would prefill them in time.
 func TestBacklogIsBoundedInTime(t *testing.T) {
