routing: smaller candidates

Cause: each candidate of a decision carried its completion and slowness, which are copied when candidates are sorted in.

Change: the completion goes into the total at once, and the slowness of a candidate is read where a decision is explained.

--- a/internal/core/routing/relocate.go
+++ b/internal/core/routing/relocate.go
@@ -65,6 +65,7 @@
 	ratio, allowance := s.growthRatio(), s.allowance(len(runners))
 	multipleFailures := s.multipleFailures(now, runners)
 	prompt := e.unprocessedPrompt()
+	out.uneven = q.uneven
 	for _, r := range runners {
 		c := scored{runner: r}
 		capacity := r.capacity()
@@ -72,9 +73,9 @@
 		c.overflow = (chance + (peak+q.peak)/capacity) / 2
 		c.total = q.weights.Overflow*c.overflow + tieBreakNoise*s.random.Float64()
 		if q.uneven {
-			q.weighBySpeed(r, &c, prompt, 0)
+			completion := q.weighBySpeed(r, &c, prompt, 0)
 			c.gap = prompt / prefillScale * r.count() / batchScale * r.present
-			c.total += q.weights.Gap*c.gap + q.weights.Prefill*c.prefill + c.completion
+			c.total += q.weights.Gap*c.gap + q.weights.Prefill*c.prefill + completion
 		}
 		if terms.FailureDomain != "" && r.endpoint.FailureDomain != terms.FailureDomain {
 			c.total += otherDomainCost
--- a/internal/core/routing/score.go
+++ b/internal/core/routing/score.go
@@ -72,10 +72,6 @@
 	gap      float64
 	prefill  float64
 	prefix   float64
-	// completion is the expected time until the end, slowness the runner's usual
-	// one; both are zero where speeds aren't compared.
-	completion float64
-	slowness   float64
 	// risky marks a runner that may exceed the request's limit for the gap, late
 	// one at which the first token is expected after the objective.
 	risky    bool
@@ -98,6 +94,8 @@
 	// temporary counts the runners, other than risky ones, that are excluded only
 	// until load there ends.
 	temporary int
+	// uneven is set if speeds are compared.
+	uneven bool
 	// waits is set if the request is held rather than placed on a risky runner.
 	waits bool
 	// expectedUse and capacity are sums of the expected peaks and the
@@ -118,6 +116,7 @@
 		c := s.score(nanos, q, r, &ratio, allowance, out)
 		out.insert(&c)
 	}
+	out.uneven = q.uneven
 	out.waits = q.mayWait && out.temporary > 0
 }
 
@@ -130,10 +129,10 @@
 	out.throughput += capacity * 1000 / r.tokenMillis()
 
 	c.overflow = (chance + (peak+q.peak)/capacity) / 2
-	q.timeParts(r, &c)
+	completion := q.timeParts(r, &c)
 	c.total = q.weights.Overflow*c.overflow + q.weights.Gap*c.gap +
 		q.weights.Prefill*c.prefill - q.weights.Prefix*c.prefix + tieBreakNoise*s.random.Float64()
-	c.total += c.completion
+	c.total += completion
 	limit := q.overflowLimit
 	if !r.preferred {
 		c.total += nonPreferredCost
@@ -175,8 +174,9 @@
 }
 
 // timeParts computes the time parts of the score: the gap between tokens,
-// the prefill backlog, and the credit for a cached prefix.
-func (q *query) timeParts(r *runner, c *scored) {
+// the prefill backlog, and the credit for a cached prefix. It returns the part for
+// the expected completion, which is zero where speeds aren't compared.
+func (q *query) timeParts(r *runner, c *scored) (completion float64) {
 	count := r.count()
 	batch := float64(r.report.Running + r.report.Waiting)
 	step := r.tokenMillis() / q.gapMillis * (1 + stepGrowthPerRun*max(-batch, count-batch))
@@ -190,9 +190,10 @@
 	c.prefill = (r.ownPrefill + r.othersPrefill) / prefillScale
 	if q.uneven {
 		delay *= r.present
-		q.weighBySpeed(r, c, prompt, cached)
+		completion = q.weighBySpeed(r, c, prompt, cached)
 	}
 	c.gap = stepTimeWeight*step + delay
+	return completion
 }
 
 // exclusion returns the reason why the runner can't be chosen, or "", and
@@ -309,9 +310,11 @@
 			Gap:      c.gap,
 			Prefill:  c.prefill,
 			Prefix:   c.prefix,
-			Slowness: c.slowness,
 			Excluded: c.excluded,
 		}
+		if k.uneven {
+			out[i].Slowness = c.runner.usual
+		}
 	}
 	return out
 }
--- a/internal/core/routing/speed.go
+++ b/internal/core/routing/speed.go
@@ -176,16 +176,16 @@
 // weighBySpeed computes the time parts of the score that depend on the runner's
 // speed, for the prompt tokens that are to be prefilled and those that are cached.
 // Cached tokens count as if the runner had median speed, so that runners of equal
-// speed compare as without their speed.
-func (q *query) weighBySpeed(r *runner, c *scored, prompt, cached float64) {
+// speed compare as without their speed. It returns the part of the score for the
+// expected completion.
+func (q *query) weighBySpeed(r *runner, c *scored, prompt, cached float64) (completion float64) {
 	work := (r.ownPrefill + r.othersPrefill + prompt) * r.present
 	c.prefill = (work + cached) / prefillScale
-	c.completion = q.completionMillis * r.usual / completionScale
-	c.slowness = r.usual
 	if q.limitsGap {
 		c.risky = r.longestGap > q.gapMillis*r.eventTokens() || q.stepMillis*r.usual > q.gapMillis
 		c.late = work*q.promptMillis > q.firstTokenMillis
 	}
+	return q.completionMillis * r.usual / completionScale
 }
 
 // lastResort reports whether the runner is chosen only if no other one serves the
