--- a/internal/core/continuity/resume.go
+++ b/internal/core/continuity/resume.go
@@ -15,7 +15,7 @@
 	// step is zero until two ids are known.
 	step uint64
 	// events counts the ids in the sequence; broken is set if one was not a successor, so
-	// that the place in the stream can't be told any more.
+	// that the position in the stream is unknown from then on.
 	events int
 	broken bool
 	// anyStep is set if the step is not known and need not be 1.
@@ -53,7 +53,7 @@
 	case s.step > 0:
 		return number-s.number == s.step
 	}
-	// With a single known id a greater step can't be told apart from a missing event.
+	// With a single known id a greater step can't be distinguished from a missing event.
 	return s.anyStep || number-s.number == 1
 }
 
@@ -104,7 +104,7 @@
 	StopNotResumable  = "its route is not resumable"
 	StopMaxAttempts   = "max_attempts are used"
 	StopMaxRefusals   = "too many endpoints have refused it"
-	StopNoPlace       = "the ids of its events don't tell its place"
+	StopNoPlace       = "the ids of its events don't determine its position"
 	StopNoBudget      = "the retry budget is spent"
 )
 
--- a/internal/core/hostweight/hostweight_test.go
+++ b/internal/core/hostweight/hostweight_test.go
@@ -166,7 +166,7 @@
 }
 
 // Guards against a host that one daemon never names, and against sets that are drawn
-// anew for each answer: callers would open new connections all the time.
+// again for each answer: callers would open new connections all the time.
 func TestSmallHostsTakeTurns(t *testing.T) {
 	hosts := newHosts(16, 4)
 	s := newTestSelection(1)
--- a/internal/core/membership/lattice_test.go
+++ b/internal/core/membership/lattice_test.go
@@ -197,7 +197,7 @@
 	} {
 		change()
 		if hash := (MemberOrder{}).Hash(m); seen[hash] {
-			t.Errorf("the hash doesn't tell %+v from another", m)
+			t.Errorf("the hash doesn't distinguish %+v from another", m)
 		} else {
 			seen[hash] = true
 		}
--- a/internal/core/routing/handover_test.go
+++ b/internal/core/routing/handover_test.go
@@ -111,7 +111,7 @@
 	}
 }
 
-// Guards against invalid figures that would exclude a runner or an organisation for good.
+// Guards against invalid figures that would exclude a runner or an organisation permanently.
 func TestInvalidFiguresAreIgnored(t *testing.T) {
 	s := newTestScheduler(t, 1, nil)
 	for _, v := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), -1, 2 * maxHandedRate} {
--- a/internal/core/routing/kinds.go
+++ b/internal/core/routing/kinds.go
@@ -131,7 +131,7 @@
 
 // reserveFor returns what a request leaves free. It shrinks while the request is held, to
 // nothing at the hold limit, so that a steady stream of brief requests can't keep long ones
-// out for good.
+// out permanently.
 func (s *shard) reserveFor(now time.Time, e *entry, holdLimit time.Duration) reserve {
 	own := s.kinds.of(e)
 	if own == nil || !s.kinds.differ {
--- a/internal/core/speed/speed.go
+++ b/internal/core/speed/speed.go
@@ -28,7 +28,7 @@
 	// statedFor is how long a stated slowness says something about the present. Hosts
 	// that are shared turn slow for some tenths of a second at a time.
 	statedFor = 600 * time.Millisecond
-	// gapPeriod is the time after which the longest gap is taken anew. The longest gap
+	// gapPeriod is the time after which the longest gap starts again. The longest gap
 	// of the previous period counts as well.
 	gapPeriod = 5 * time.Second
 )
--- a/internal/gateway/continue_test.go
+++ b/internal/gateway/continue_test.go
@@ -133,7 +133,7 @@
 		"its answer is no stream":     {otherType, events(1, 3)},
 		"its status isn't 200":        {otherStatus, events(1, 3)},
 		"it repeats the last event":   {wholeStream(events(3, 6)), events(1, 3)},
-		"it begins anew":              {wholeStream(events(1, 6)), events(1, 3)},
+		"it starts again":             {wholeStream(events(1, 6)), events(1, 3)},
 		"it leaves out an event":      {wholeStream(events(5, 6)), events(1, 3)},
 		"its event has no id":         {wholeStream("data: e4\n\n"), events(1, 3)},
 		"it leaves out a later event": {wholeStream(events(4, 5) + events(7, 8)), events(1, 5)},
@@ -180,7 +180,7 @@
 	}
 }
 
-// Guards against a continuation at a wrong place after events whose ids don't tell it.
+// Guards against a continuation at a wrong place after events whose ids don't determine it.
 func TestStreamWithoutIDsIsNotContinued(t *testing.T) {
 	for _, first := range []string{"data: a\n\n", event(1) + "data: a\n\n", event(1) + event(2) + event(4)} {
 		b := newHarness(t)
@@ -191,7 +191,7 @@
 	}
 }
 
-// Guards against a run that is started anew although a copy of it exists.
+// Guards against a run that is started again although a copy of it exists.
 func TestCopyGoesBeforeNewRun(t *testing.T) {
 	b := newHarness(t)
 	e := &fakeEngine{next: 1, total: 6}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -214,7 +214,7 @@
 }
 
 // hasConnection returns a function that reports whether a client keeps an unused connection
-// to an endpoint, nil if the client doesn't tell.
+// to an endpoint, nil if the client doesn't know.
 func hasConnection(client port.Exchanger) func(e *port.Endpoint) bool {
 	if c, ok := client.(interface {
 		HasIdleConnection(e *port.Endpoint) bool
--- a/internal/scheduling/client.go
+++ b/internal/scheduling/client.go
@@ -96,7 +96,7 @@
 type openRun struct {
 	running     port.RunningRequest
 	coordinator string
-	// former is the coordinator before the last change; it is told about the run until
+	// former is the coordinator before the last change; it gets reports on the run until
 	// formerUntil. It is empty if there is none.
 	former      string
 	formerUntil time.Time
--- a/internal/scheduling/handover.go
+++ b/internal/scheduling/handover.go
@@ -51,7 +51,7 @@
 	// HandOver returns what is known about a pool. The fields that identify the message
 	// are empty.
 	HandOver(now time.Time, pool string) port.HandOver
-	// ApplyHandOver applies what another scheduler knew about a pool, where this one
+	// ApplyHandOver applies what another scheduler has learned about a pool, where this one
 	// knows nothing newer.
 	ApplyHandOver(now time.Time, h *port.HandOver) port.HandOverCounts
 }
@@ -74,7 +74,7 @@
 	// checked holds the candidates at the last check.
 	checked  *candidates
 	sequence uint64
-	// released holds what this daemon knew about the pools that it ceased to
+	// released holds what this daemon had learned about the pools that it ceased to
 	// coordinate within handOverKeep, by pool.
 	released map[string]*port.HandOver
 	// kept holds the received messages about pools that this daemon does not
--- a/internal/scheduling/handover_test.go
+++ b/internal/scheduling/handover_test.go
@@ -281,7 +281,7 @@
 	}
 }
 
-// Guards against a handover that is given up after one lost message, or repeated without
+// Guards against a handover that is abandoned after one lost message, or repeated without
 // end. Without it the successor learns from samples of its own.
 func TestLostHandOverIsRepeatedOnce(t *testing.T) {
 	for _, c := range []struct {
@@ -416,7 +416,7 @@
 }
 
 // Guards against losing everything when two coordinators change within a second and the
-// one in between never knew that it was the coordinator.
+// one in between never had the list in which it was the coordinator.
 func TestSecondSuccessorGetsWhatWasLearned(t *testing.T) {
 	f := newHandOverFleet(t, "a", "b", "c")
 	former := f.holder("a")
--- a/internal/scheduling/held.go
+++ b/internal/scheduling/held.go
@@ -48,7 +48,7 @@
 	})
 }
 
-// discardPlacement tells a coordinator that a request doesn't run, in case that it was
+// discardPlacement reports to a coordinator that a request doesn't run, in case that it was
 // placed while its caller left. The coordinator would count it until runExpiry.
 func (c *Client) discardPlacement(coordinator daemon, requestID string) {
 	c.mu.Lock()
@@ -70,7 +70,7 @@
 	}
 }
 
-// reassignRunLocked reports a run to a new coordinator. The former one is told about the
+// reassignRunLocked reports a run to a new coordinator. The former one gets reports on the
 // run for a while longer. The caller holds c.mu.
 func (c *Client) reassignRunLocked(r *openRun, coordinator daemon) {
 	now := c.opts.Clock()
@@ -99,7 +99,7 @@
 	}
 }
 
-// untrackFormerLocked tells the former coordinator that it need not count the run any
+// untrackFormerLocked reports to the former coordinator that it need not count the run any
 // more. The caller holds c.mu.
 func (c *Client) untrackFormerLocked(r *openRun) {
 	if r.former != "" && r.former != r.coordinator {
@@ -116,7 +116,7 @@
 	})
 }
 
-// formerInformedFor is how long the former coordinator of a run is told about the run. It
+// formerInformedFor is how long the former coordinator of a run gets reports on the run. It
 // must not take the runners for empty while it still holds requests, most of which are
 // placed or refused within this time.
 const formerInformedFor = 5 * time.Second
--- a/internal/scheduling/held_test.go
+++ b/internal/scheduling/held_test.go
@@ -61,7 +61,7 @@
 }
 
 // Guards against a held request that is placed twice, refused or forgotten because the
-// coordinator changes. The former coordinator keeps it, and the successor hears of its
+// coordinator changes. The former coordinator keeps it, and the successor learns of its
 // placement with the next message, without waiting for the next report of all runs.
 func TestHeldRequestStaysWithFormerCoordinator(t *testing.T) {
 	f := newHandOverFleet(t, "a", "b", "c")
