A returning caller's id is checked against one event only

Cause: for a caller that comes back with Last-Event-Id on a resumable route, each event of the first endpoint had to have a numeric id that grows by the same step. An answer that ends with an event without an id, has a comment, or ids such as 8, 12 and 14 was cut, and a second run was started. Comments also made the place in a stream unknown and ended a continuation.

Change: the id that the caller names is checked against the first event with an id of the first endpoint, and no later one. Blocks without data and id are passed on unchecked and leave the place as it is, also at a second endpoint. Events with data and no id still end a continuation.

--- a/internal/adapter/eventstream/eventstream.go
+++ b/internal/adapter/eventstream/eventstream.go
@@ -36,6 +36,9 @@
 type Event struct {
 	// ID is the event's ID, or empty if it has none.
 	ID string
+	// Empty is set if the block has neither a data nor an id field, as one that holds only
+	// comments.
+	Empty bool
 	// Raw is the event as received, including the blank line that ends it. It
 	// is valid until the next call of Next.
 	Raw []byte
@@ -70,7 +73,7 @@
 		return Event{}, io.EOF
 	}
 	raw := r.scanner.Bytes()
-	return Event{ID: eventID(raw), Raw: raw}, nil
+	return Event{ID: eventID(raw), Empty: isEmpty(raw), Raw: raw}, nil
 }
 
 // split is a bufio.SplitFunc that ends a token after a blank line.
@@ -98,6 +101,21 @@
 	return first
 }
 
+// byteOrderMark may precede the first line of a stream.
+var byteOrderMark = []byte("\xef\xbb\xbf")
+
+// isEmpty reports whether a block has neither a data nor an id field.
+func isEmpty(raw []byte) bool {
+	isLineEnd := func(r rune) bool { return r == '\n' || r == '\r' }
+	for line := range bytes.FieldsFuncSeq(bytes.TrimPrefix(raw, byteOrderMark), isLineEnd) {
+		name, _, _ := bytes.Cut(line, []byte(":"))
+		if field := string(name); field == "data" || field == "id" {
+			return false
+		}
+	}
+	return true
+}
+
 // eventID returns the event's ID. If the library can't parse the event, the ID is
 // empty; the only consequence is that the stream can't be continued from this
 // event at another endpoint.
--- a/internal/gateway/continue.go
+++ b/internal/gateway/continue.go
@@ -45,11 +45,13 @@
 	return continuity.AllowsResumption(r.Resumable, r.MaxAttempts)
 }
 
-// expectCallersPlace makes the stream begin after the event that the caller names as its
-// last one, if its route is resumable.
+// expectCallersPlace makes the ids of the stream begin after the event that the caller names
+// as its last one, if its route is resumable.
 func (r *relay) expectCallersPlace() {
 	if id := r.x.req.Header.Get(lastEventIDHeader); id != "" && r.x.isResumable() {
-		r.place, r.checked = continuity.After(id), true
+		r.place = continuity.After(id)
+		callersPlace := r.place
+		r.callersPlace = &callersPlace
 	}
 }
 
--- a/internal/gateway/continue_test.go
+++ b/internal/gateway/continue_test.go
@@ -244,6 +244,56 @@
 	checkSent(t, b, "5")
 }
 
+// Guards against an answer to a returning caller that is cut, and run a second time, because
+// of a block after its first event whose id is none or doesn't grow by the same step.
+func TestOnlyFirstEventIsCheckedForReturningCaller(t *testing.T) {
+	for name, answer := range map[string]string{
+		"an end without an id":        events(4, 6) + "data: [DONE]\n\n",
+		"a comment at the beginning":  ": ping\n\n" + events(4, 6),
+		"a comment in between":        event(4) + ": ping\n\n" + events(5, 6),
+		"ids that grow unevenly":      event(8) + event(12) + event(14),
+		"an id that isn't a number":   event(4) + "id: end\ndata: x\n\n",
+		"a beginning without an id":   "data: x\n\n" + events(4, 6),
+		"no id at all, with comments": ": ping\n\ndata: x\n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newHarness(t)
+			b.setHandlers("e", wholeStream(answer))
+			got := &fakeCaller{}
+			if refusal := b.sendAfter(t, "3", "/resume/", got); refusal != nil || got.text() != answer {
+				t.Errorf("%v after %q", refusal, got.text())
+			}
+			checkSent(t, b)
+		})
+	}
+}
+
+// Guards against an event before the caller's place that passes because blocks without an id
+// come before it.
+func TestFirstEventWithIDIsCheckedForReturningCaller(t *testing.T) {
+	for _, before := range []string{": ping\n\n", "data: x\n\n"} {
+		b := newHarness(t)
+		b.setHandlers("e", sequence(wholeStream(before+events(1, 6)), reply(500, "x")))
+		got := &fakeCaller{}
+		checkIncomplete(t, b.sendAfter(t, "3", "/resume/", got), got, before)
+	}
+}
+
+// Guards against a stream that isn't continued, or whose continuation is cut, because of
+// blocks that hold no event.
+func TestCommentsDoNotInterruptContinuedStream(t *testing.T) {
+	const comment = ": ping\n\n"
+	first := event(1) + comment + events(2, 3) + comment
+	second := comment + event(4) + "retry: 10\r\n\r\n" + events(5, 6)
+	b := newHarness(t)
+	b.setHandlers("e", sequence(cutStream(first), wholeStream(second)))
+	got := &fakeCaller{}
+	if refusal := b.send(t, "/resume/", got); refusal != nil || got.text() != first+second {
+		t.Fatalf("%v after %q", refusal, got.text())
+	}
+	checkSent(t, b, "3")
+}
+
 // Guards against any repeated, missing or foreign event, for endpoints that break off and
 // continue at any place: the caller has a prefix of the stream, and all of it if the answer
 // ends as a whole one.
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -21,6 +21,9 @@
 	lastEventAt time.Time
 	// place is where the caller is in the stream.
 	place continuity.Sequence
+	// callersPlace is the place that a returning caller names, nil once the first event with
+	// an id was checked against it. Later events of the endpoint may have any ids.
+	callersPlace *continuity.Sequence
 	// checked: events are relayed only if they follow the caller's last one, because a new
 	// run continues the stream.
 	checked bool
@@ -93,7 +96,7 @@
 		if err != nil {
 			return err
 		}
-		if r.checked && !r.place.IsNext(event.ID) {
+		if !r.mayRelay(&event) {
 			return errNotNextEvent
 		}
 		if err := r.relayEvent(a, &event); err != nil {
@@ -102,6 +105,22 @@
 	}
 }
 
+// mayRelay reports whether an event may be sent to the caller. Blocks that hold no event,
+// such as comments, always may.
+func (r *relay) mayRelay(event *eventstream.Event) bool {
+	switch {
+	case event.Empty:
+		return true
+	case r.checked:
+		return r.place.IsNext(event.ID)
+	case r.callersPlace != nil && event.ID != "":
+		place := r.callersPlace
+		r.callersPlace = nil
+		return place.IsNext(event.ID)
+	}
+	return true
+}
+
 func (r *relay) relayEvent(a *port.Answer, event *eventstream.Event) error {
 	x := r.x
 	first := !r.begun
@@ -123,7 +142,7 @@
 		return err
 	}
 	x.g.crashWatch.Progress(r.p.watched)
-	r.countEvent(event.ID, x.g.Clock().Sub(began) >= slowWrite)
+	r.countEvent(event, x.g.Clock().Sub(began) >= slowWrite)
 	if first && r.p.generation {
 		x.g.moveIfLeaving(r.run)
 	}
@@ -141,13 +160,15 @@
 
 // countEvent updates the metrics and the scheduler after an event was sent to
 // the caller. delayed is set if the caller held the stream up.
-func (r *relay) countEvent(id string, delayed bool) {
+func (r *relay) countEvent(event *eventstream.Event, delayed bool) {
 	x := r.x
 	now := x.g.Clock()
 	x.g.metrics.events.Inc(1)
 	r.recordTiming(now)
-	r.run.setLastID(id)
-	r.place.Add(id)
+	r.run.setLastID(event.ID)
+	if !event.Empty {
+		r.place.Add(event.ID)
+	}
 	if r.p.generation {
 		r.p.tokens += max(1, x.engine.EventTokens)
 		if delayed {
