A continued stream's attempts each have their own context

Cause: a stream that was given up stayed open, with its context, until the whole answer ended, so that two runs of one request were in progress, for example after an event that doesn't follow the caller's last one. The context of a continuation was derived from that of the first attempt, and the end of the stream was judged by the first one. A quarantine between the headers of the second endpoint and its first event therefore counted as a lost connection of a healthy endpoint.

Change: the relay holds the context of its present attempt, which is derived from that of the request, and judges the end of the stream by it. A stream that is given up is closed and its context ended before another endpoint is asked.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -32,8 +32,8 @@
 }
 
 // attempt sends the request to one endpoint and relays its answer.
-func (x *exchange) attempt(ctx context.Context, p *placement) stream.RunOutcome {
-	ctx, withdraw := context.WithCancelCause(ctx)
+func (x *exchange) attempt(requestCtx context.Context, p *placement) stream.RunOutcome {
+	ctx, withdraw := context.WithCancelCause(requestCtx)
 	defer withdraw(nil)
 	x.beginAttempt(p, func() { withdraw(errWithdrawn) })
 	began := x.g.Clock()
@@ -49,7 +49,7 @@
 	x.reportLoad(p, answer)
 	observe(x.g.metrics.answerDelay, x.g.Clock().Sub(began))
 	if answer.Status == http.StatusOK && eventstream.IsEventStream(answer.Header.Get("Content-Type")) {
-		return x.relayEvents(ctx, p, answer)
+		return x.relayEvents(requestCtx, attemptContext{ctx, func() { withdraw(nil) }}, p, answer)
 	}
 	x.g.crashWatch.Answering(p.watched)
 	return x.relayBody(ctx, p, answer, began)
--- a/internal/gateway/continue.go
+++ b/internal/gateway/continue.go
@@ -57,31 +57,37 @@
 
 // continueElsewhere has another endpoint continue the stream after the caller's last event,
 // if the stream broke off, there is no copy of its run, and its route is resumable. It
-// returns the stream that continues and a function that ends its request, or nil.
-func (r *relay) continueElsewhere(ctx context.Context, streamErr error) (*port.Answer, context.CancelFunc) {
+// returns the stream that continues, whose context is then that of the present attempt, or
+// nil. ctx is the context of the request.
+func (r *relay) continueElsewhere(ctx context.Context, a *port.Answer, streamErr error) *port.Answer {
 	x := r.x
 	if errors.Is(streamErr, io.EOF) || !x.responseStarted || !x.isResumable() {
-		return nil, nil
+		return nil
 	}
 	lastID, _ := r.place.LastID()
 	cause := streamErr.Error()
 	if !r.ended {
-		r.endBroken(ctx, streamErr)
+		r.endBroken(streamErr)
 	}
+	// The abandoned run may still be in progress at its endpoint.
+	r.attempt.end()
+	_ = a.Body.Close()
 	x.continuing = &continuation{began: x.g.Clock(), tokens: x.delivered.Events * x.eventTokens()}
 	defer func() { x.continuing = nil }()
 	for {
 		if why := r.whyNotContinued(ctx); why != continuity.ContinueElsewhere {
-			return nil, r.notContinued(lastID, why)
+			r.notContinued(lastID, why)
+			return nil
 		}
 		p, refusal := x.placeUnlessQuarantined(ctx)
 		if refusal != nil {
-			return nil, r.notContinued(lastID, refusal.Error())
+			r.notContinued(lastID, refusal.Error())
+			return nil
 		}
-		if next, stop := r.sendContinuation(ctx, p, lastID); next != nil {
+		if next := r.sendContinuation(ctx, p, lastID); next != nil {
 			x.record(verdictResume, "continued without a copy after event "+lastID+", because the stream broke off: "+cause, "", nil)
 			x.g.metrics.streamsContinued.Inc(1)
-			return next, stop
+			return next
 		}
 	}
 }
@@ -105,16 +111,15 @@
 	return i.Decide()
 }
 
-func (r *relay) notContinued(lastID, why string) context.CancelFunc {
+func (r *relay) notContinued(lastID, why string) {
 	r.x.record(verdictResume, "not continued after event "+lastID+": "+why, "", nil)
 	r.x.g.metrics.streamsNotContinued.Inc(1)
 	r.x.reason += "; not continued: " + why
-	return nil
 }
 
 // sendContinuation sends the request for the remainder of the stream to one endpoint. It
 // returns nil if the endpoint doesn't answer with a stream; the attempt has then ended.
-func (r *relay) sendContinuation(ctx context.Context, p *placement, lastID string) (*port.Answer, context.CancelFunc) {
+func (r *relay) sendContinuation(ctx context.Context, p *placement, lastID string) *port.Answer {
 	x := r.x
 	ctx, withdraw := context.WithCancelCause(ctx)
 	stop := func() { withdraw(nil) }
@@ -135,12 +140,13 @@
 	default:
 		x.mayHaveRun++
 		r.p, r.checked, r.begun, r.ended = p, true, false, false
+		r.attempt = attemptContext{ctx, stop}
 		x.delivered.Runners++
 		x.release(r.run.setSource(p.endpoint, answer.Body))
-		return answer, stop
+		return answer
 	}
 	stop()
-	return nil, nil
+	return nil
 }
 
 // eventTokens returns the number of tokens in one event of the request's pool.
--- a/internal/gateway/continue_test.go
+++ b/internal/gateway/continue_test.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 
@@ -88,6 +90,79 @@
 	}
 }
 
+// closableBody is a body that records that it was closed.
+type closableBody struct {
+	io.Reader
+	closed bool
+}
+
+func (b *closableBody) Close() error {
+	b.closed = true
+	return nil
+}
+
+// Guards against two open runs of one request: the abandoned one must be closed and its
+// context cancelled before another endpoint is asked.
+func TestAbandonedStreamIsClosedBeforeContinuation(t *testing.T) {
+	const comment = ": ping\n\n"
+	for name, c := range map[string]struct {
+		callersID string
+		streams   []io.Reader
+		want      string
+	}{
+		"a lost connection": {"", []io.Reader{cutBody{strings.NewReader(events(1, 3))}, strings.NewReader(events(4, 6))}, events(1, 6)},
+		"an event that the caller has": {
+			"3", []io.Reader{strings.NewReader(comment + events(3, 6)), strings.NewReader(events(4, 6))}, comment + events(4, 6),
+		},
+		"a second endpoint that leaves out an event": {
+			"", []io.Reader{cutBody{strings.NewReader(events(1, 2))}, strings.NewReader(event(3) + event(5)), strings.NewReader(events(4, 6))}, events(1, 6),
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newHarness(t)
+			b.setMaxAttempts(3)
+			var bodies []*closableBody
+			b.setHandlers("e", func(*port.Exchange) (*port.Answer, error) {
+				b.backends.mu.Lock()
+				defer b.backends.mu.Unlock()
+				n := len(bodies)
+				for i, body := range bodies {
+					if !body.closed || b.backends.contexts[i].Err() == nil {
+						t.Errorf("request %d is sent while request %d is open", n, i)
+					}
+				}
+				if b.backends.contexts[n].Err() != nil {
+					t.Errorf("request %d is sent with a context that has ended", n)
+				}
+				bodies = append(bodies, &closableBody{Reader: c.streams[n]})
+				return streamed(bodies[n])
+			})
+			got := &fakeCaller{}
+			send := func() *Refusal { return b.send(t, "/resume/", got) }
+			if c.callersID != "" {
+				send = func() *Refusal { return b.sendAfter(t, c.callersID, "/resume/", got) }
+			}
+			if refusal := send(); refusal != nil || got.text() != c.want || len(bodies) != len(c.streams) {
+				t.Errorf("%v after %q from %d streams", refusal, got.text(), len(bodies))
+			}
+		})
+	}
+}
+
+// setMaxAttempts sets the bound on the attempts of the route of resumable streams.
+func (b *harness) setMaxAttempts(n int) {
+	table := testTable(2)
+	for i := range table.Routes {
+		if table.Routes[i].Name == "resume" {
+			table.Routes[i].MaxAttempts = n
+		}
+	}
+	b.view.mu.Lock()
+	b.view.records = []port.Record{recordOf(table)}
+	b.view.mu.Unlock()
+	b.apply()
+}
+
 // Guards against a stream whose endpoint crashed after the last event and that ends
 // incomplete although nothing is missing.
 func TestContinuationWithoutEventsEndsStream(t *testing.T) {
@@ -358,3 +433,50 @@
 		}
 	}
 }
+
+// readerFunc is a reader that calls a function.
+type readerFunc func([]byte) (int, error)
+
+func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
+
+// Guards against a quarantine that counts as a lost connection of a healthy endpoint: it
+// comes after the headers of the second endpoint and before its first event.
+func TestStreamQuarantinedAfterHeadersOfContinuation(t *testing.T) {
+	b := newHarness(t)
+	b.setMaxAttempts(3)
+	placer := &kindPlacer{Placer: b.Placer}
+	b.Placer = placer
+	b.setHandlers("e", sequence(cutStream(events(1, 3)), func(*port.Exchange) (*port.Answer, error) {
+		return streamed(io.NopCloser(readerFunc(func([]byte) (int, error) {
+			b.quarantineRequest("/resume/")
+			b.crashWatch.Tick()
+			return 0, context.Canceled
+		})))
+	}))
+	got := &fakeCaller{}
+	refusal := b.send(t, "/resume/", got)
+	checkIncomplete(t, refusal, got, events(1, 3))
+	checkSent(t, b, "3")
+	if refusal.Cause != CauseQuarantined {
+		t.Errorf("the cause is %q", refusal.Cause)
+	}
+	if want := []port.FinishKind{port.FinishFailed, port.FinishCancelled}; !slices.Equal(placer.kinds, want) {
+		t.Errorf("the attempts ended as %v, want %v", placer.kinds, want)
+	}
+	for _, d := range b.sink.All() {
+		if d.Verdict == verdictFinish && !strings.Contains(d.Reason, errWithdrawn.Error()) {
+			t.Errorf("the request's end is recorded as %q", d.Reason)
+		}
+	}
+}
+
+// kindPlacer records how attempts ended.
+type kindPlacer struct {
+	Placer
+	kinds []port.FinishKind
+}
+
+func (p *kindPlacer) Finished(id string, tokens int, kind port.FinishKind) {
+	p.kinds = append(p.kinds, kind)
+	p.Placer.Finished(id, tokens, kind)
+}
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -15,9 +15,11 @@
 // relay relays one stream of events, which may come from several runners one
 // after the other.
 type relay struct {
-	x           *exchange
-	p           *placement
-	run         *run
+	x   *exchange
+	p   *placement
+	run *run
+	// attempt is the context of the present attempt.
+	attempt     attemptContext
 	lastEventAt time.Time
 	// place is where the caller is in the stream.
 	place continuity.Sequence
@@ -33,10 +35,17 @@
 	ended bool
 }
 
+// attemptContext is the context of one attempt, which ends before that of its request if the
+// attempt is withdrawn or abandoned.
+type attemptContext struct {
+	context.Context
+	end context.CancelFunc
+}
+
 // relayEvents relays a stream of events. Each event is sent as soon as it is
-// complete.
-func (x *exchange) relayEvents(ctx context.Context, p *placement, a *port.Answer) stream.RunOutcome {
-	r := &relay{x: x, p: p, run: &run{x: x}}
+// complete. ctx is the context of the request.
+func (x *exchange) relayEvents(ctx context.Context, attempt attemptContext, p *placement, a *port.Answer) stream.RunOutcome {
+	r := &relay{x: x, p: p, run: &run{x: x}, attempt: attempt}
 	r.expectCallersPlace()
 	x.delivered = &port.Delivery{HeldMillis: x.heldFor.Milliseconds(), Runners: 1}
 	r.run.setSource(p.endpoint, a.Body)
@@ -51,17 +60,16 @@
 			return x.endCallerGone(r.p, err)
 		}
 		if errors.Is(err, io.EOF) {
-			err = r.checkEnd(ctx, a)
+			err = r.checkEnd(a)
 		}
-		next := r.resumeFromCopy(ctx, err)
+		next := r.resumeFromCopy(err)
 		if next == nil {
-			var stop context.CancelFunc
-			if next, stop = r.continueElsewhere(ctx, err); next != nil {
-				defer stop()
+			if next = r.continueElsewhere(ctx, a, err); next != nil {
+				defer r.attempt.end()
 			}
 		}
 		if next == nil {
-			return r.finishStream(ctx, a, err)
+			return r.finishStream(a, err)
 		}
 		defer next.Body.Close()
 		a = next
@@ -74,11 +82,11 @@
 
 // checkEnd returns io.EOF if a stream that was read to its end is whole, otherwise the
 // reason why it isn't.
-func (r *relay) checkEnd(ctx context.Context, a *port.Answer) error {
+func (r *relay) checkEnd(a *port.Answer) error {
 	switch {
-	case !a.Delimited && r.run.stoppedByMove(ctx.Done()):
+	case !a.Delimited && r.run.stoppedByMove(r.attempt.Done()):
 		return errRunStopped
-	case !r.x.endedOrderly(ctx, r.p, a):
+	case !r.x.endedOrderly(r.attempt, r.p, a):
 		return errEndedWithEndpoint
 	}
 	return io.EOF
@@ -200,11 +208,11 @@
 // resumeFromCopy resumes the run from its copy, at the destination or else at
 // the source, if there is a copy and the stream broke off before its end. It
 // returns the stream that continues, or nil.
-func (r *relay) resumeFromCopy(ctx context.Context, streamErr error) *port.Answer {
+func (r *relay) resumeFromCopy(streamErr error) *port.Answer {
 	if errors.Is(streamErr, io.EOF) || !r.x.responseStarted {
 		return nil
 	}
-	c, lastID := r.run.awaitCopy(ctx.Done())
+	c, lastID := r.run.awaitCopy(r.attempt.Done())
 	if c == nil || r.x.quarantineRefusal() != nil {
 		return nil
 	}
@@ -215,10 +223,10 @@
 			r.x.recordConcurrent(verdictResume, "not taken up: the endpoint's failure domain is evacuated", at.ID, nil)
 			continue
 		}
-		if !r.x.awaitPauseEnd(ctx, verdictResume, at) {
+		if !r.x.awaitPauseEnd(r.attempt, verdictResume, at) {
 			continue
 		}
-		next, err := r.x.resume(ctx, r.p, at, c, lastID)
+		next, err := r.x.resume(r.attempt, r.p, at, c, lastID)
 		if err != nil {
 			r.x.recordConcurrent(verdictResume, "not taken up: "+err.Error(), at.ID, nil)
 			continue
@@ -261,11 +269,11 @@
 
 // finishStream classifies the end of a stream and ends the attempt. err is io.EOF if the
 // stream is whole.
-func (r *relay) finishStream(ctx context.Context, a *port.Answer, err error) stream.RunOutcome {
+func (r *relay) finishStream(a *port.Answer, err error) stream.RunOutcome {
 	x := r.x
-	if !errors.Is(err, io.EOF) || ctx.Err() != nil {
+	if !errors.Is(err, io.EOF) || r.attempt.Err() != nil {
 		if !r.ended {
-			r.endBroken(ctx, err)
+			r.endBroken(err)
 		}
 		if x.responseStarted {
 			return stream.OutcomeRan
@@ -283,15 +291,15 @@
 }
 
 // endBroken ends an attempt whose stream broke off.
-func (r *relay) endBroken(ctx context.Context, err error) {
+func (r *relay) endBroken(err error) {
 	x := r.x
 	r.ended = true
 	x.reason = "the stream broke off: " + err.Error()
-	x.left = ctx.Err() != nil
+	x.left = r.attempt.Err() != nil
 	x.connectionLost = !x.left && !errors.Is(err, errNotNextEvent)
-	x.recordIfWithdrawn(ctx)
+	x.recordIfWithdrawn(r.attempt)
 	x.g.metrics.attemptFailed("cut")
-	kind := finishKind(ctx, port.FinishFailed)
+	kind := finishKind(r.attempt, port.FinishFailed)
 	if errors.Is(err, errNotNextEvent) {
 		// The endpoint is fine; it doesn't continue this stream.
 		kind = port.FinishCancelled
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -36,6 +36,8 @@
 	// copyHandler answers copies of runs.
 	copyHandler func(from port.Endpoint, to port.Endpoint, stop bool) (port.Copy, error)
 	sent        []port.Exchange
+	// contexts holds the context of each request in sent.
+	contexts []context.Context
 	// silent endpoints receive requests and never answer them.
 	silent map[string]bool
 	// presence is the result of probing an endpoint, by id; others are serving.
@@ -49,7 +51,7 @@
 
 func (e *fakeEndpoints) Send(ctx context.Context, x *port.Exchange) (*port.Answer, error) {
 	e.mu.Lock()
-	e.sent = append(e.sent, *x)
+	e.sent, e.contexts = append(e.sent, *x), append(e.contexts, ctx)
 	answer := e.handlers[x.Endpoint.ID]
 	silent := e.silent[x.Endpoint.ID]
 	e.mu.Unlock()
