The slowness stated by a continuing endpoint reaches the placer

Cause: an answer that continues a stream at another endpoint didn't pass on the load that it states, as the first answer of a request does. The run was timed by the slowness of the endpoint that had failed.

Change: a continuation reports the load of its answer, also if it isn't used.

Result: TestStatedSlownessOfContinuationReachesPlacer observed 2.4 only, and now 2.4 and 0.7; it passes with -race, as do the tests of continuations.

--- a/internal/gateway/continue.go
+++ b/internal/gateway/continue.go
@@ -129,16 +129,18 @@
 	stopCheck := x.checkPathIfSilent(p)
 	answer, err := x.send(ctx, out)
 	stopCheck()
+	if err == nil {
+		x.mayHaveRun++
+		x.reportLoad(p, answer)
+	}
 	switch {
 	case err != nil:
 		x.handleSendError(ctx, p, answer, err)
 	case answer.Status != http.StatusOK || !eventstream.IsEventStream(answer.Header.Get("Content-Type")):
 		_ = answer.Body.Close()
-		x.mayHaveRun++
 		x.reason = errNoContinuation.Error()
 		x.endAttempt(p, port.FinishCancelled)
 	default:
-		x.mayHaveRun++
 		r.p, r.checked, r.begun, r.ended = p, true, false, false
 		r.attempt = attemptContext{ctx, stop}
 		x.delivered.Runners++
--- a/internal/gateway/slowness_test.go
+++ b/internal/gateway/slowness_test.go
@@ -56,6 +56,29 @@
 	}
 }
 
+// Guards against a run that continues a stream at another endpoint and is placed and timed by
+// the slowness of the endpoint before.
+func TestStatedSlownessOfContinuationReachesPlacer(t *testing.T) {
+	b := newHarness(t)
+	placer := &slownessPlacer{Placer: b.Placer}
+	b.Placer = placer
+	withSlowness := func(slowness float64, h handler) handler {
+		return func(x *port.Exchange) (*port.Answer, error) {
+			a, err := h(x)
+			a.Load = &port.LoadHint{Slowness: slowness}
+			return a, err
+		}
+	}
+	b.setHandlers("e", sequence(withSlowness(2.4, cutStream(events(1, 3))), withSlowness(0.7, wholeStream(events(4, 6)))))
+	got := &fakeCaller{}
+	if refusal := b.send(t, "/resume/", got); refusal != nil || got.text() != events(1, 6) {
+		t.Fatalf("%v after %q", refusal, got.text())
+	}
+	if want := []float64{2.4, 0.7}; !slices.Equal(placer.observed, want) {
+		t.Errorf("observed %v, want %v", placer.observed, want)
+	}
+}
+
 // Guards against counting the load of a plain service as the slowness of a run.
 func TestLoadOfPlainServiceIsNoSlownessOfRun(t *testing.T) {
 	b := newHarness(t)
