A continuation without events doesn't make an answer whole

Cause: an empty stream with status 200 of a second endpoint ended the answer as a whole one. Such a stream doesn't show that the first endpoint had sent its last event: an endpoint that doesn't know the place may answer with it too, and the caller would take a part of the stream for all of it.

Change: a continuation that ends before its first event, comments aside, is not used. Another endpoint is asked if max_attempts and the retry budget allow it, otherwise the answer ends incomplete. TestContinuationWithoutEventsEndsStream required the opposite; TestContinuationWithoutEventsIsNotUsed replaces it and is stricter: it requires an incomplete answer, also after a comment, and checks the metric and how the attempts ended. A stream whose endpoint crashed right after its last event now ends incomplete.

--- a/internal/gateway/continue.go
+++ b/internal/gateway/continue.go
@@ -141,7 +141,7 @@
 		x.reason = errNoContinuation.Error()
 		x.endAttempt(p, port.FinishCancelled)
 	default:
-		r.p, r.checked, r.begun, r.ended = p, true, false, false
+		r.p, r.checked, r.joined, r.begun, r.ended = p, true, false, false, false
 		r.attempt = attemptContext{ctx, stop}
 		x.delivered.Runners++
 		x.release(r.run.setSource(p.endpoint, answer.Body))
--- a/internal/gateway/continue_test.go
+++ b/internal/gateway/continue_test.go
@@ -163,15 +163,39 @@
 	b.apply()
 }
 
-// Guards against a stream whose endpoint crashed after the last event and that ends
-// incomplete although nothing is missing.
-func TestContinuationWithoutEventsEndsStream(t *testing.T) {
+// Guards against an answer that looks whole although events may be missing: a continuation
+// without any event doesn't show that the first endpoint had sent the last one.
+func TestContinuationWithoutEventsIsNotUsed(t *testing.T) {
+	const comment = ": ping\n\n"
+	for second, want := range map[string]string{"": events(1, 3), comment: events(1, 3) + comment} {
+		b := newHarness(t)
+		placer := &kindPlacer{Placer: b.Placer}
+		b.Placer = placer
+		b.setHandlers("e", sequence(cutStream(events(1, 3)), wholeStream(second)))
+		got := &fakeCaller{}
+		refusal := b.send(t, "/resume/", got)
+		checkIncomplete(t, refusal, got, want)
+		checkSent(t, b, "3")
+		if b.metrics.streamsNotContinued.Count() != 1 {
+			t.Errorf("%d streams count as not continued", b.metrics.streamsNotContinued.Count())
+		}
+		if want := []port.FinishKind{port.FinishFailed, port.FinishCancelled}; !slices.Equal(placer.kinds, want) {
+			t.Errorf("the attempts ended as %v, want %v", placer.kinds, want)
+		}
+	}
+}
+
+// Guards against an answer that ends incomplete after a continuation without events although
+// another endpoint may still be asked.
+func TestContinuationWithoutEventsGoesToThirdEndpoint(t *testing.T) {
 	b := newHarness(t)
-	b.setHandlers("e", sequence(cutStream(events(1, 3)), wholeStream("")))
+	b.setMaxAttempts(3)
+	b.setHandlers("e", sequence(cutStream(events(1, 3)), wholeStream(""), wholeStream(events(4, 6))))
 	got := &fakeCaller{}
-	if refusal := b.send(t, "/resume/", got); refusal != nil || got.text() != events(1, 3) {
+	if refusal := b.send(t, "/resume/", got); refusal != nil || got.text() != events(1, 6) {
 		t.Fatalf("%v after %q", refusal, got.text())
 	}
+	checkSent(t, b, "3", "3")
 }
 
 // Guards against a stream that ends although another endpoint would continue it, because
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -29,6 +29,8 @@
 	// checked: events are relayed only if they follow the caller's last one, because a new
 	// run continues the stream.
 	checked bool
+	// joined: an event of the new run that continues the stream was relayed.
+	joined bool
 	// begun: an event of the present endpoint was relayed.
 	begun bool
 	// ended: the last attempt has been ended.
@@ -88,6 +90,9 @@
 		return errRunStopped
 	case !r.x.endedOrderly(r.attempt, r.p, a):
 		return errEndedWithEndpoint
+	case r.checked && !r.joined:
+		// Whether the caller's last event is the last one of the stream isn't known.
+		return errNoContinuation
 	}
 	return io.EOF
 }
@@ -176,6 +181,7 @@
 	r.run.setLastID(event.ID)
 	if !event.Empty {
 		r.place.Add(event.ID)
+		r.joined = true
 	}
 	if r.p.generation {
 		r.p.tokens += max(1, x.engine.EventTokens)
@@ -296,12 +302,13 @@
 	r.ended = true
 	x.reason = "the stream broke off: " + err.Error()
 	x.left = r.attempt.Err() != nil
-	x.connectionLost = !x.left && !errors.Is(err, errNotNextEvent)
+	// The endpoint is fine if it only doesn't continue this stream.
+	unusable := errors.Is(err, errNotNextEvent) || errors.Is(err, errNoContinuation)
+	x.connectionLost = !x.left && !unusable
 	x.recordIfWithdrawn(r.attempt)
 	x.g.metrics.attemptFailed("cut")
 	kind := finishKind(r.attempt, port.FinishFailed)
-	if errors.Is(err, errNotNextEvent) {
-		// The endpoint is fine; it doesn't continue this stream.
+	if unusable {
 		kind = port.FinishCancelled
 	}
 	x.endAttempt(r.p, kind)
