--- a/internal/gateway/continue.go
+++ b/internal/gateway/continue.go
@@ -45,41 +45,49 @@
 	return continuity.AllowsResumption(r.Resumable, r.MaxAttempts)
 }
 
-// expectCallersPlace makes the stream begin after the event that the caller names as its
-// last one, if its route is resumable.
+// expectCallersPlace makes the ids of the stream begin after the event that the caller names
+// as its last one, if its route is resumable.
 func (r *relay) expectCallersPlace() {
 	if id := r.x.req.Header.Get(lastEventIDHeader); id != "" && r.x.isResumable() {
-		r.place, r.checked = continuity.After(id), true
+		r.place = continuity.After(id)
+		callersPlace := r.place
+		r.callersPlace = &callersPlace
 	}
 }
 
 // continueElsewhere has another endpoint continue the stream after the caller's last event,
 // if the stream broke off, there is no copy of its run, and its route is resumable. It
-// returns the stream that continues and a function that ends its request, or nil.
-func (r *relay) continueElsewhere(ctx context.Context, streamErr error) (*port.Answer, context.CancelFunc) {
+// returns the stream that continues, whose context is then that of the present attempt, or
+// nil. ctx is the context of the request.
+func (r *relay) continueElsewhere(ctx context.Context, a *port.Answer, streamErr error) *port.Answer {
 	x := r.x
 	if errors.Is(streamErr, io.EOF) || !x.responseStarted || !x.isResumable() {
-		return nil, nil
+		return nil
 	}
 	lastID, _ := r.place.LastID()
 	cause := streamErr.Error()
 	if !r.ended {
-		r.endBroken(ctx, streamErr)
+		r.endBroken(streamErr)
 	}
+	// The abandoned run may still be in progress at its endpoint.
+	r.attempt.end()
+	_ = a.Body.Close()
 	x.continuing = &continuation{began: x.g.Clock(), tokens: x.delivered.Events * x.eventTokens()}
 	defer func() { x.continuing = nil }()
 	for {
 		if why := r.whyNotContinued(ctx); why != continuity.ContinueElsewhere {
-			return nil, r.notContinued(lastID, why)
+			r.notContinued(lastID, why)
+			return nil
 		}
 		p, refusal := x.placeUnlessQuarantined(ctx)
 		if refusal != nil {
-			return nil, r.notContinued(lastID, refusal.Error())
+			r.notContinued(lastID, refusal.Error())
+			return nil
 		}
-		if next, stop := r.sendContinuation(ctx, p, lastID); next != nil {
+		if next := r.sendContinuation(ctx, p, lastID); next != nil {
 			x.record(verdictResume, "continued without a copy after event "+lastID+", because the stream broke off: "+cause, "", nil)
 			x.g.metrics.streamsContinued.Inc(1)
-			return next, stop
+			return next
 		}
 	}
 }
@@ -103,16 +111,15 @@
 	return i.Decide()
 }
 
-func (r *relay) notContinued(lastID, why string) context.CancelFunc {
+func (r *relay) notContinued(lastID, why string) {
 	r.x.record(verdictResume, "not continued after event "+lastID+": "+why, "", nil)
 	r.x.g.metrics.streamsNotContinued.Inc(1)
 	r.x.reason += "; not continued: " + why
-	return nil
 }
 
 // sendContinuation sends the request for the remainder of the stream to one endpoint. It
 // returns nil if the endpoint doesn't answer with a stream; the attempt has then ended.
-func (r *relay) sendContinuation(ctx context.Context, p *placement, lastID string) (*port.Answer, context.CancelFunc) {
+func (r *relay) sendContinuation(ctx context.Context, p *placement, lastID string) *port.Answer {
 	x := r.x
 	ctx, withdraw := context.WithCancelCause(ctx)
 	stop := func() { withdraw(nil) }
@@ -122,23 +129,26 @@
 	stopCheck := x.checkPathIfSilent(p)
 	answer, err := x.send(ctx, out)
 	stopCheck()
+	if err == nil {
+		x.mayHaveRun++
+		x.reportLoad(p, answer)
+	}
 	switch {
 	case err != nil:
 		x.handleSendError(ctx, p, answer, err)
 	case answer.Status != http.StatusOK || !eventstream.IsEventStream(answer.Header.Get("Content-Type")):
 		_ = answer.Body.Close()
-		x.mayHaveRun++
 		x.reason = errNoContinuation.Error()
 		x.endAttempt(p, port.FinishCancelled)
 	default:
-		x.mayHaveRun++
-		r.p, r.checked, r.begun, r.ended = p, true, false, false
+		r.p, r.checked, r.joined, r.begun, r.ended = p, true, false, false, false
+		r.attempt = attemptContext{ctx, stop}
 		x.delivered.Runners++
 		x.release(r.run.setSource(p.endpoint, answer.Body))
-		return answer, stop
+		return answer
 	}
 	stop()
-	return nil, nil
+	return nil
 }
 
 // eventTokens returns the number of tokens in one event of the request's pool.
--- a/internal/gateway/continue_test.go
+++ b/internal/gateway/continue_test.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 
@@ -88,15 +90,112 @@
 	}
 }
 
-// Guards against a stream whose endpoint crashed after the last event and that ends
-// incomplete although nothing is missing.
-func TestContinuationWithoutEventsEndsStream(t *testing.T) {
+// closableBody is a body that records that it was closed.
+type closableBody struct {
+	io.Reader
+	closed bool
+}
+
+func (b *closableBody) Close() error {
+	b.closed = true
+	return nil
+}
+
+// Guards against two open runs of one request: the abandoned one must be closed and its
+// context cancelled before another endpoint is asked.
+func TestAbandonedStreamIsClosedBeforeContinuation(t *testing.T) {
+	const comment = ": ping\n\n"
+	for name, c := range map[string]struct {
+		callersID string
+		streams   []io.Reader
+		want      string
+	}{
+		"a lost connection": {"", []io.Reader{cutBody{strings.NewReader(events(1, 3))}, strings.NewReader(events(4, 6))}, events(1, 6)},
+		"an event that the caller has": {
+			"3", []io.Reader{strings.NewReader(comment + events(3, 6)), strings.NewReader(events(4, 6))}, comment + events(4, 6),
+		},
+		"a second endpoint that leaves out an event": {
+			"", []io.Reader{cutBody{strings.NewReader(events(1, 2))}, strings.NewReader(event(3) + event(5)), strings.NewReader(events(4, 6))}, events(1, 6),
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newHarness(t)
+			b.setMaxAttempts(3)
+			var bodies []*closableBody
+			b.setHandlers("e", func(*port.Exchange) (*port.Answer, error) {
+				b.backends.mu.Lock()
+				defer b.backends.mu.Unlock()
+				n := len(bodies)
+				for i, body := range bodies {
+					if !body.closed || b.backends.contexts[i].Err() == nil {
+						t.Errorf("request %d is sent while request %d is open", n, i)
+					}
+				}
+				if b.backends.contexts[n].Err() != nil {
+					t.Errorf("request %d is sent with a context that has ended", n)
+				}
+				bodies = append(bodies, &closableBody{Reader: c.streams[n]})
+				return streamed(bodies[n])
+			})
+			got := &fakeCaller{}
+			send := func() *Refusal { return b.send(t, "/resume/", got) }
+			if c.callersID != "" {
+				send = func() *Refusal { return b.sendAfter(t, c.callersID, "/resume/", got) }
+			}
+			if refusal := send(); refusal != nil || got.text() != c.want || len(bodies) != len(c.streams) {
+				t.Errorf("%v after %q from %d streams", refusal, got.text(), len(bodies))
+			}
+		})
+	}
+}
+
+// setMaxAttempts sets the bound on the attempts of the route of resumable streams.
+func (b *harness) setMaxAttempts(n int) {
+	table := testTable(2)
+	for i := range table.Routes {
+		if table.Routes[i].Name == "resume" {
+			table.Routes[i].MaxAttempts = n
+		}
+	}
+	b.view.mu.Lock()
+	b.view.records = []port.Record{recordOf(table)}
+	b.view.mu.Unlock()
+	b.apply()
+}
+
+// Guards against an answer that looks whole although events may be missing: a continuation
+// without any event doesn't show that the first endpoint had sent the last one.
+func TestContinuationWithoutEventsIsNotUsed(t *testing.T) {
+	const comment = ": ping\n\n"
+	for second, want := range map[string]string{"": events(1, 3), comment: events(1, 3) + comment} {
+		b := newHarness(t)
+		placer := &kindPlacer{Placer: b.Placer}
+		b.Placer = placer
+		b.setHandlers("e", sequence(cutStream(events(1, 3)), wholeStream(second)))
+		got := &fakeCaller{}
+		refusal := b.send(t, "/resume/", got)
+		checkIncomplete(t, refusal, got, want)
+		checkSent(t, b, "3")
+		if b.metrics.streamsNotContinued.Count() != 1 {
+			t.Errorf("%d streams count as not continued", b.metrics.streamsNotContinued.Count())
+		}
+		if want := []port.FinishKind{port.FinishFailed, port.FinishCancelled}; !slices.Equal(placer.kinds, want) {
+			t.Errorf("the attempts ended as %v, want %v", placer.kinds, want)
+		}
+	}
+}
+
+// Guards against an answer that ends incomplete after a continuation without events although
+// another endpoint may still be asked.
+func TestContinuationWithoutEventsGoesToThirdEndpoint(t *testing.T) {
 	b := newHarness(t)
-	b.setHandlers("e", sequence(cutStream(events(1, 3)), wholeStream("")))
+	b.setMaxAttempts(3)
+	b.setHandlers("e", sequence(cutStream(events(1, 3)), wholeStream(""), wholeStream(events(4, 6))))
 	got := &fakeCaller{}
-	if refusal := b.send(t, "/resume/", got); refusal != nil || got.text() != events(1, 3) {
+	if refusal := b.send(t, "/resume/", got); refusal != nil || got.text() != events(1, 6) {
 		t.Fatalf("%v after %q", refusal, got.text())
 	}
+	checkSent(t, b, "3", "3")
 }
 
 // Guards against a stream that ends although another endpoint would continue it, because
@@ -244,6 +343,56 @@
 	checkSent(t, b, "5")
 }
 
+// Guards against an answer to a returning caller that is cut, and run a second time, because
+// of a block after its first event whose id is none or doesn't grow by the same step.
+func TestOnlyFirstEventIsCheckedForReturningCaller(t *testing.T) {
+	for name, answer := range map[string]string{
+		"an end without an id":        events(4, 6) + "data: [DONE]\n\n",
+		"a comment at the beginning":  ": ping\n\n" + events(4, 6),
+		"a comment in between":        event(4) + ": ping\n\n" + events(5, 6),
+		"ids that grow unevenly":      event(8) + event(12) + event(14),
+		"an id that isn't a number":   event(4) + "id: end\ndata: x\n\n",
+		"a beginning without an id":   "data: x\n\n" + events(4, 6),
+		"no id at all, with comments": ": ping\n\ndata: x\n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newHarness(t)
+			b.setHandlers("e", wholeStream(answer))
+			got := &fakeCaller{}
+			if refusal := b.sendAfter(t, "3", "/resume/", got); refusal != nil || got.text() != answer {
+				t.Errorf("%v after %q", refusal, got.text())
+			}
+			checkSent(t, b)
+		})
+	}
+}
+
+// Guards against an event before the caller's place that passes because blocks without an id
+// come before it.
+func TestFirstEventWithIDIsCheckedForReturningCaller(t *testing.T) {
+	for _, before := range []string{": ping\n\n", "data: x\n\n"} {
+		b := newHarness(t)
+		b.setHandlers("e", sequence(wholeStream(before+events(1, 6)), reply(500, "x")))
+		got := &fakeCaller{}
+		checkIncomplete(t, b.sendAfter(t, "3", "/resume/", got), got, before)
+	}
+}
+
+// Guards against a stream that isn't continued, or whose continuation is cut, because of
+// blocks that hold no event.
+func TestCommentsDoNotInterruptContinuedStream(t *testing.T) {
+	const comment = ": ping\n\n"
+	first := event(1) + comment + events(2, 3) + comment
+	second := comment + event(4) + "retry: 10\r\n\r\n" + events(5, 6)
+	b := newHarness(t)
+	b.setHandlers("e", sequence(cutStream(first), wholeStream(second)))
+	got := &fakeCaller{}
+	if refusal := b.send(t, "/resume/", got); refusal != nil || got.text() != first+second {
+		t.Fatalf("%v after %q", refusal, got.text())
+	}
+	checkSent(t, b, "3")
+}
+
 // Guards against any repeated, missing or foreign event, for endpoints that break off and
 // continue at any place: the caller has a prefix of the stream, and all of it if the answer
 // ends as a whole one.
@@ -308,3 +457,50 @@
 		}
 	}
 }
+
+// readerFunc is a reader that calls a function.
+type readerFunc func([]byte) (int, error)
+
+func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
+
+// Guards against a quarantine that counts as a lost connection of a healthy endpoint: it
+// comes after the headers of the second endpoint and before its first event.
+func TestStreamQuarantinedAfterHeadersOfContinuation(t *testing.T) {
+	b := newHarness(t)
+	b.setMaxAttempts(3)
+	placer := &kindPlacer{Placer: b.Placer}
+	b.Placer = placer
+	b.setHandlers("e", sequence(cutStream(events(1, 3)), func(*port.Exchange) (*port.Answer, error) {
+		return streamed(io.NopCloser(readerFunc(func([]byte) (int, error) {
+			b.quarantineRequest("/resume/")
+			b.crashWatch.Tick()
+			return 0, context.Canceled
+		})))
+	}))
+	got := &fakeCaller{}
+	refusal := b.send(t, "/resume/", got)
+	checkIncomplete(t, refusal, got, events(1, 3))
+	checkSent(t, b, "3")
+	if refusal.Cause != CauseQuarantined {
+		t.Errorf("the cause is %q", refusal.Cause)
+	}
+	if want := []port.FinishKind{port.FinishFailed, port.FinishCancelled}; !slices.Equal(placer.kinds, want) {
+		t.Errorf("the attempts ended as %v, want %v", placer.kinds, want)
+	}
+	for _, d := range b.sink.All() {
+		if d.Verdict == verdictFinish && !strings.Contains(d.Reason, errWithdrawn.Error()) {
+			t.Errorf("the request's end is recorded as %q", d.Reason)
+		}
+	}
+}
+
+// kindPlacer records how attempts ended.
+type kindPlacer struct {
+	Placer
+	kinds []port.FinishKind
+}
+
+func (p *kindPlacer) Finished(id string, tokens int, kind port.FinishKind) {
+	p.kinds = append(p.kinds, kind)
+	p.Placer.Finished(id, tokens, kind)
+}
