An event without an id keeps the position of its stream

Cause: a comment set the id of a run's last event to none, so that a run that is resumed from its copy right after one would begin at its start.

Result: TestEventWithoutIDKeepsLastID fails before and passes.

--- a/internal/gateway/continue_test.go
+++ b/internal/gateway/continue_test.go
@@ -504,3 +504,14 @@
 	p.kinds = append(p.kinds, kind)
 	p.Placer.Finished(id, tokens, kind)
 }
+
+// Guards against a run that is resumed from its copy at the beginning, because a comment
+// came last.
+func TestEventWithoutIDKeepsLastID(t *testing.T) {
+	r := &run{}
+	r.setLastID("7")
+	r.setLastID("")
+	if r.lastID != "7" {
+		t.Errorf("last id %q, want 7", r.lastID)
+	}
+}
--- a/internal/gateway/runs.go
+++ b/internal/gateway/runs.go
@@ -202,6 +202,10 @@
 
 // setLastID stores the id of the last event sent to the caller.
 func (r *run) setLastID(id string) {
+	if id == "" {
+		// A comment, or an event that doesn't change the position in the stream.
+		return
+	}
 	r.mu.Lock()
 	r.lastID = id
 	r.mu.Unlock()
