Held requests don't end the coordinator with a pool's last runner

Cause: the bound of the reserve read the capacity of the pool's first runner. When all runners ended while requests were held, the next tick indexed an empty list and ended the process. Found by reading.

Result: TestHeldRequestsEndWithTheLastRunner panics before and passes.

--- a/internal/core/routing/kinds.go
+++ b/internal/core/routing/kinds.go
@@ -134,7 +134,7 @@
 // out permanently.
 func (s *shard) reserveFor(now time.Time, e *entry, holdLimit time.Duration) reserve {
 	own := s.kinds.of(e)
-	if own == nil || !s.kinds.differ {
+	if own == nil || !s.kinds.differ || len(s.runners) == 0 {
 		return reserve{}
 	}
 	out := s.kinds.reserveBefore(now, own)
--- a/internal/core/routing/kinds_test.go
+++ b/internal/core/routing/kinds_test.go
@@ -218,3 +218,16 @@
 		t.Error("the requests of a flooding organisation enlarge the reserve")
 	}
 }
+
+// Guards against a panic of the coordinator when all runners of a pool end while requests
+// are held for the room that it keeps.
+func TestHeldRequestsEndWithTheLastRunner(t *testing.T) {
+	s := NewScheduler(Options{RouterID: "r", BusyThreshold: 1, PrefillBacklogLimit: 6144, ScarceRoom: true})
+	fillWithLong(t, s, start)
+	now := s.shards["p"].now
+	s.SetEndpoints(now, nil)
+	s.Tick(now.Add(100 * time.Millisecond))
+	if n := s.shards["p"].queue.Len(); n != 0 {
+		t.Errorf("%d requests are held for a pool without runners", n)
+	}
+}
