Soak: streams that a second runner may continue

Cause: the soak's streams went to routes that aren't resumable, so that continuations were tested with single faults only.

--- a/test/resumable_test.go
+++ b/test/resumable_test.go
@@ -16,10 +16,10 @@
 	t.Helper()
 	f := startFleet(t, nil)
 	change := func(c standin.Fields) {
-		routes, _ := c["routes"].([]any)
-		for _, r := range routes {
+		standin.WithResumableStreams()(c)
+		for _, r := range c["routes"].([]any) {
 			if route := r.(standin.Fields); route["kind"] == "streaming" {
-				route["resumable"], route["max_attempts"] = resumable, 2
+				route["resumable"] = resumable
 			}
 		}
 	}
