A check of an endpoint counts as pending until its crash is reported

Cause: Watch.PendingChecks counted the endpoints that are being probed, and Attempts.Ended clears that mark before the check calls OnCrash and counts the crash. In between, a caller saw no pending check and no crash. Seen as TestEndOfDroppedEndpointIsACrash on a busy machine ("0 crashes are counted, want 1" after 7.06 s; 6.9 s is usual). Change: the watch counts the checks themselves, to their end. Attempts.Probing has no other caller and is removed. Result: TestCheckIsPendingUntilItsCrashIsReported failed before (0 checks are pending, want 1) and passes. With a pause of 20 ms before OnCrash in a scratch copy, TestEndOfDroppedEndpointIsACrash failed with that message before, and passes now. go test -race -count=1 of crashwatch, gateway, router and core/quarantine passes.

--- a/internal/core/quarantine/attempts.go
+++ b/internal/core/quarantine/attempts.go
@@ -339,19 +339,6 @@
 	return false
 }
 
-// Probing returns the number of endpoints that are being probed.
-func (f *Attempts) Probing() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	n := 0
-	for _, attempts := range f.endpoints {
-		if attempts.probing {
-			n++
-		}
-	}
-	return n
-}
-
 // Tick forgets ended endpoints after endedRetention, and losses at others after
 // survivedRetention; call it at least once a second.
 func (f *Attempts) Tick(now time.Time) {
--- a/internal/crashwatch/crashwatch.go
+++ b/internal/crashwatch/crashwatch.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/dragonflyrail/dragonflyrail/internal/core/quarantine"
@@ -72,6 +73,8 @@
 	o        Options
 	attempts *quarantine.Attempts
 	waiting  waiting
+	// pendingChecks is the number of checks that run or have not reported their result yet.
+	pendingChecks atomic.Int64
 }
 
 // New returns a Watch that tracks no attempts yet.
@@ -129,7 +132,7 @@
 // checked if attempts there were abandoned a moment ago.
 func (w *Watch) Unreached(e port.Endpoint) {
 	if w.attempts.Unreached(w.o.Clock(), keyOf(e)) {
-		go w.checkEndpoint(e)
+		w.startCheck(e)
 	}
 }
 
@@ -142,7 +145,7 @@
 	case ended != nil:
 		w.o.Quarantine.Crashed(w.o.Clock(), crashOf(a.endpoint), []quarantine.Loss{*ended})
 	case probe:
-		go w.checkEndpoint(a.endpoint)
+		w.startCheck(a.endpoint)
 	}
 	return ended != nil
 }
@@ -200,11 +203,21 @@
 	return down && checking
 }
 
-// PendingChecks returns the number of endpoints that are being checked.
-func (w *Watch) PendingChecks() int { return w.attempts.Probing() }
+// PendingChecks returns the number of endpoints that are being checked, or whose crash has
+// been found but not yet reported.
+func (w *Watch) PendingChecks() int { return int(w.pendingChecks.Load()) }
 
 func crashOf(e port.Endpoint) quarantine.CrashID { return quarantine.NewCrashID(e.ID, e.Incarnation) }
 
+// startCheck checks an endpoint in the background.
+func (w *Watch) startCheck(e port.Endpoint) {
+	w.pendingChecks.Add(1)
+	go func() {
+		defer w.pendingChecks.Add(-1)
+		w.checkEndpoint(e)
+	}()
+}
+
 // checkEndpoint determines whether an endpoint at which a connection broke has
 // ended.
 func (w *Watch) checkEndpoint(e port.Endpoint) {
