Crashes that are reported after a later completed request don't count against its parts

Cause: a completed request clears the parts of its prompt of the crashes that are known at that moment. A crash is known 0.6 s after it at the earliest (the checks of its endpoint), and seconds later from a daemon that was paused or out of reach. In that time requests with the part that all generations share complete, but clear nothing, and the crashes then counted as a series without a completion between them. The sign that tells the shared part from the crashing one is the completed request; it was there and wasn't used. Change: a daemon remembers when requests with a part last completed, doesn't count its own losses from before that, and discards such crashes from the reports of others. Of the crashes of a part the later ones stay. A part that was cleared by a completed request is marked as completed at once, also if the daemon that saw it is then out of reach. Weighed: a part isn't convicted while narrower ones that aren't conclusive yet explain a share of its crashes. Left out; a part that turns bad would be found later. Result: TestLateReportsDontCountAgainstPartThatCompletedSince (refused at all daemons before), TestCrashAfterCompletionOutlivesEarlierOnes (7 crashes counted, want 5) failed before and pass. TestCrashingPartAgainstOracle and TestDaemonsAgreeOnParts pass with 3,000 draws each.

--- a/internal/core/quarantine/completed.go
+++ b/internal/core/quarantine/completed.go
@@ -14,7 +14,7 @@
 	completedRotation = time.Minute
 )
 
-// completed remembers requests that completed recently, which therefore don't
+// completed remembers when requests completed recently, which therefore don't
 // crash endpoints. It keeps two generations, so that old entries are dropped
 // without a scan.
 type completed struct {
@@ -23,7 +23,7 @@
 
 type completedShard struct {
 	mu                sync.Mutex
-	current, previous map[Fingerprint]struct{}
+	current, previous map[Fingerprint]time.Time
 	currentSince      time.Time
 }
 
@@ -34,17 +34,24 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.rotate(now)
-	s.current[f] = struct{}{}
+	s.current[f] = now
 }
 
 func (c *completed) has(now time.Time, f Fingerprint) bool {
+	_, has := c.last(now, f)
+	return has
+}
+
+// last returns when a request last completed; has is false if none did recently.
+func (c *completed) last(now time.Time, f Fingerprint) (at time.Time, has bool) {
 	s := c.shard(f)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.rotate(now)
-	_, inCurrent := s.current[f]
-	_, inPrevious := s.previous[f]
-	return inCurrent || inPrevious
+	if at, has = s.current[f]; !has {
+		at, has = s.previous[f]
+	}
+	return at, has
 }
 
 // rotate starts a new generation when the current one is full or too old.
@@ -57,5 +64,5 @@
 	if age >= 2*completedRotation {
 		s.previous = nil
 	}
-	s.current, s.currentSince = make(map[Fingerprint]struct{}), now
+	s.current, s.currentSince = make(map[Fingerprint]time.Time), now
 }
--- a/internal/core/quarantine/history.go
+++ b/internal/core/quarantine/history.go
@@ -27,7 +27,8 @@
 		m[f] = h
 	}
 	if cleared > h.cleared {
-		h.discarded = append(h.discarded, h.current...)
+		retained := func(c CrashID) bool { return slices.Contains(crashes, c) }
+		h.discarded = append(h.discarded, slices.DeleteFunc(h.current, retained)...)
 		h.discarded = h.discarded[max(0, len(h.discarded)-maxDiscarded):]
 		h.cleared, h.current = cleared, nil
 	}
--- a/internal/core/quarantine/partledger.go
+++ b/internal/core/quarantine/partledger.go
@@ -35,27 +35,61 @@
 	cleared := false
 	for _, p := range parts {
 		l.completed.add(now, p.Fingerprint)
-		cleared = l.clear(now, p.Fingerprint, "a request with it ran to its end") || cleared
+		if s, held := l.get(p.Fingerprint); held && len(s.Crashes) > 0 {
+			s.Completed = true
+			l.retain(now, &s, nil, reasonCompleted)
+			cleared = true
+		}
 	}
 	return cleared
 }
 
+// reasonCompleted is the reason for which a part is cleared after a completed request.
+const reasonCompleted = "a request with it ran to its end"
+
 // clear discards the crashes of a part and reports whether there were any.
 func (l *partLedger) clear(now time.Time, f Fingerprint, reason string) bool {
 	s, held := l.get(f)
 	if !held || len(s.Crashes) == 0 {
 		return false
 	}
-	crashes := len(s.Crashes)
+	l.retain(now, &s, nil, reason)
+	return true
+}
+
+// retain discards the crashes of a part except for the given ones.
+func (l *partLedger) retain(now time.Time, s *PartSuspect, retained []PartCrash, reason string) {
+	crashes := len(s.Crashes) - len(retained)
 	s.Cleared++
-	s.Crashes, s.Companions, s.UpdatedAt = nil, nil, now
-	if l.shared.PutPartSuspect(s) && crashes >= minLoggedCrashes {
+	s.Crashes, s.UpdatedAt = retained, now
+	if len(retained) == 0 {
+		s.Companions = nil
+	}
+	if l.shared.PutPartSuspect(*s) && crashes >= minLoggedCrashes {
 		l.onChange(Change{
-			Fingerprint: f, Organisation: s.Organisation, Parts: []uint64{s.Part.ID},
+			Fingerprint: s.Part.Fingerprint, Organisation: s.Organisation, Parts: []uint64{s.Part.ID},
 			Verdict: Cleared, Crashes: crashes, Reason: reason,
 		})
 	}
-	return true
+}
+
+// discardOutdated discards the crashes of a part after which a request with it completed.
+// Reports may come seconds after the crash, for the checks of its endpoint and because the
+// reporting daemon was paused or out of reach.
+func (l *partLedger) discardOutdated(now time.Time, s *PartSuspect) {
+	last, has := l.completed.last(now, s.Part.Fingerprint)
+	if !has || len(s.Crashes) == 0 {
+		return
+	}
+	retained := slices.DeleteFunc(slices.Clone(s.Crashes), func(c PartCrash) bool { return !c.At.After(last) })
+	isNew := !s.Completed
+	s.Completed = true
+	switch {
+	case len(retained) < len(s.Crashes):
+		l.retain(now, s, retained, reasonCompleted)
+	case isNew:
+		l.shared.PutPartSuspect(*s)
+	}
 }
 
 // crashed records that an endpoint ended while it ran the given requests.
@@ -63,7 +97,7 @@
 	suspects := make(map[Fingerprint]*PartSuspect)
 	for i := range lost {
 		for _, p := range lost[i].Request.Parts {
-			if l.histories.isDiscarded(p.Fingerprint, crash) {
+			if l.histories.isDiscarded(p.Fingerprint, crash) || l.completedSince(now, p.Fingerprint, lost[i].At) {
 				continue
 			}
 			s := l.suspectOf(now, p, crash, &lost[i])
@@ -87,6 +121,12 @@
 	}
 }
 
+// completedSince reports whether a request with the part completed after a time.
+func (l *partLedger) completedSince(now time.Time, f Fingerprint, at time.Time) bool {
+	last, has := l.completed.last(now, f)
+	return has && !at.After(last)
+}
+
 // suspectOf returns a suspect with one crash, to be joined with what is known.
 func (l *partLedger) suspectOf(now time.Time, p Part, crash CrashID, loss *Loss) PartSuspect {
 	held, _ := l.get(p.Fingerprint)
@@ -112,10 +152,7 @@
 	for i := range changed {
 		s := &changed[i]
 		l.histories.update(s.Part.Fingerprint, s.Cleared, s.crashIDs())
-		if len(s.Crashes) > 0 && !s.Completed && l.completed.has(now, s.Part.Fingerprint) {
-			s.Completed = true
-			l.shared.PutPartSuspect(*s)
-		}
+		l.discardOutdated(now, s)
 	}
 	return len(changed) > 0
 }
--- a/internal/core/quarantine/partregister_test.go
+++ b/internal/core/quarantine/partregister_test.go
@@ -75,6 +75,54 @@
 	}
 }
 
+// Guards against counting crashes against a part that completed since, because they are reported late.
+func TestLateReportsDontCountAgainstPartThatCompletedSince(t *testing.T) {
+	const crashes = 6
+	for _, completing := range []int{0, 2} {
+		d := newDaemons(3)
+		began := d.now
+		d.registers[completing].Completed(began.Add(crashes*time.Second), prompt("o", shared, harmless))
+		d.now = began.Add((crashes + 1) * time.Second)
+		for n := range crashes {
+			at := began.Add(time.Duration(n) * time.Second)
+			d.crashes++
+			d.registers[0].Crashed(d.now, quarantine.CrashID(d.crashes), lossesOfPrompts(at, prompt("o", shared)))
+		}
+		d.converge()
+		for at := range d.registers {
+			if d.refusesPrompt(at, "o", shared) {
+				t.Errorf("completed at daemon %d: daemon %d refuses: %v", completing, at, d.changes[at])
+			}
+		}
+		for range crashes {
+			d.crashPrompts(0, prompt("o", shared))
+		}
+		d.converge()
+		if !d.refusesPrompt(completing, "o", shared) {
+			t.Errorf("completed at daemon %d: sent after %d crashes since", completing, crashes)
+		}
+	}
+}
+
+// Guards against a crash that counts no more because an earlier one of the same part was discarded.
+func TestCrashAfterCompletionOutlivesEarlierOnes(t *testing.T) {
+	d := newDaemons(2)
+	completed := d.now.Add(time.Second)
+	d.registers[1].Completed(completed, prompt("o", shared))
+	d.now = completed.Add(time.Minute)
+	const before, after = 2, 5
+	for n := range before + after {
+		at := completed.Add(time.Duration(n-before+1)*time.Second - 500*time.Millisecond)
+		d.registers[0].Crashed(d.now, quarantine.CrashID(n+1), lossesOfPrompts(at, prompt("o", shared)))
+		d.converge()
+	}
+	for at := range d.registers {
+		if hold, refused := d.registers[at].Quarantined(d.now, prompt("o", shared)); !refused || hold.Crashes != after {
+			t.Errorf("daemon %d: refused %v for %d crashes, want %d", at, refused, hold.Crashes, after)
+		}
+	}
+}
+
 // Guards against a verdict on the parts of one organisation, pool or model for the crashes of another.
 func TestPartVerdictHoldsWithinItsScope(t *testing.T) {
 	d := newDaemons(1)
