A part that completed before its crashes is tried again after 2 s

Cause: a verdict on a part that all requests share refuses them all. Once those in flight have ended none completes, and only a trial can end the verdict. With the five crashes that a verdict on such a part takes, the first trial came 4 minutes after the last of them, and up to 32 minutes with more. Change: if requests with the part completed before its crashes, the first trial comes 2 s after the last crash. The time doubles with each trial up to the one for other parts, and begins anew once the part was cleared. A part that crashes endpoints after all costs four of them more in the first minute. Of two quarantined combinations in one prompt the one with the later trial counts, so that no trial of one is a request that the other one crashes.

--- a/internal/core/quarantine/partregister_test.go
+++ b/internal/core/quarantine/partregister_test.go
@@ -123,6 +123,25 @@
 	}
 }
 
+// Guards against a trial of one part with a request that another part crashes.
+func TestRequestWithTwoQuarantinedPartsWaitsForTheLaterTrial(t *testing.T) {
+	d := newDaemons(1)
+	d.registers[0].Completed(d.now, prompt("o", shared))
+	for range 5 {
+		d.crashPrompts(0, prompt("o", shared))
+	}
+	for range 3 {
+		d.crashPrompts(0, prompt("o", crashing))
+	}
+	hold, refused := d.registers[0].Quarantined(d.now, prompt("o", shared, crashing))
+	if !refused || len(hold.Parts) != 1 || hold.Parts[0].ID != crashing {
+		t.Errorf("refused %v for the parts %v, want %x", refused, hold.Parts, crashing)
+	}
+	if sound, refused := d.registers[0].Quarantined(d.now, prompt("o", shared)); !refused || sound.TrialInterval(0) >= hold.TrialInterval(0) {
+		t.Errorf("the shared part: refused %v, tried after %v, want less than %v", refused, sound.TrialInterval(0), hold.TrialInterval(0))
+	}
+}
+
 // Guards against a verdict on the parts of one organisation, pool or model for the crashes of another.
 func TestPartVerdictHoldsWithinItsScope(t *testing.T) {
 	d := newDaemons(1)
--- a/internal/core/quarantine/register.go
+++ b/internal/core/quarantine/register.go
@@ -81,16 +81,33 @@
 	// number of these crashes that are kept.
 	LastCrash time.Time
 	Crashes   int
+	// Completed is set if requests with the first of Parts completed before the crashes, and
+	// Cleared counts how often it was found harmless.
+	Completed bool
+	Cleared   uint32
 }
 
-// trialAfter is the time after the last crash from which one request with quarantined
-// parts may be sent. It doubles with each crash beyond those of the verdict.
-const trialAfter = time.Minute
+// Times after the last crash from which one request with quarantined parts may be sent.
+const (
+	// trialAfter doubles with each crash beyond those of the verdict.
+	trialAfter = time.Minute
+	// completedTrialAfter applies to a part with which requests completed before, and doubles
+	// with each trial, up to the interval of other parts. Such a part may be one that all
+	// requests share: a wrong verdict refuses them all, so that only a trial can end it.
+	completedTrialAfter = 2 * time.Second
+	// maxTrialDoublings keeps the interval from overflowing.
+	maxTrialDoublings = 16
+)
 
 // TrialInterval returns the time after a crash or a trial from which one request with the
-// parts may be sent, to find out whether it still crashes its endpoint.
-func (h *Hold) TrialInterval() time.Duration {
-	return trialAfter << max(0, h.Crashes-convictAfter)
+// parts may be sent, to find out whether it still crashes its endpoint. trials is the
+// number of trials since the part was last cleared.
+func (h *Hold) TrialInterval(trials int) time.Duration {
+	regular := trialAfter << max(0, h.Crashes-convictAfter)
+	if !h.Completed {
+		return regular
+	}
+	return min(regular, completedTrialAfter<<min(trials, maxTrialDoublings))
 }
 
 // Register holds what one daemon knows of requests and parts of prompts that crash
@@ -137,7 +154,8 @@
 // Revision returns a number that increases whenever what is quarantined changes.
 func (r *Register) Revision() uint64 { return r.verdicts.Load().revision }
 
-// Quarantined reports whether and why a request must not be sent.
+// Quarantined reports whether and why a request must not be sent. If several combinations
+// of parts are the reason, it returns the one of which a trial comes last.
 func (r *Register) Quarantined(now time.Time, request *Request) (Hold, bool) {
 	v := r.verdicts.Load()
 	if _, is := v.requests[request.Fingerprint]; is {
@@ -148,16 +166,30 @@
 	if len(v.parts) == 0 {
 		return Hold{}, false
 	}
+	var hold Hold
+	held := false
 	for _, p := range request.Parts {
-		if c := v.parts[p.Fingerprint]; c != nil && c.matches(request.Parts) {
-			hold := Hold{Remaining: r.parts.renew(now, c), LastCrash: c.Lead.lastCrash(), Crashes: len(c.Lead.Crashes)}
-			for _, s := range c.all() {
-				hold.Parts = append(hold.Parts, s.Part)
-			}
-			return hold, true
+		c := v.parts[p.Fingerprint]
+		if c == nil || !c.matches(request.Parts) {
+			continue
+		}
+		// A trial of one combination must not be a request that another one crashes.
+		if next := r.holdOf(now, c); !held || next.TrialInterval(0) > hold.TrialInterval(0) {
+			hold, held = next, true
 		}
 	}
-	return Hold{}, false
+	return hold, held
+}
+
+func (r *Register) holdOf(now time.Time, c *Combination) Hold {
+	hold := Hold{
+		Remaining: r.parts.renew(now, c), LastCrash: c.Lead.lastCrash(), Crashes: len(c.Lead.Crashes),
+		Completed: c.Lead.Completed, Cleared: c.Lead.Cleared,
+	}
+	for _, s := range c.all() {
+		hold.Parts = append(hold.Parts, s.Part)
+	}
+	return hold
 }
 
 // renew extends how long a quarantined request is remembered, and returns for how long
--- a/internal/gateway/crashing_parts_test.go
+++ b/internal/gateway/crashing_parts_test.go
@@ -98,6 +98,39 @@
 	}
 }
 
+// Guards against refusing all requests that share a part for minutes after a wrong verdict, and against trials that crash endpoints ever again at short intervals.
+func TestPartThatCompletedBeforeIsTriedSoon(t *testing.T) {
+	began := time.Now()
+	scope := quarantine.Scope{Organisation: "o", Pool: "engines", Model: "m"}
+	request := func(n int) *quarantine.Request {
+		return &quarantine.Request{Fingerprint: fingerprintOf(fmt.Sprint("/stream/lost-", n)), Organisation: "o", Parts: scope.Parts([]uint64{0xf125, 1})}
+	}
+	b := newHarness(t)
+	for _, at := range []time.Time{began, began.Add(time.Hour)} {
+		b.quarantine.Completed(at.Add(-20*time.Second), request(0))
+		for n := range 5 {
+			lost := []quarantine.Loss{{Request: request(n + 1), At: at.Add(time.Duration(n-5) * time.Second)}}
+			b.quarantine.Crashed(at, quarantine.NewCrashID(fmt.Sprint(n), uint64(at.Unix())), lost)
+		}
+		hold, refused := b.quarantine.Quarantined(at, request(9))
+		if !refused {
+			t.Fatal("the part is not quarantined")
+		}
+		var trials []time.Duration
+		for after := time.Duration(0); after < 50*time.Minute; after += 100 * time.Millisecond {
+			if b.trials.take(at.Add(after), &hold) {
+				trials = append(trials, after)
+			}
+		}
+		if len(trials) == 0 || trials[0] > 3*time.Second {
+			t.Errorf("trials after %v, want one within 3s", trials)
+		}
+		if len(trials) > 20 {
+			t.Errorf("%d trials within 50m, at %v", len(trials), trials)
+		}
+	}
+}
+
 // Guards against trials by all daemons at once.
 func TestOneDaemonMakesTheTrials(t *testing.T) {
 	var members []port.Member
--- a/internal/gateway/trials.go
+++ b/internal/gateway/trials.go
@@ -11,36 +11,48 @@
 )
 
 // A verdict on parts of prompts ends when a request with them completes, which needs one to
-// be sent: the verdict may be wrong, or the weights that it was about replaced. So at long
-// intervals one request is sent, by one daemon for all.
+// be sent: the verdict may be wrong, or the weights that it was about replaced. So at
+// growing intervals one request is sent, by one daemon for all.
 
-// trials holds when this daemon last sent a request in spite of a verdict on its parts.
+// trials holds when this daemon sent requests in spite of a verdict on their parts.
 type trials struct {
-	mu   sync.Mutex
-	last map[quarantine.Fingerprint]time.Time
+	mu    sync.Mutex
+	parts map[quarantine.Fingerprint]partTrials
 }
 
+// partTrials are the trials of one part since it was last cleared.
+type partTrials struct {
+	last    time.Time
+	count   int
+	cleared uint32
+}
+
+// trialRetention is how long trials are remembered. It is longer than the longest time
+// between two of them.
+const trialRetention = time.Hour
+
 // take reports whether a trial is due, and records it.
 func (t *trials) take(now time.Time, hold *quarantine.Hold) bool {
-	interval := hold.TrialInterval()
-	if now.Sub(hold.LastCrash) < interval {
-		return false
-	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for f, at := range t.last {
-		if now.Sub(at) > quarantine.SuspectRetention {
-			delete(t.last, f)
+	for f, tried := range t.parts {
+		if now.Sub(tried.last) > trialRetention {
+			delete(t.parts, f)
 		}
 	}
 	lead := hold.Parts[0].Fingerprint
-	if at, tried := t.last[lead]; tried && now.Sub(at) < interval {
+	tried, wasTried := t.parts[lead]
+	if wasTried && tried.cleared != hold.Cleared {
+		tried, wasTried = partTrials{}, false
+	}
+	interval := hold.TrialInterval(tried.count)
+	if now.Sub(hold.LastCrash) < interval || wasTried && now.Sub(tried.last) < interval {
 		return false
 	}
-	if t.last == nil {
-		t.last = make(map[quarantine.Fingerprint]time.Time)
+	if t.parts == nil {
+		t.parts = make(map[quarantine.Fingerprint]partTrials)
 	}
-	t.last[lead] = now
+	t.parts[lead] = partTrials{last: now, count: tried.count + 1, cleared: hold.Cleared}
 	return true
 }
 
