--- a/internal/core/quarantine/partregister_test.go
+++ b/internal/core/quarantine/partregister_test.go
@@ -104,6 +104,21 @@
 	}
 }
 
+// Guards against quarantining a part that completed lately after three crashes, because the daemon that knows is out of reach.
+func TestClearedPartIsKnownToHaveCompleted(t *testing.T) {
+	d := newDaemons(2)
+	d.crashPrompts(0, prompt("o", shared))
+	d.converge()
+	d.registers[1].Completed(d.now, prompt("o", shared))
+	d.converge()
+	for crashes := 1; crashes <= 5; crashes++ {
+		d.crashPrompts(0, prompt("o", shared))
+		if refused := d.refusesPrompt(0, "o", shared); refused != (crashes == 5) {
+			t.Errorf("refused after %d crashes: %v", crashes, refused)
+		}
+	}
+}
+
 // Guards against a crash that counts no more because an earlier one of the same part was discarded.
 func TestCrashAfterCompletionOutlivesEarlierOnes(t *testing.T) {
 	d := newDaemons(2)
