policybench: surges of all kinds with deadlines and unequal organisations

Cause: the bench had no deadlines, so it didn't show requests that are held and then refused, and no measure of requests that are served late.

--- a/internal/tools/policybench/main.go
+++ b/internal/tools/policybench/main.go
@@ -142,6 +142,7 @@
 		{kegsetu(), even, scenarios(), policies()},
 		{bayanihan(), even, scenarios(), policies()},
 		{unevenWorkload(), unevenCapacity, unevenScenarios(), unevenPolicies()},
+		{scarceWorkload(), even, scarceScenarios(), scarcePolicies()},
 	}
 }
 
--- a/internal/tools/policybench/result.go
+++ b/internal/tools/policybench/result.go
@@ -49,11 +49,19 @@
 	// reportRun is the mean time from the placement of a report to its end.
 	reportRun = "report_run_s"
 	goodShort = "goodput_short_pct"
+	// servedShort and servedReport are the shares of requests that got a complete answer,
+	// on time or not; worstServed is the share of the worst organisation relative to all.
+	servedShort  = "served_short_pct"
+	servedReport = "served_report_pct"
+	worstServed  = "worst_org_served"
+	// heldInVain is the share of requests that were held for more than a quarter of
+	// the time until their deadline and not served.
+	heldInVain = "held_in_vain_pct"
 )
 
 var measures = []string{
 	stallTime, preemptions, gapP50, gapP95, gapP99, firstP95, firstShortP95, firstReportP95, goodput, goodputReport, refusals, retryServed, worstShare, spread,
-	reportRun, goodShort,
+	reportRun, goodShort, servedShort, servedReport, worstServed, heldInVain,
 }
 
 func newResult() *result {
@@ -143,6 +151,7 @@
 	}
 	v[worstShare] = 100 * worst
 	v[spread] = r.placementSpread(len(s.engines))
+	r.collectServed(s)
 	r.gaps = nil
 }
 
--- a/internal/tools/policybench/sim.go
+++ b/internal/tools/policybench/sim.go
@@ -27,6 +27,8 @@
 	// surge multiplies the reports by this factor for surgeTime in each surgeEvery;
 	// zero means that it doesn't.
 	surge float64
+	// surgeOfAll multiplies the requests of all kinds instead.
+	surgeOfAll bool
 	// uneven makes a third of the runners slower than the others, and each runner
 	// slow for brief periods. There are no load reports.
 	uneven bool
@@ -133,7 +135,7 @@
 	}
 	s.all = w.arrivals(seed, capacity*sc.load, length, flood, floodFactor)
 	if sc.surge > 1 {
-		s.all = append(s.all, w.surgeArrivals(seed, capacity*sc.load*(sc.surge-1), length)...)
+		s.all = append(s.all, w.surgeArrivals(seed, capacity*sc.load*(sc.surge-1), length, sc.surgeOfAll)...)
 	}
 	for i, c := range s.all {
 		c.id = fmt.Sprintf("router-%d.%d", c.router, i)
@@ -146,7 +148,10 @@
 			c.request.TokenGap = w.gapTarget / time.Duration(w.tokensPerEvent())
 		}
 		s.calls[c.id] = c
-		s.schedule(c.arrived, func(now time.Duration) { s.submit(now, c) })
+		s.schedule(c.arrived, func(now time.Duration) {
+			s.setDeadline(now, c)
+			s.submit(now, c)
+		})
 	}
 	s.setEndpoints(0)
 	if sc.uneven {
@@ -290,6 +295,7 @@
 		s.start(now, c, &d)
 	case port.VerdictHold:
 		s.held[c.router] = append(s.held[c.router], c)
+		c.beginHold(now)
 	default:
 		s.refuse(now, c, &d)
 	}
@@ -313,7 +319,7 @@
 	if err := e.model.Submit(at(now), job); err != nil {
 		panic(err)
 	}
-	c.dispatched = true
+	c.dispatched, c.held = true, false
 	c.placed = now
 	s.result.placements[index]++
 	s.startStep(now, e)
@@ -321,6 +327,7 @@
 
 func (s *sim) refuse(now time.Duration, c *call, d *port.Decision) {
 	c.refused++
+	c.endHold(now, s.w.kinds[c.kind].deadline)
 	s.result.refusals[c.kind]++
 	if d.RetryAfter <= 0 || c.refused > maxRetries {
 		return
@@ -328,6 +335,7 @@
 	s.schedule(now+d.RetryAfter, func(now time.Duration) {
 		c.retried = true
 		c.request.Attempt = 1
+		s.setDeadline(now, c)
 		s.submit(now, c)
 	})
 }
--- a/internal/tools/policybench/workload.go
+++ b/internal/tools/policybench/workload.go
@@ -24,6 +24,8 @@
 	// completionPerToken for each token bounds the time to the complete answer.
 	firstTokenTarget time.Duration
 	completionBase   time.Duration
+	// deadline is the time within which a request must be placed; zero for no limit.
+	deadline time.Duration
 }
 
 // completionPerToken is the time that the completion target allows per token.
@@ -58,6 +60,9 @@
 	// patientTarget is the target for the first token of the reports of every second
 	// organisation; zero for the same as the others'.
 	patientTarget time.Duration
+	// fractions are the fractions of the requests that each organisation sends; nil
+	// for organisationFractions.
+	fractions []float64
 }
 
 // tokensPerEvent returns the number of tokens in one event of a stream.
@@ -152,6 +157,14 @@
 // reportLengthScales scale the median report length of each organisation.
 var reportLengthScales = []float64{1, 1.4, 0.7, 1.2, 0.6, 1, 1.6, 0.8, 1, 1.3}
 
+// organisationFractions returns the fractions of the requests that each organisation sends.
+func (w *workload) organisationFractions() []float64 {
+	if w.fractions != nil {
+		return w.fractions
+	}
+	return organisationFractions
+}
+
 func organisationName(i int) string { return fmt.Sprintf("organisation-%d", i) }
 
 // call is one request and its outcome.
@@ -182,10 +195,14 @@
 	first          time.Duration
 	finished       time.Duration
 	stall          time.Duration
-	refused        int
-	retried        bool
-	dispatched     bool
-	lost           bool
+	// held is set while the call is held, since heldAt.
+	held       bool
+	heldAt     time.Duration
+	heldInVain bool
+	refused    int
+	retried    bool
+	dispatched bool
+	lost       bool
 }
 
 func (w *workload) sample(r *rand.Rand, organisation int) *call {
@@ -219,7 +236,7 @@
 // so that a flood by one does not change the requests of the others.
 func (w *workload) arrivals(seed uint64, rate float64, length time.Duration, flood int, floodFactor float64) []*call {
 	var out []*call
-	for o, fraction := range organisationFractions {
+	for o, fraction := range w.organisationFractions() {
 		r := rand.New(rand.NewPCG(seed, uint64(1000+o)))
 		busy := r.Float64() < busyMean/(busyMean+quietMean)
 		until := 0.0
@@ -260,12 +277,12 @@
 	surgeEvery = 30 * time.Second
 )
 
-// surgeArrivals draws the additional reports of a surge, at the rate in requests of all
-// kinds per second that the reports are a part of.
-func (w *workload) surgeArrivals(seed uint64, rate float64, length time.Duration) []*call {
+// surgeArrivals draws the additional reports of a surge, or its requests of all kinds, at
+// the rate in requests of all kinds per second.
+func (w *workload) surgeArrivals(seed uint64, rate float64, length time.Duration, allKinds bool) []*call {
 	var out []*call
 	for _, c := range w.arrivals(seed+surgeSeed, rate, length, -1, 1) {
-		if c.kind == reportKind && c.arrived%surgeEvery < surgeTime {
+		if (allKinds || c.kind == reportKind) && c.arrived%surgeEvery < surgeTime {
 			out = append(out, c)
 		}
 	}
