A generation repeated before its retry time keeps that time

Cause: each repetition of a refused request booked a retry time of its own. Change: with scarce_room, where kinds differ, a request that is refused again under its id before its booking is due gets the rest of that wait; gauge scheduling_repeated_early. Without hasty callers nothing changes.

--- a/cmd/dragonfly-entry/assemble.go
+++ b/cmd/dragonfly-entry/assemble.go
@@ -91,6 +91,7 @@
 	pools := scheduling.NewPoolScheduler(scheduler, nil)
 	registry.GetOrRegister("scheduling_runs_held", gometrics.NewFunctionalGauge(func() int64 { return int64(pools.RunCount()) }))
 	registry.GetOrRegister("scheduling_reserved_prompts", gometrics.NewFunctionalGauge(func() int64 { return int64(scheduler.ReservedPrompts()) }))
+	registry.GetOrRegister("scheduling_repeated_early", gometrics.NewFunctionalGauge(scheduler.RepeatedEarly))
 	placing := scheduling.Options{
 		Self: s.ID, Capacity: s.capacity(), Members: a.keeper, Logger: logger, Registry: registry,
 		Dial: func(address string) scheduling.Peer { return grpcpeer.DialScheduling(address) },
--- a/internal/core/admission/promise.go
+++ b/internal/core/admission/promise.go
@@ -33,6 +33,8 @@
 type promise struct {
 	due      time.Time
 	usesLeft int
+	// request is the id of the refused request, empty if it isn't known.
+	request string
 }
 
 // RetryBookings assigns a separate retry time to each refused caller, so that callers
@@ -66,6 +68,25 @@
 	return p.record(now, wait)
 }
 
+// BookOnce is Book for a request that may have been refused before. One that is repeated
+// before its booking is due gets the rest of that wait: with a new booking each time,
+// callers who don't wait would push back those of the callers who do. Repeated reports
+// whether that was so.
+func (p *RetryBookings) BookOnce(now time.Time, request string, ahead int, rate float64) (wait time.Duration, repeated bool) {
+	p.dropExpired(now)
+	for i := range p.pending {
+		if m := &p.pending[i]; m.request == request && m.due.After(now) {
+			return roundUp(m.due.Sub(now), retryAfterUnit), true
+		}
+	}
+	before := len(p.pending)
+	wait = p.Book(now, ahead, rate)
+	if len(p.pending) > before {
+		p.pending[before].request = request
+	}
+	return wait, false
+}
+
 func (p *RetryBookings) record(now time.Time, wait time.Duration) time.Duration {
 	if len(p.pending) < maxPromises {
 		p.pending = append(p.pending, promise{due: now.Add(wait), usesLeft: maxRedemptions})
--- a/internal/core/routing/scheduler.go
+++ b/internal/core/routing/scheduler.go
@@ -35,6 +35,8 @@
 	// runners maps endpoint ids to *runner.
 	runners sync.Map
 	stripes [numStripes]stripe
+	// repeatedEarly counts refusals of requests repeated before their retry times.
+	repeatedEarly atomic.Int64
 
 	// mu guards changes of the endpoints.
 	mu     sync.Mutex
--- a/internal/core/routing/wait.go
+++ b/internal/core/routing/wait.go
@@ -24,10 +24,21 @@
 	return r.read(now)
 }
 
+// RepeatedEarly returns the number of refusals of requests that were repeated before their
+// retry times.
+func (s *Scheduler) RepeatedEarly() int64 { return s.repeatedEarly.Load() }
+
 // bookRetry books a retry time for a refused request and returns the wait
 // until then.
 func (s *shard) bookRetry(now time.Time, e *entry) time.Duration {
 	lane := e.item.Lane
 	ahead := s.queue.HeldFlow(e.org.name, lane)
+	if s.scheduler.options.ScarceRoom && s.kinds.differ {
+		wait, repeated := e.org.retryBookings[lane].BookOnce(now, e.request.RequestID, ahead, s.serviceRate(now, e))
+		if repeated {
+			s.scheduler.repeatedEarly.Add(1)
+		}
+		return wait
+	}
 	return e.org.retryBookings[lane].Book(now, ahead, s.serviceRate(now, e))
 }
--- a/internal/tools/policybench/result.go
+++ b/internal/tools/policybench/result.go
@@ -53,7 +53,11 @@
 	// on time or not; worstServed is the share of the worst organisation relative to all.
 	servedShort  = "served_short_pct"
 	servedReport = "served_report_pct"
-	worstServed  = "worst_org_served"
+	// servedPatientShort and servedPatientReport are those of the callers who wait
+	// until their retry times.
+	servedPatientShort  = "patient_short_pct"
+	servedPatientReport = "patient_report_pct"
+	worstServed         = "worst_org_served"
 	// heldInVain is the share of requests that were held for more than a quarter of
 	// the time until their deadline and not served.
 	heldInVain = "held_in_vain_pct"
@@ -61,7 +65,7 @@
 
 var measures = []string{
 	stallTime, preemptions, gapP50, gapP95, gapP99, firstP95, firstShortP95, firstReportP95, goodput, goodputReport, refusals, retryServed, worstShare, spread,
-	reportRun, goodShort, servedShort, servedReport, worstServed, heldInVain,
+	reportRun, goodShort, servedShort, servedReport, servedPatientShort, servedPatientReport, worstServed, heldInVain,
 }
 
 func newResult() *result {
--- a/internal/tools/policybench/scarce.go
+++ b/internal/tools/policybench/scarce.go
@@ -19,12 +19,15 @@
 	inVainFraction = 0.25
 	shortDeadline  = 3 * time.Second
 	reportDeadline = 10 * time.Second
+	hastyRetry     = 500 * time.Millisecond
+	hastyTime      = 30 * time.Second
 )
 
 func scarceScenarios() []scenario {
 	return []scenario{
 		{name: "surge 1.5", load: 0.9, lag: defaultReportLag, surge: 1.5, surgeOfAll: true},
 		{name: "surge 2.3", load: 0.9, lag: defaultReportLag, surge: 2.3, surgeOfAll: true},
+		{name: "surge 2.3, hasty callers", load: 0.9, lag: defaultReportLag, surge: 2.3, surgeOfAll: true, hasty: true},
 	}
 }
 
@@ -98,6 +101,7 @@
 	var servedOf, offeredOf [2]float64
 	var servedBy, offeredBy [10]float64
 	var served, inVain, total float64
+	var patient, servedPatient [2]float64
 	for _, c := range s.all {
 		total++
 		offeredOf[c.kind]++
@@ -105,7 +109,13 @@
 		if c.heldInVain {
 			inVain++
 		}
+		if !c.hasty {
+			patient[c.kind]++
+		}
 		if c.finished != 0 {
+			if !c.hasty {
+				servedPatient[c.kind]++
+			}
 			served++
 			servedOf[c.kind]++
 			servedBy[c.organisation]++
@@ -118,6 +128,8 @@
 	v := r.Values
 	v[servedShort] = 100 * servedOf[shortKind] / offeredOf[shortKind]
 	v[servedReport] = 100 * servedOf[reportKind] / offeredOf[reportKind]
+	v[servedPatientShort] = 100 * servedPatient[shortKind] / max(1, patient[shortKind])
+	v[servedPatientReport] = 100 * servedPatient[reportKind] / max(1, patient[reportKind])
 	v[worstServed] = worst / (served / total)
 	v[heldInVain] = 100 * inVain / total
 }
--- a/internal/tools/policybench/sim.go
+++ b/internal/tools/policybench/sim.go
@@ -29,6 +29,9 @@
 	surge float64
 	// surgeOfAll multiplies the requests of all kinds instead.
 	surgeOfAll bool
+	// hasty lets every second caller repeat a refused request every hastyRetry for
+	// hastyTime, whatever its retry time.
+	hasty bool
 	// uneven makes a third of the runners slower than the others, and each runner
 	// slow for brief periods. There are no load reports.
 	uneven bool
@@ -138,6 +141,7 @@
 		s.all = append(s.all, w.surgeArrivals(seed, capacity*sc.load*(sc.surge-1), length, sc.surgeOfAll)...)
 	}
 	for i, c := range s.all {
+		c.hasty = sc.hasty && i%2 == 1
 		c.id = fmt.Sprintf("router-%d.%d", c.router, i)
 		c.request = port.GenerationRequest{
 			RequestID: c.id, Organisation: organisationName(c.organisation), Model: modelName,
@@ -329,10 +333,14 @@
 	c.refused++
 	c.endHold(now, s.w.kinds[c.kind].deadline)
 	s.result.refusals[c.kind]++
-	if d.RetryAfter <= 0 || c.refused > maxRetries {
+	wait, retries := d.RetryAfter, maxRetries
+	if c.hasty {
+		wait, retries = hastyRetry, int(hastyTime/hastyRetry)
+	}
+	if d.RetryAfter <= 0 || c.refused > retries {
 		return
 	}
-	s.schedule(now+d.RetryAfter, func(now time.Duration) {
+	s.schedule(now+wait, func(now time.Duration) {
 		c.retried = true
 		c.request.Attempt = 1
 		s.setDeadline(now, c)
--- a/internal/tools/policybench/workload.go
+++ b/internal/tools/policybench/workload.go
@@ -199,6 +199,7 @@
 	held       bool
 	heldAt     time.Duration
 	heldInVain bool
+	hasty      bool
 	refused    int
 	retried    bool
 	dispatched bool
