Held generations of removed keys are refused at once

Cause: a request that was held when its key was removed, or its organisation deleted, stayed held and was placed or refused at its hold limit. Its place in the queue was taken until then. Change: with scarce_room, the daemon that has the caller ends such waits when it applies the routes, which withdraws the request at the pool's coordinator. The caller gets 401, cause unknown_key, outcome not_run, no Retry-After; the decision has the reason key_removed. A request whose key is removed between its admission and its wait is refused too. Ruled out: a check at the coordinator, which doesn't know the callers' keys. Result: TestHeldRequestsOfRemovedKeysAreRefusedAtOnce (key removed, organisation deleted, key given to another organisation, organisation without keys): refused, and no longer held by the scheduler.

--- a/cmd/dragonfly-entry/settings.go
+++ b/cmd/dragonfly-entry/settings.go
@@ -69,7 +69,7 @@
 	// account where these state it.
 	UnevenEndpoints bool `json:"uneven_endpoints"`
 	// ScarceRoom lets brief generations with short objectives go before long ones when
-	// the cache of their pool is short.
+	// the cache of their pool is short, and ends held ones whose keys are removed.
 	ScarceRoom bool `json:"scarce_room"`
 	// Capacity is what the platform grants this host; nil if it doesn't state it.
 	Capacity *capacitySettings `json:"capacity"`
@@ -180,8 +180,8 @@
 		},
 		RetryShare: s.RetryRatio * retryFraction, RetryBurst: int(s.RetrySlack * retryFraction),
 		MaxOpen: s.MaxOpen, MaxRefusals: maxRefusals, ReportMaxAge: reportMaxAge,
-		UnevenEndpoints: s.UnevenEndpoints,
-		EntryValidity:   s.EntryValidity, ReclaimNotice: time.Duration(s.ReclaimNotice) * time.Millisecond,
+		UnevenEndpoints: s.UnevenEndpoints, ScarceRoom: s.ScarceRoom,
+		EntryValidity: s.EntryValidity, ReclaimNotice: time.Duration(s.ReclaimNotice) * time.Millisecond,
 		Drain: gateway.DrainOptions{
 			AcceptGenerationsFor: graceFraction(acceptGenerationsFraction), AcceptCallsFor: graceFraction(acceptCallsFraction), ForceCloseAfter: graceFraction(forceCloseFraction),
 		},
--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -21,6 +21,7 @@
 		// The pools' cache sizes and cold rates may have changed with the
 		// routes, so all endpoints are applied again.
 		changed = g.View.Endpoints()
+		g.endRevoked()
 	}
 	// The endpoints of evacuated domains come from the table and may be older than
 	// those of the view, so they go first.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -124,6 +124,8 @@
 	// UnevenEndpoints compares endpoints of plain services by the expected time of a
 	// call.
 	UnevenEndpoints bool
+	// ScarceRoom ends the wait of generations whose keys are removed.
+	ScarceRoom bool
 	// EntryValidity is how long callers may cache an answer of Entry.
 	EntryValidity time.Duration
 	// Drain holds the time limits of a graceful shutdown.
@@ -177,6 +179,7 @@
 	applyMu         sync.Mutex
 	wasReady        atomic.Bool
 
+	waiting   waitingRequests
 	lifecycle lifecycle
 }
 
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -63,11 +63,17 @@
 	request := x.generationRequest()
 	placingCtx, stop := x.g.placingContext(ctx)
 	defer stop()
-	d := x.g.Placer.Place(placingCtx, request, func(d *port.Decision) {
+	revocable, stopWaiting := x.revocableContext(placingCtx)
+	defer stopWaiting()
+	d := x.g.Placer.Place(revocable, request, func(d *port.Decision) {
 		x.coordinator = d.Coordinator
 		x.record(d.Verdict.String(), d.Reason, "", d.Candidates)
 	})
 	x.endpoint, x.coordinator = d.Endpoint.ID, d.Coordinator
+	removed := d.Verdict != port.VerdictPlace && revocable.Err() != nil && placingCtx.Err() == nil
+	if removed {
+		d.Reason = reasonKeyRemoved
+	}
 	x.record(d.Verdict.String(), d.Reason, "", d.Candidates)
 	if d.Verdict == port.VerdictPlace {
 		if x.continuing == nil {
@@ -76,6 +82,9 @@
 		}
 		return x.startAttempt(&placement{endpoint: d.Endpoint, generation: true}), nil
 	}
+	if removed {
+		return nil, keyRemoved()
+	}
 	refusal := &Refusal{Cause: CauseOverloaded, Detail: d.Reason, RetryAfter: d.RetryAfter}
 	switch d.Reason {
 	case routing.ReasonRefusedModel:
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -68,13 +68,16 @@
 )
 
 // setRetryAfter sets when the caller may retry. A request that has not run
-// always gets a retry time, unless its caller is gone or its time is over. One
-// that may have run and must not run twice never gets one.
+// always gets a retry time, unless its caller is gone, its time is over or its key
+// isn't admitted. One that may have run and must not run twice never gets one.
 func (r *Refusal) setRetryAfter(idempotent bool) {
 	switch {
 	case r.Cause == CauseCallerGone, r.Cause == CauseTimeout:
 		// The caller no longer waits.
 		r.RetryAfter = 0
+	case r.Cause == CauseNoKey:
+		// A retry with the same key is refused as well.
+		r.RetryAfter = 0
 	case r.Outcome != outcome.NotRun && !idempotent:
 		r.RetryAfter = 0
 	case r.RetryAfter > 0:
