A relocation that is given up doesn't make its coordinator count as failed

The context of the move was cancelled, and Client.Relocate took the error for a failure of entry-2: it closed the connection, withdrew the six requests held there and coordinated the pool itself for a second, beside entry-2. It also reserved a place for the ended run at runner-1, which was cold. Place and Admit check their context first, Relocate didn't.

Change: a relocation whose context has ended is refused, and the coordinator is told that the run doesn't run.

Result: TestRelocationThatIsGivenUpKeepsCoordinator fails before (the coordinator is b, want a) and passes; go test -race ./internal/scheduling passes.

--- a/internal/scheduling/client.go
+++ b/internal/scheduling/client.go
@@ -254,6 +254,11 @@
 			c.setCoordinator(requestID, coordinator.id)
 			return d
 		}
+		if ctx.Err() != nil {
+			// The run has ended or is no longer to be moved. The coordinator has not failed.
+			c.discardPlacement(coordinator, requestID)
+			return port.Decision{Verdict: port.VerdictRefuse, Reason: "the move was given up"}
+		}
 		c.handlePeerFailure(coordinator, err)
 	}
 	c.setCoordinator(requestID, c.opts.Self)
--- a/internal/scheduling/scheduling_test.go
+++ b/internal/scheduling/scheduling_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -131,7 +132,10 @@
 	return d, err
 }
 
-func (l *fakePeer) Relocate(_ context.Context, run *port.RunningRequest, terms port.RelocationConstraints) (port.Decision, error) {
+func (l *fakePeer) Relocate(ctx context.Context, run *port.RunningRequest, terms port.RelocationConstraints) (port.Decision, error) {
+	if ctx.Err() != nil {
+		return port.Decision{}, errLost
+	}
 	var d port.Decision
 	err := l.call(func() { d = l.fleet.schedulers[l.to].Relocate(run, terms) })
 	return d, err
@@ -256,6 +260,25 @@
 	}
 }
 
+// Guards against a daemon that takes the coordinator for failed, and coordinates the pool
+// beside it, because a run ended while its destination was being chosen.
+func TestRelocationThatIsGivenUpKeepsCoordinator(t *testing.T) {
+	f := newFleet("a", "b", "c")
+	coordinator := f.clients["a"].coordinator("pool").id
+	c := f.clients[f.names[(slices.Index(f.names, coordinator)+1)%len(f.names)]]
+	if d := c.Place(t.Context(), newRequest(f.clock.Now(), "run", 10), ignoreHold); d.Verdict != port.VerdictPlace {
+		t.Fatalf("verdict %v, reason %q", d.Verdict, d.Reason)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if d := c.Relocate(ctx, "run", port.RelocationConstraints{}); d.Verdict != port.VerdictRefuse {
+		t.Errorf("verdict %v for a run that ended, want a refusal", d.Verdict)
+	}
+	if got := c.coordinator("pool").id; got != coordinator {
+		t.Errorf("the coordinator is %s, want %s", got, coordinator)
+	}
+}
+
 // Guards against runs that occupy the scheduler forever because their daemon lost
 // power and nobody reports their end. They must expire, so that requests can use
 // the room again.
