Stand-in: the logger of a fleet's runner is set before it handles requests

Its logger was set in a goroutine that starts with the server, so a request that waited for the listener ran before, without a line in the log.

Change: a hook that runs before the first request is handled sets it.

--- a/cmd/dragonfly-standin/fleet.go
+++ b/cmd/dragonfly-standin/fleet.go
@@ -50,8 +50,8 @@
 	}
 	var registration *standin.Registration
 	return c.serveWith("fleet-runner", standin.NewRunnerHandler(r), hooks{
+		prepare: r.SetLogger,
 		background: func(ctx context.Context, l *log.Logger) {
-			r.SetLogger(l)
 			address := c.Advertise
 			if address == "" {
 				address = c.Listen
--- a/cmd/dragonfly-standin/serve.go
+++ b/cmd/dragonfly-standin/serve.go
@@ -30,6 +30,8 @@
 
 // hooks are functions that a stand-in runs besides serving requests.
 type hooks struct {
+	// prepare runs before the first request is handled.
+	prepare func(*log.Logger)
 	// background runs from the start until the process is stopped.
 	background func(context.Context, *log.Logger)
 	// leave runs before the listener closes.
@@ -52,6 +54,9 @@
 	logger := jsonlog.New(os.Stdout, name+"-"+kind, c.ID, "info")
 	logger.Info().Str("event", "ready").Str("address", c.Listen).
 		Str("failure_domain", c.FailureDomain).Msg("")
+	if extra.prepare != nil {
+		extra.prepare(logger)
+	}
 	var background sync.WaitGroup
 	if extra.background != nil {
 		background.Go(func() { extra.background(ctx, logger) })
