Generations keep to a daemon's share of rate limits where it isn't the coordinator

A daemon that doesn't reach a pool's coordinator, or that was the coordinator and still holds requests, places with its own scheduler. That one used the whole rate of each cold or limited runner, beside the coordinator, which does so too; calls keep to a share in this case (Client.AdmitLocally), generations didn't. All senders knew that the runner was cold, and of its present start.

Change: the scheduler of a daemon that the member list doesn't make the coordinator uses 1/(2n) of the limits, n being the daemons, and admits nothing at once, as for calls. The share is set at each placement and move and four times a second.

Result: TestDaemonsWithoutCoordinatorShareRateLimits (12 requests within a second, want at most 9) and TestNewCoordinatorUsesWholeRateLimits fail without the share and pass.

--- a/internal/core/ratelimit/limiter.go
+++ b/internal/core/ratelimit/limiter.go
@@ -164,7 +164,7 @@
 	}
 	m = &endpointMeter{}
 	if l.isShare {
-		m.due = now.Add(a.burst() + interval(a.PerSecond))
+		m.Restrict(now, a.Limit)
 	}
 	l.m[a.Endpoint] = m
 	return m
--- a/internal/core/ratelimit/meter.go
+++ b/internal/core/ratelimit/meter.go
@@ -79,6 +79,15 @@
 	return max(0, m.due.Add(-l.burst()).Sub(now))
 }
 
+// Restrict makes a meter that hasn't been used admit nothing until the endpoint has had
+// time for one request. It is for a daemon that has only a share of the limit: all such
+// daemons together would send a burst.
+func (m *Meter) Restrict(now time.Time, l Limit) {
+	if m.due.IsZero() && l.PerSecond > 0 {
+		m.due = now.Add(l.burst() + interval(l.PerSecond))
+	}
+}
+
 // Take admits the next request, at the time that Wait returns.
 func (m *Meter) Take(now time.Time, l Limit) {
 	if l.PerSecond <= 0 {
--- a/internal/core/routing/relocate.go
+++ b/internal/core/routing/relocate.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/dragonflyrail/dragonflyrail/internal/core/ratelimit"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
 
@@ -47,7 +46,7 @@
 		return d
 	}
 	e.destination = c.runner
-	e.destination.meter.Take(now, ratelimit.LimitOf(&e.destination.endpoint))
+	e.destination.meter.Take(now, s.limitOf(e.destination))
 	e.destination.addRun(now, e)
 	d := s.placement(e, &k, ReasonRelocated)
 	d.Endpoint = e.destination.endpoint
@@ -86,7 +85,7 @@
 			c.excluded = ExcludedTried
 		case !r.breaker.allows(now, multipleFailures):
 			c.excluded = ExcludedBreaker
-		case r.atRateLimit(now):
+		case s.atRateLimit(now, r):
 			c.excluded = ExcludedLimit
 		case r.endpoint.Slots > 0 && r.count() >= float64(r.endpoint.Slots):
 			c.excluded = ExcludedBatch
--- a/internal/core/routing/runner.go
+++ b/internal/core/routing/runner.go
@@ -186,12 +186,6 @@
 	}
 }
 
-// atRateLimit reports whether the runner has a rate limit and accepts no
-// more requests now.
-func (r *runner) atRateLimit(now time.Time) bool {
-	return r.meter.Wait(now, ratelimit.LimitOf(&r.endpoint)) > 0
-}
-
 // count returns the number of generations at the runner, including waiting
 // ones.
 func (r *runner) count() float64 { return float64(r.ownCount) + r.othersCount }
--- a/internal/core/routing/score.go
+++ b/internal/core/routing/score.go
@@ -234,7 +234,7 @@
 	case float64(q.request.PromptTokens) >= capacity:
 		out.tooSmall++
 		return ExcludedSize
-	case r.atRateLimit(s.now):
+	case s.atRateLimit(s.now, r):
 		out.rateLimited++
 		return ExcludedLimit
 	case count >= float64(q.weights.BatchLimit):
--- a/internal/core/routing/shard.go
+++ b/internal/core/routing/shard.go
@@ -9,7 +9,6 @@
 
 	"github.com/dragonflyrail/dragonflyrail/internal/core/admission"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/length"
-	"github.com/dragonflyrail/dragonflyrail/internal/core/ratelimit"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
 
@@ -89,8 +88,10 @@
 	organisations map[string]*organisation
 	totalShare    float64
 	prefixes      prefixHints
-	retries       admission.RetryBudget
-	kinds         kinds
+	// limitShare is the share of the runners' rate limits that this scheduler may use.
+	limitShare float64
+	retries    admission.RetryBudget
+	kinds      kinds
 
 	// Sums over this router's own placed generations.
 	own          footprint
@@ -121,6 +122,7 @@
 		random:        random,
 		byModel:       make(map[string][]*runner),
 		organisations: make(map[string]*organisation),
+		limitShare:    1,
 		kinds:         newKinds(),
 	}
 	sh.queue = admission.NewFairQueue(admission.QueueOptions{
@@ -166,7 +168,7 @@
 	e.org.work.add(now, e.cost)
 	e.org.rates[e.item.Lane].add(now, 1)
 	c.runner.breaker.dispatched()
-	c.runner.meter.Take(now, ratelimit.LimitOf(&c.runner.endpoint))
+	c.runner.meter.Take(now, s.limitOf(c.runner))
 	s.dispatchRate.add(now, e.print.peak())
 	s.prefixes.record(now, e.request.PrefixHashes, c.runner)
 }
--- a/internal/port/scheduler.go
+++ b/internal/port/scheduler.go
@@ -110,6 +110,10 @@
 	Adopt(now time.Time, r *RunningRequest)
 	// ObserveStream applies what a run shows of the speed of its endpoint.
 	ObserveStream(now time.Time, requestID string, s StreamSample)
+	// SetLimitShare sets the share of the endpoints' rate limits within which a pool's
+	// requests are placed, above 0 to 1. It is below 1 while other schedulers place at
+	// the same endpoints.
+	SetLimitShare(now time.Time, pool string, share float64)
 }
 
 // StreamSample is what the stream of a run has shown of its endpoint's speed since the
--- a/internal/scheduling/admit.go
+++ b/internal/scheduling/admit.go
@@ -62,23 +62,38 @@
 // shareOfLimits returns the limits reduced to what this daemon may send without
 // the coordinator.
 func (c *Client) shareOfLimits(asks []ratelimit.Candidate) []ratelimit.Candidate {
-	daemons := 0
-	for _, m := range c.opts.Members.Members() {
-		if m.CallerAddress != "" && m.State != port.MemberDead {
-			daemons++
-		}
-	}
+	daemons := c.daemonCount()
 	shares := make([]ratelimit.Candidate, len(asks))
 	for i, a := range asks {
 		shares[i] = a
-		shares[i].PerSecond /= float64(sharedLimitDivisor * max(1, daemons))
+		shares[i].PerSecond /= float64(sharedLimitDivisor * daemons)
 		if a.MaxRefusals > 0 {
-			shares[i].MaxRefusals = max(1, a.MaxRefusals/max(1, daemons))
+			shares[i].MaxRefusals = max(1, a.MaxRefusals/daemons)
 		}
 	}
 	return shares
 }
 
+// limitShare returns the share of the endpoints' rate limits within which this daemon's
+// scheduler places a pool's generations.
+func (c *Client) limitShare(pool string) float64 {
+	if c.isListedCoordinator(pool) {
+		return 1
+	}
+	return 1 / float64(sharedLimitDivisor*c.daemonCount())
+}
+
+// daemonCount returns the number of daemons that may admit requests, at least 1.
+func (c *Client) daemonCount() int {
+	daemons := 0
+	for _, m := range c.opts.Members.Members() {
+		if m.CallerAddress != "" && m.State != port.MemberDead {
+			daemons++
+		}
+	}
+	return max(1, daemons)
+}
+
 // expireLimits removes the state of endpoints without recent requests for
 // admission.
 func (c *Client) expireLimits() {
--- a/internal/scheduling/client.go
+++ b/internal/scheduling/client.go
@@ -124,11 +124,15 @@
 	if opts.Clock == nil {
 		opts.Clock = time.Now
 	}
-	return &Client{
+	c := &Client{
 		opts: opts, local: local, limiter: ratelimit.NewLimiter(), shareLimiter: ratelimit.NewShareLimiter(),
 		runs: make(map[string]*openRun), peers: make(map[string]*peerState), avoidUntil: make(map[string]time.Time),
 		lastCoordinators: make(map[string]string), handOvers: newHandOvers(&opts),
 	}
+	if local != nil {
+		local.limitShare = c.limitShare
+	}
+	return c
 }
 
 // Place places a generation or refuses it with a reason. It blocks while the
--- a/internal/scheduling/coordinator.go
+++ b/internal/scheduling/coordinator.go
@@ -237,12 +237,14 @@
 			return
 		case <-changed:
 			changed = c.opts.Members.Changed()
+			c.local.updateLimitShares()
 			c.reassignRuns()
 			c.sendHandOvers(ctx)
 		case <-progress.C:
 			c.reportRuns()
 			c.reassignRuns()
 			c.local.Expire()
+			c.local.updateLimitShares()
 			c.expireLimits()
 		case <-flush.C:
 			c.flush(ctx)
--- a/internal/scheduling/poolscheduler.go
+++ b/internal/scheduling/poolscheduler.go
@@ -8,12 +8,15 @@
 // daemon, whose scheduler places for all daemons. The coordinator's state is
 // advisory, without consensus: if a coordinator cannot be reached, the next one by
 // hash is asked, and finally a daemon places with its own scheduler. If two daemons
-// coordinate a pool for a moment, only the quality of placement suffers. Open runs
-// are reported to the new coordinator.
+// coordinate a pool for a moment, only the quality of placement suffers, as a daemon
+// that the member list doesn't make the coordinator uses only its share of the
+// endpoints' rate limits. Open runs are reported to the new coordinator.
 package scheduling
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,8 +34,13 @@
 type PoolScheduler struct {
 	scheduler port.Relocator
 	clock     func() time.Time
+	// limitShare returns the share of the endpoints' rate limits that this daemon may
+	// use in a pool; nil means the whole limits. It is set before the first placement.
+	limitShare func(pool string) float64
 
 	mu sync.Mutex
+	// pools are the pools in which requests were placed here.
+	pools map[string]struct{}
 	// lastReport holds the time of the last report of each run.
 	lastReport map[string]time.Time
 }
@@ -43,7 +51,7 @@
 	if clock == nil {
 		clock = time.Now
 	}
-	return &PoolScheduler{scheduler: s, clock: clock, lastReport: make(map[string]time.Time)}
+	return &PoolScheduler{scheduler: s, clock: clock, lastReport: make(map[string]time.Time), pools: make(map[string]struct{})}
 }
 
 // Place submits the request until the scheduler places or refuses it. It calls
@@ -51,6 +59,7 @@
 // ends, the request is withdrawn.
 func (b *PoolScheduler) Place(ctx context.Context, r *port.GenerationRequest, onHold func(*port.Decision)) port.Decision {
 	notified := false
+	b.updateLimitShare(r.Pool)
 	for {
 		d := b.scheduler.Submit(b.clock(), r)
 		if d.Verdict == port.VerdictPlace {
@@ -71,6 +80,28 @@
 	}
 }
 
+// updateLimitShare applies the daemon's present share of the rate limits in a pool.
+func (b *PoolScheduler) updateLimitShare(pool string) {
+	if b.limitShare == nil {
+		return
+	}
+	b.mu.Lock()
+	b.pools[pool] = struct{}{}
+	b.mu.Unlock()
+	b.scheduler.SetLimitShare(b.clock(), pool, b.limitShare(pool))
+}
+
+// updateLimitShares does the same for all pools in which requests were placed. It is
+// called regularly, because requests that are held are placed without a further call.
+func (b *PoolScheduler) updateLimitShares() {
+	b.mu.Lock()
+	pools := slices.Collect(maps.Keys(b.pools))
+	b.mu.Unlock()
+	for _, pool := range pools {
+		b.updateLimitShare(pool)
+	}
+}
+
 // wait reports whether the request should be submitted again.
 func (b *PoolScheduler) wait(ctx context.Context, r *port.GenerationRequest) bool {
 	timer := time.NewTimer(r.Deadline.Sub(b.clock()) + refusalMargin)
@@ -95,6 +126,7 @@
 // first if it does not have it yet.
 func (b *PoolScheduler) Relocate(run *port.RunningRequest, terms port.RelocationConstraints) port.Decision {
 	b.adopt(run)
+	b.updateLimitShare(run.Request.Pool)
 	return b.scheduler.Relocate(b.clock(), run.Request.RequestID, terms)
 }
 
