Handover: speeds are tested in a fleet of daemons, and apply before the next tick

Cause: that handed over speeds are at the successor within 1 s was shown over gRPC only. A handed over speed took effect at the successor's next tick, so a decision within 50 ms after the message compared no speeds.

Change: a fleet with runners of unequal speed changes its coordinator while nothing runs, so that the successor can't learn the speeds from streams. Drained: it must apply them within 1 s, its first decision must show the slowness of each runner as in the former one's last decision, and the former one must exit by itself. Killed: the first decision shows the medians, and reports of the relaying daemons teach the speeds. The scheduler computes the medians when a handover changed a speed.

--- a/internal/core/routing/handover.go
+++ b/internal/core/routing/handover.go
@@ -156,7 +156,9 @@
 		}
 	}
 	if counts.Speeds > 0 {
+		// The next decision may come before the next tick.
 		s.recompute()
+		s.updateSpeeds(now)
 	}
 	for i := range h.Organisations {
 		if s.raiseUse(now, h.At, &h.Organisations[i]) {
--- a/internal/core/routing/handover_test.go
+++ b/internal/core/routing/handover_test.go
@@ -54,6 +54,19 @@
 	}
 }
 
+// Guards against a successor whose first decision, before its next tick, doesn't use the
+// speeds that were handed over.
+func TestFirstDecisionUsesHandedOverSpeeds(t *testing.T) {
+	former, successor := unevenScheduler(t, 2.4, 1, 1), unevenScheduler(t, 0, 0, 0)
+	h := former.HandOver(start, "pool")
+	successor.ApplyHandOver(start, &h)
+	for _, c := range successor.Submit(start, longRequest("first")).Candidates {
+		if c.Endpoint == runnerID(0) && c.Slowness != 2.4 {
+			t.Errorf("slowness %v in the decision, want 2.4", c.Slowness)
+		}
+	}
+}
+
 // Guards against a successor that forgets the retry times that callers were given, or
 // refuses the callers who return at these times.
 func TestSuccessorHonoursBookedRetries(t *testing.T) {
--- a/test/coordinator_test.go
+++ b/test/coordinator_test.go
@@ -4,11 +4,13 @@
 	"bufio"
 	"bytes"
 	"encoding/json"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/dragonflyrail/dragonflyrail/internal/port"
 	"github.com/dragonflyrail/dragonflyrail/internal/testkit/procs"
 	"github.com/dragonflyrail/dragonflyrail/platform/testfleet"
 )
@@ -36,6 +38,8 @@
 	Speeds        int    `json:"speeds"`
 	Organisations int    `json:"organisations"`
 	Accepted      bool   `json:"accepted"`
+	// Candidates are the runners that were compared, with their speeds.
+	Candidates []port.CandidateScore `json:"candidates"`
 }
 
 // findLine returns the last line of a daemon's log that matches.
@@ -51,15 +55,22 @@
 	return found, ok
 }
 
-// coordinatorAt returns the daemon that places generations for a daemon, or nil.
-func (f *fleetTest) coordinatorAt(d *testfleet.Daemon) *testfleet.Daemon {
+// placedAt sends a generation to a daemon and returns the decision that placed it, or the
+// zero value if it was not served.
+func (f *fleetTest) placedAt(d *testfleet.Daemon) coordinatorLine {
 	r := f.request(testfleet.Generation, 2)
 	if !f.caller.Ask(testContext(f.t), d.Callers, r).Whole(r) {
-		return nil
+		return coordinatorLine{}
 	}
 	line, _ := findLine(d, func(l *coordinatorLine) bool {
 		return l.Event == "decision" && l.SubjectID == r.ID && l.Verdict == "place"
 	})
+	return line
+}
+
+// coordinatorAt returns the daemon that places generations for a daemon, or nil.
+func (f *fleetTest) coordinatorAt(d *testfleet.Daemon) *testfleet.Daemon {
+	line := f.placedAt(d)
 	for _, c := range f.Daemons {
 		if c.ID == line.Coordinator {
 			return c
@@ -245,3 +256,113 @@
 		t.Fatalf("exit code %d", code)
 	}
 }
+
+const (
+	// unevenEngines is the number of runners from which on one of a fleet is the slow one.
+	unevenEngines = 6
+	// knownSlowness is the slowness from which on a coordinator knows the slow runner,
+	// which needs 2.4 times as long. The others need at most 1.3 times as long.
+	knownSlowness = 1.8
+	// speedTolerance bounds how far a handed over slowness differs from that in a former
+	// decision, relative to it: the former one may have got samples since.
+	speedTolerance = 0.25
+)
+
+// slowest returns the largest slowness in a decision; 0 if speeds were not compared.
+func (l *coordinatorLine) slowest() float64 {
+	slowest := 0.0
+	for i := range l.Candidates {
+		slowest = max(slowest, l.Candidates[i].Slowness)
+	}
+	return slowest
+}
+
+// startUnevenFleet starts a fleet with runners of unequal speed, lets its coordinator
+// learn their speeds, and ends all generations, so that no other daemon can learn them
+// from streams. It returns the coordinator, its last decision and the other daemons.
+func startUnevenFleet(t *testing.T) (f *fleetTest, coordinator *testfleet.Daemon, known coordinatorLine, others []*testfleet.Daemon) {
+	t.Helper()
+	f = startFleet(t, func(l *testfleet.Layout) {
+		l.Engines, l.UnevenRunners = unevenEngines, true
+		// Longer steps than usual, so that a busy machine doesn't hide the differences.
+		l.EventEvery = 20 * time.Millisecond
+	})
+	coordinator, others = f.agreedCoordinator(f.Daemons)
+	load := f.keepOpen(f.Daemons)
+	procs.Until(t, "the coordinator knows the speeds", func() bool {
+		known = f.placedAt(others[0])
+		return known.Coordinator == coordinator.ID && len(known.Candidates) == unevenEngines && known.slowest() >= knownSlowness &&
+			load.servedCount() >= servedAfterChange
+	})
+	load.end()
+	known = f.placedAt(others[0])
+	if known.Coordinator != coordinator.ID || known.slowest() < knownSlowness {
+		t.Fatalf("the decision before the change doesn't show the slow runner: %+v", known)
+	}
+	return f, coordinator, known, others
+}
+
+// Guards against a successor that places generations without the speeds that the former
+// coordinator has learned. The coordinator of a fleet with runners of unequal speed is
+// stopped in order while nothing runs. The successor must have the speeds within a second,
+// and its first decision must show them.
+func TestDrainedCoordinatorHandsOverSpeeds(t *testing.T) {
+	t.Parallel()
+	f, coordinator, known, others := startUnevenFleet(t)
+	if err := coordinator.Terminate(); err != nil {
+		t.Fatal(err)
+	}
+	var successor *testfleet.Daemon
+	procs.Until(t, "a daemon applies what is handed over", func() bool {
+		for _, d := range others {
+			if _, ok := findLine(d, func(l *coordinatorLine) bool { return l.Event == "handover_applied" }); ok {
+				successor = d
+			}
+		}
+		return successor != nil
+	})
+	f.checkHandedOver(coordinator, successor)
+	first := f.placedAt(successor)
+	if first.Coordinator != successor.ID {
+		t.Fatalf("%s applied what was handed over, but the first decision is that of %q", successor.ID, first.Coordinator)
+	}
+	t.Logf("before %+v, after %+v", known.Candidates, first.Candidates)
+	before := map[string]float64{}
+	for _, c := range known.Candidates {
+		before[c.Endpoint] = c.Slowness
+	}
+	if len(first.Candidates) != unevenEngines {
+		t.Errorf("the first decision shows %d runners, want %d", len(first.Candidates), unevenEngines)
+	}
+	for _, c := range first.Candidates {
+		if math.Abs(c.Slowness-before[c.Endpoint]) > speedTolerance*before[c.Endpoint] {
+			t.Errorf("the slowness of %s is %.2f at the successor, want %.2f", c.Endpoint, c.Slowness, before[c.Endpoint])
+		}
+	}
+	<-coordinator.Exited()
+	if code := coordinator.ExitCode(); code != 0 {
+		t.Fatalf("exit code %d", code)
+	}
+}
+
+// Guards against a successor that needs speeds from a coordinator that was killed. It must
+// place generations with the pool's medians, and learn the speeds from the reports of the
+// relaying daemons.
+func TestKilledCoordinatorsSuccessorLearnsSpeeds(t *testing.T) {
+	t.Parallel()
+	f, coordinator, _, others := startUnevenFleet(t)
+	coordinator.Kill()
+	var first coordinatorLine
+	procs.Until(t, "a generation is placed after the change", func() bool {
+		first = f.placedAt(others[0])
+		return first.Coordinator != "" && first.Coordinator != coordinator.ID
+	})
+	if slowest := first.slowest(); slowest >= knownSlowness {
+		t.Errorf("the first decision of %s has a slowness of %.2f, want the medians: %+v", first.Coordinator, slowest, first.Candidates)
+	}
+	f.keepOpen(others)
+	procs.Until(t, "the successor learns the speeds", func() bool {
+		line := f.placedAt(others[0])
+		return line.Coordinator == first.Coordinator && line.slowest() >= knownSlowness
+	})
+}
