policybench: a prefix that most requests share

Cause: whether runners that hold a shared prefix get too many requests wasn't measured.

Reports what is prefilled again and the largest prefill backlog, with and without the credit for a cached prefix. The engine model counts prefilled tokens.

--- a/internal/standin/enginemodel/engine.go
+++ b/internal/standin/enginemodel/engine.go
@@ -129,6 +129,7 @@
 
 	submitted   uint64
 	preemptions uint64
+	prefilled   uint64
 	tokenMillis float64
 }
 
@@ -209,6 +210,11 @@
 // Preemptions returns the number of preemptions since New.
 func (e *Engine) Preemptions() uint64 { return e.preemptions }
 
+// PrefilledTokens returns the number of context tokens computed since New, without the
+// generated ones, which enter the cache as they are generated. Tokens that were computed
+// again after a preemption or because no cached prefix was found count again.
+func (e *Engine) PrefilledTokens() uint64 { return e.prefilled }
+
 // Load returns a report of the current load. The caller adds identity, state
 // and delay. Blocks that hold only cached prefixes that no job uses count as
 // free.
--- a/internal/standin/enginemodel/step.go
+++ b/internal/standin/enginemodel/step.go
@@ -166,6 +166,7 @@
 			e.cache.publishPrefix(j, e.fullPromptBlocks(j))
 		}
 	}
+	e.prefilled += uint64(prefilled)
 	return prefilled
 }
 
--- a/internal/tools/policybench/main.go
+++ b/internal/tools/policybench/main.go
@@ -138,11 +138,11 @@
 
 func suites() []suite {
 	even := func(w *workload) float64 { return w.capacity(1) }
-	return []suite{
+	return append([]suite{
 		{kegsetu(), even, scenarios(), policies()},
 		{bayanihan(), even, scenarios(), policies()},
 		{unevenWorkload(), unevenCapacity, unevenScenarios(), unevenPolicies()},
-	}
+	}, hotPrefixSuites()...)
 }
 
 func runAll(jobs []func(), workers int) {
@@ -211,6 +211,7 @@
 	r.addComparisons()
 	r.addFloodComparisons()
 	r.addUnevenComparisons()
+	r.addHotPrefixComparisons()
 	for _, aim := range r.Aims {
 		fmt.Println(aim)
 	}
--- a/internal/tools/policybench/result.go
+++ b/internal/tools/policybench/result.go
@@ -49,11 +49,16 @@
 	// reportRun is the mean time from the placement of a report to its end.
 	reportRun = "report_run_s"
 	goodShort = "goodput_short_pct"
+	// prefilledAgain is the number of thousands of context tokens that were prefilled
+	// although some engine had computed them before, largestBacklog the largest number of
+	// thousands of prompt tokens at one engine that were not prefilled.
+	prefilledAgain = "prefilled_again_k"
+	largestBacklog = "largest_backlog_k"
 )
 
 var measures = []string{
 	stallTime, preemptions, gapP50, gapP95, gapP99, firstP95, firstShortP95, firstReportP95, goodput, goodputReport, refusals, retryServed, worstShare, spread,
-	reportRun, goodShort,
+	reportRun, goodShort, prefilledAgain, largestBacklog,
 }
 
 func newResult() *result {
@@ -142,6 +147,8 @@
 		v[retryServed] = 100 * served / retried
 	}
 	v[worstShare] = 100 * worst
+	v[prefilledAgain] = s.prefilledAgain() / 1000
+	v[largestBacklog] = float64(s.largestBacklog) / 1000
 	v[spread] = r.placementSpread(len(s.engines))
 	r.gaps = nil
 }
--- a/internal/tools/policybench/sim.go
+++ b/internal/tools/policybench/sim.go
@@ -107,6 +107,9 @@
 	// floodStart is the time at which a flood begins.
 	floodStart time.Duration
 	result     *result
+	// largestBacklog is the largest number of prompt tokens seen at one engine that were
+	// not prefilled.
+	largestBacklog int
 }
 
 func at(now time.Duration) time.Time { return epoch.Add(now) }
@@ -315,6 +318,7 @@
 	}
 	c.dispatched = true
 	c.placed = now
+	s.largestBacklog = max(s.largestBacklog, e.model.Load().WaitingPromptTokens)
 	s.result.placements[index]++
 	s.startStep(now, e)
 }
--- a/internal/tools/policybench/workload.go
+++ b/internal/tools/policybench/workload.go
@@ -58,6 +58,10 @@
 	// patientTarget is the target for the first token of the reports of every second
 	// organisation; zero for the same as the others'.
 	patientTarget time.Duration
+	// hotTokens is the length of a prompt prefix that a fraction of the requests of all
+	// organisations and kinds share; zero for none.
+	hotTokens   int
+	hotFraction float64
 }
 
 // tokensPerEvent returns the number of tokens in one event of a stream.
@@ -163,6 +167,8 @@
 	output       int
 	arrived      time.Duration
 	router       int
+	// hot marks a request whose prompt begins with the workload's hot prefix.
+	hot bool
 
 	request port.GenerationRequest
 	engine  int
@@ -200,6 +206,10 @@
 	c := &call{organisation: organisation, kind: k}
 	c.prompt = w.kinds[k].templateTokens + w.kinds[k].prompt.draw(r, 1)
 	c.output = w.kinds[k].output.draw(r, scale)
+	if w.hotTokens > 0 && r.Float64() < w.hotFraction {
+		c.hot = true
+		c.prompt = max(c.prompt, w.hotTokens+w.kinds[k].templateTokens)
+	}
 	return c
 }
 
@@ -276,10 +286,13 @@
 const surgeSeed = 1 << 32
 
 func (w *workload) prefixHashes(c *call) []uint64 {
-	blocks := w.kinds[c.kind].templateTokens / w.engine.BlockTokens
-	out := make([]uint64, blocks)
+	tokens, prefix := w.kinds[c.kind].templateTokens, uint64(c.organisation+1)<<32|uint64(c.kind+1)<<16
+	if c.hot {
+		tokens, prefix = w.hotTokens, hotPrefix
+	}
+	out := make([]uint64, tokens/w.engine.BlockTokens)
 	for i := range out {
-		out[i] = uint64(c.organisation+1)<<32 | uint64(c.kind+1)<<16 | uint64(i)
+		out[i] = prefix | uint64(i)
 	}
 	return out
 }
