Try: bounded load of a shared prefix's holders

Cause: no bound kept a prefix that many requests share from overloading the runners that hold it, and only four holders of a prefix are known.

Change: up to 16 holders, each with the number of its runs with the prefix. A holder gets the credit for cached blocks while that number is at most 1.25 x the mean over the holders + 1, or its prefill backlog, weighed by its usual speed, is no larger than the pool's mean. Holders that are gone or were not used for 2 minutes are dropped.

--- a/internal/core/routing/prefix_test.go
+++ b/internal/core/routing/prefix_test.go
@@ -87,3 +87,67 @@
 		})
 	}
 }
+
+// boundedScheduler returns a scheduler that bounds the load of holders, with a prefix that
+// the first two runners hold. One of them has many requests with it and a backlog.
+func boundedScheduler(t *testing.T) *Scheduler {
+	t.Helper()
+	s := unevenScheduler(t, 1, 1, 1, 1)
+	s.options.HotPrefixes = true
+	for i, runner := range []int{0, 0, 0, 0, 0, 1} {
+		id := fmt.Sprint("held-", i)
+		wantVerdict(t, s.Submit(start, onlyAt(s, runner, sharedRequest(id))), port.VerdictPlace, ReasonPlaced)
+		s.Progress(start, id, testEventTokens)
+	}
+	addBacklog(s, 0, 3000)
+	return s
+}
+
+// Guards against a holder that gets a shared prefix beyond its bound, and against a bound
+// that stays in force once its runs have ended or its prefill backlog is gone.
+func TestHolderBeyondItsBoundDoesNotCount(t *testing.T) {
+	s := boundedScheduler(t)
+	d := s.Submit(start, sharedRequest("bounded"))
+	if creditAt(t, d, 0) != 0 || creditAt(t, d, 1) <= 0 {
+		t.Fatalf("credits %v and %v, want one at the second holder only", creditAt(t, d, 0), creditAt(t, d, 1))
+	}
+	addBacklog(s, 0, 0)
+	if creditAt(t, s.Submit(start, sharedRequest("no backlog")), 0) <= 0 {
+		t.Error("no credit at a holder without a backlog")
+	}
+	addBacklog(s, 0, 3000)
+	for i := range 5 {
+		s.Finished(start, fmt.Sprint("held-", i), 750, port.FinishDone)
+	}
+	if creditAt(t, s.Submit(start, sharedRequest("ended")), 0) <= 0 {
+		t.Error("no credit at a holder whose runs have ended")
+	}
+}
+
+// Guards against holders that are known without bound, and against runners that have gone
+// or were not used for minutes and still count as holders.
+func TestNumberOfHoldersIsBounded(t *testing.T) {
+	runners := make([]float64, maxSharedHolders+4)
+	for i := range runners {
+		runners[i] = 1
+	}
+	s := unevenScheduler(t, runners...)
+	s.options.HotPrefixes = true
+	for i := range runners {
+		wantVerdict(t, s.Submit(start, onlyAt(s, i, sharedRequest(fmt.Sprint("held-", i)))), port.VerdictPlace, ReasonPlaced)
+	}
+	h, _ := s.shards["pool"].prefixes.find(start, sharedRequest("").PrefixHashes)
+	if len(h.known) != maxSharedHolders {
+		t.Errorf("%d holders are known, want %d", len(h.known), maxSharedHolders)
+	}
+	s.SetEndpoints(start, unevenRunners(len(runners))[:len(runners)-3])
+	later := at(prefixMaxAge + 1)
+	for i, k := range h.known {
+		if gone := !k.runner.listed; gone && k.holds(start) {
+			t.Errorf("holder %d is gone and still counts", i)
+		}
+		if k.holds(later) {
+			t.Errorf("holder %d counts %v after its last use", i, prefixMaxAge)
+		}
+	}
+}
