--- a/internal/core/routing/held.go
+++ b/internal/core/routing/held.go
@@ -194,9 +194,7 @@
 	if gap := e.request.TokenGap; gap > 0 {
 		q.gapMillis = milliseconds(gap)
 	}
-	if h, blocks := s.prefixes.find(now, e.request.PrefixHashes); h != nil {
-		q.prefixBlocks, q.prefixMark = blocks, s.markHolders(now, h, e.request.Model)
-	}
+	q.prefix, q.prefixBlocks = s.prefixes.find(now, e.request.PrefixHashes)
 	q.speedQuery = s.speedQuery(now, e)
 	return q
 }
--- a/internal/core/routing/options.go
+++ b/internal/core/routing/options.go
@@ -53,8 +53,6 @@
 	// ScarceRoom lets brief requests with short objectives go before long ones, and
 	// keeps cache free for them.
 	ScarceRoom bool
-	// HotPrefixes bounds the load of a prefix's holders.
-	HotPrefixes bool
 }
 
 // Defaults of Options.
--- a/internal/core/routing/relocate.go
+++ b/internal/core/routing/relocate.go
@@ -109,8 +109,6 @@
 		return
 	}
 	e.runner.removeRun(now, e)
-	releaseHolders(e.held)
-	e.held = nil
 	e.runner, e.destination = e.destination, nil
 	s.release(now)
 }
--- a/internal/core/routing/runner.go
+++ b/internal/core/routing/runner.go
@@ -69,9 +69,6 @@
 	// index is the runner's position among those that accept new work, notLive if it
 	// doesn't.
 	index int
-	// prefixMark is the mark of the last request for which the runner counted as a holder
-	// of its prefix.
-	prefixMark uint64
 	// preferred marks the runners that this router prefers.
 	preferred bool
 	// listed marks the runners in the shard's list. dropped marks those that
--- a/internal/core/routing/score.go
+++ b/internal/core/routing/score.go
@@ -61,11 +61,9 @@
 	ownPrefill float64
 	// gapMillis is the longest time between two tokens that counts as on
 	// time.
-	gapMillis float64
-	// prefixBlocks is the depth of the known prefix, zero for none. The runners that count
-	// as its holders have the mark prefixMark.
+	gapMillis    float64
+	prefix       *holders
 	prefixBlocks int
-	prefixMark   uint64
 	// multipleFailures is set if too many runners have failed for a single
 	// failure to count.
 	multipleFailures bool
@@ -207,7 +205,7 @@
 	batch := float64(r.report.Running + r.report.Waiting)
 	step := r.tokenMillis() / q.gapMillis * (1 + stepGrowthPerRun*max(-batch, count-batch))
 	prompt, cached := float64(q.request.PromptTokens), 0.0
-	if q.prefixBlocks > 0 && r.prefixMark == q.prefixMark {
+	if q.prefix != nil && q.prefix.has(r) {
 		cached = min(prompt, float64(q.prefixBlocks*r.blockTokens()))
 		c.prefix = cached / prefillScale
 		prompt -= cached
--- a/internal/core/routing/shard.go
+++ b/internal/core/routing/shard.go
@@ -45,8 +45,6 @@
 	reserved bool
 
 	runner *runner
-	// held are the records of the request's prefixes at the runner, in which it counts.
-	held []*holder
 	// destination is the runner that the run is being moved to, or nil.
 	destination *runner
 	survival    length.Survival
@@ -170,7 +168,7 @@
 	c.runner.breaker.dispatched()
 	c.runner.meter.Take(now, ratelimit.LimitOf(&c.runner.endpoint))
 	s.dispatchRate.add(now, e.print.peak())
-	e.held = s.prefixes.record(now, e.request.PrefixHashes, c.runner, s.boundsHolders())
+	s.prefixes.record(now, e.request.PrefixHashes, c.runner)
 }
 
 // countRun adds an entry to the counts of the runner, its organisation and
@@ -192,8 +190,6 @@
 // uncountRun reverses countRun.
 func (s *shard) uncountRun(now time.Time, e *entry) {
 	e.runner.removeRun(now, e)
-	releaseHolders(e.held)
-	e.held = nil
 	s.dropDestination(now, e)
 	s.own.subtract(&e.print)
 	s.ownContext -= e.contextTokens()
--- a/internal/tools/policybench/hotprefix.go
+++ b/internal/tools/policybench/hotprefix.go
@@ -41,16 +41,11 @@
 	return unevenCapacity(&unshared)
 }
 
-// boundedHolders is the policy with the bound on the load of a prefix's holders.
-const boundedHolders = "bounded holders"
-
 // withoutCredit is the policy in which a cached prefix gets no credit.
 const withoutCredit = "without credit"
 
 func hotPrefixPolicies() []policy {
 	credited := routing.Options{PrefillBacklogLimit: unevenUnreadLimit, UnevenEndpoints: true}
-	bounded := credited
-	bounded.HotPrefixes = true
 	uncredited := credited
 	uncredited.Weights = routing.DefaultWeights()
 	uncredited.Weights.Prefix = 0
@@ -58,21 +53,20 @@
 		{"least outstanding", baselineScheduler(leastOutstanding)},
 		{withoutCredit, schedulerWith(uncredited)},
 		{withSpeeds, schedulerWith(credited)},
-		{boundedHolders, schedulerWith(bounded)},
 	}
 }
 
-// addHotPrefixComparisons adds the measures of each seed with and without the bound on the
-// load of a prefix's holders.
+// addHotPrefixComparisons adds the measures of each seed with and without the credit for a
+// cached prefix.
 func (r *report) addHotPrefixComparisons() {
 	for _, w := range []string{hotPrefixUnshared, hotPrefixShared} {
-		without, with := r.find(w, referenceScenario, withSpeeds), r.find(w, referenceScenario, boundedHolders)
+		without, with := r.find(w, referenceScenario, withoutCredit), r.find(w, referenceScenario, withSpeeds)
 		if without == nil || with == nil {
 			continue
 		}
 		for seed := range without.results {
 			for _, m := range []string{goodput, prefilledAgain, largestBacklog} {
-				r.Aims = append(r.Aims, fmt.Sprintf("%s, seed %d, %s: without the bound %.2f, with it %.2f",
+				r.Aims = append(r.Aims, fmt.Sprintf("%s, seed %d, %s: without credit %.2f, with it %.2f",
 					w, seed+1, m, without.results[seed].Values[m], with.results[seed].Values[m]))
 			}
 		}
