--- a/internal/tools/policybench/main.go
+++ b/internal/tools/policybench/main.go
@@ -138,12 +138,12 @@
 
 func suites() []suite {
 	even := func(w *workload) float64 { return w.capacity(1) }
-	return []suite{
+	return append([]suite{
 		{kegsetu(), even, scenarios(), policies()},
 		{bayanihan(), even, scenarios(), policies()},
 		{unevenWorkload(), unevenCapacity, unevenScenarios(), unevenPolicies()},
 		{scarceWorkload(), even, scarceScenarios(), scarcePolicies()},
-	}
+	}, hotPrefixSuites()...)
 }
 
 func runAll(jobs []func(), workers int) {
@@ -212,6 +212,7 @@
 	r.addComparisons()
 	r.addFloodComparisons()
 	r.addUnevenComparisons()
+	r.addHotPrefixComparisons()
 	for _, aim := range r.Aims {
 		fmt.Println(aim)
 	}
