policybench: what preemption at a full engine costs

Change: the engine model can overcommit its cache, so that no run is preempted and none loses context or time. This bounds every choice of the run to preempt. New measure preempted_k.

--- a/internal/standin/enginemodel/engine.go
+++ b/internal/standin/enginemodel/engine.go
@@ -44,6 +44,10 @@
 	PrefillPerToken time.Duration
 	// SlowFactor multiplies the duration of each step; the default is 1.
 	SlowFactor float64
+	// Overcommit lets decoding jobs grow beyond a full cache, so that none is
+	// preempted. No job starts until the cache has room for it again. No real
+	// engine can do so: it bounds what any choice of the job to preempt can gain.
+	Overcommit bool
 	// CacheEventLimit bounds the cache events kept for CacheEvents.
 	CacheEventLimit int
 }
@@ -129,6 +133,7 @@
 
 	submitted   uint64
 	preemptions uint64
+	preempted   uint64
 	prefilled   uint64
 	tokenMillis float64
 }
@@ -210,6 +215,10 @@
 // Preemptions returns the number of preemptions since New.
 func (e *Engine) Preemptions() uint64 { return e.preemptions }
 
+// PreemptedTokens returns the number of computed context tokens that jobs had when they
+// were preempted, since New.
+func (e *Engine) PreemptedTokens() uint64 { return e.preempted }
+
 // PrefilledTokens returns the number of context tokens computed since New, without the
 // generated ones, which enter the cache as they are generated. Tokens that were computed
 // again after a preemption or because no cached prefix was found count again.
--- a/internal/standin/enginemodel/engine_test.go
+++ b/internal/standin/enginemodel/engine_test.go
@@ -123,6 +123,9 @@
 			seen[event.JobID]++
 		}
 	}
+	if lost := e.PreemptedTokens(); lost < 4*e.Preemptions() {
+		t.Errorf("%d preempted tokens, want at least the prompts of %d preempted jobs", lost, e.Preemptions())
+	}
 	if preemptedFirst != "young" {
 		t.Fatalf("first preempted job is %q, want young", preemptedFirst)
 	}
@@ -131,6 +134,50 @@
 	}
 }
 
+// Guards against an upper bound for the choice of the job to preempt that isn't one: an
+// overcommitted cache must let each running job generate a token in each step, and start no
+// job before it has room.
+func TestOvercommittedCachePreemptsNoJob(t *testing.T) {
+	c := smallConfig()
+	c.BlocksTotal, c.Overcommit = 10, true
+	e := New(c)
+	for i := range 3 {
+		mustSubmit(t, e, Job{ID: fmt.Sprint(i), PromptTokens: 4, OutputTokens: 20})
+	}
+	e.Step(start)
+	mustSubmit(t, e, Job{ID: "later", PromptTokens: 4, OutputTokens: 1})
+	overfull := false
+	for step := 1; step < 20; step++ {
+		_, events := e.Step(start)
+		generated := 0
+		for _, event := range events {
+			if event.JobID != "later" {
+				generated++
+			}
+		}
+		load := e.Load()
+		if generated != 3 || load.Preemptions != 0 || e.PreemptedTokens() != 0 {
+			t.Fatalf("step %d: %d tokens, %d preemptions of %d tokens, want 3 tokens and none", step, generated, load.Preemptions, e.PreemptedTokens())
+		}
+		if load.BlocksUsed > c.BlocksTotal {
+			overfull = true
+			mustSubmit(t, e, Job{ID: fmt.Sprint("new", step), PromptTokens: 4, OutputTokens: 1})
+		}
+		if overfull && load.Running > 3 {
+			t.Fatalf("step %d: a job started in a full cache", step)
+		}
+	}
+	if !overfull {
+		t.Fatal("the cache never filled")
+	}
+	for range 10 {
+		e.Step(start)
+	}
+	if !e.Idle() || e.Load().BlocksUsed != 0 {
+		t.Errorf("%d blocks are used after all jobs, idle %v", e.Load().BlocksUsed, e.Idle())
+	}
+}
+
 func TestPrefixCacheSavesPrefillAndRecordsEvents(t *testing.T) {
 	e := New(smallConfig())
 	hashes := []uint64{11, 12, 13}
--- a/internal/standin/enginemodel/step.go
+++ b/internal/standin/enginemodel/step.go
@@ -88,7 +88,7 @@
 
 // growDecoding allocates a block for each decoding job whose next token needs
 // one. If the cache is full, it preempts the job with the lowest priority and,
-// among those, the one submitted last.
+// among those, the one submitted last, unless the cache may be overcommitted.
 func (e *Engine) growDecoding() {
 	for i := 0; i < len(e.running); i++ {
 		j := e.running[i]
@@ -97,6 +97,10 @@
 			continue
 		}
 		for !e.cache.allocate(need) {
+			if e.config.Overcommit {
+				e.cache.free -= need
+				break
+			}
 			victim := e.victim()
 			at := slices.Index(e.running, victim)
 			e.preempt(victim)
@@ -126,6 +130,7 @@
 // again.
 func (e *Engine) preempt(j *job) {
 	e.preemptions++
+	e.preempted += uint64(j.computed)
 	e.cache.release(j)
 	j.computed = 0
 	j.running = false
--- a/internal/tools/policybench/main.go
+++ b/internal/tools/policybench/main.go
@@ -213,6 +213,7 @@
 	r.addFloodComparisons()
 	r.addUnevenComparisons()
 	r.addHotPrefixComparisons()
+	r.addPreemptionComparisons()
 	for _, aim := range r.Aims {
 		fmt.Println(aim)
 	}
--- a/internal/tools/policybench/result.go
+++ b/internal/tools/policybench/result.go
@@ -32,20 +32,23 @@
 
 // Names of the measures, in the order of the table.
 const (
-	stallTime      = "stall_s"
-	preemptions    = "preemptions"
-	gapP50         = "gap_p50_ms"
-	gapP95         = "gap_p95_ms"
-	gapP99         = "gap_p99_ms"
-	firstP95       = "first_p95_s"
-	firstShortP95  = "first_short_p95_s"
-	firstReportP95 = "first_report_p95_s"
-	goodput        = "goodput_pct"
-	goodputReport  = "goodput_report_pct"
-	refusals       = "refused_pct"
-	retryServed    = "returned_served_pct"
-	worstShare     = "worst_org_pct"
-	spread         = "placement_cv"
+	stallTime   = "stall_s"
+	preemptions = "preemptions"
+	// preemptedTokens is the number of thousands of computed context tokens of runs that
+	// were preempted.
+	preemptedTokens = "preempted_k"
+	gapP50          = "gap_p50_ms"
+	gapP95          = "gap_p95_ms"
+	gapP99          = "gap_p99_ms"
+	firstP95        = "first_p95_s"
+	firstShortP95   = "first_short_p95_s"
+	firstReportP95  = "first_report_p95_s"
+	goodput         = "goodput_pct"
+	goodputReport   = "goodput_report_pct"
+	refusals        = "refused_pct"
+	retryServed     = "returned_served_pct"
+	worstShare      = "worst_org_pct"
+	spread          = "placement_cv"
 	// reportRun is the mean time from the placement of a report to its end.
 	reportRun = "report_run_s"
 	goodShort = "goodput_short_pct"
@@ -69,7 +72,7 @@
 )
 
 var measures = []string{
-	stallTime, preemptions, gapP50, gapP95, gapP99, firstP95, firstShortP95, firstReportP95, goodput, goodputReport, refusals, retryServed, worstShare, spread,
+	stallTime, preemptions, preemptedTokens, gapP50, gapP95, gapP99, firstP95, firstShortP95, firstReportP95, goodput, goodputReport, refusals, retryServed, worstShare, spread,
 	reportRun, goodShort, servedShort, servedReport, servedPatientShort, servedPatientReport, worstServed, heldInVain,
 	prefilledAgain, largestBacklog,
 }
@@ -143,6 +146,7 @@
 	v[stallTime] = stall.Seconds()
 	for _, e := range s.engines {
 		v[preemptions] += float64(e.model.Preemptions())
+		v[preemptedTokens] += float64(e.model.PreemptedTokens()) / 1000
 	}
 	for name, q := range map[string]float64{gapP50: 50, gapP95: 95, gapP99: 99} {
 		v[name] = float64(r.gaps.ValueAtQuantile(q)) / 1000
--- a/internal/tools/policybench/scarce.go
+++ b/internal/tools/policybench/scarce.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"math"
 	"time"
 
@@ -23,11 +24,16 @@
 	hastyTime      = 30 * time.Second
 )
 
+// scarceName is the name of the workload with scarce room and deadlines.
+const scarceName = "scarce"
+
 func scarceScenarios() []scenario {
 	return []scenario{
 		{name: "surge 1.5", load: 0.9, lag: defaultReportLag, surge: 1.5, surgeOfAll: true},
 		{name: "surge 2.3", load: 0.9, lag: defaultReportLag, surge: 2.3, surgeOfAll: true},
 		{name: "surge 2.3, hasty callers", load: 0.9, lag: defaultReportLag, surge: 2.3, surgeOfAll: true, hasty: true},
+		{name: "surge 1.5, no preemption", load: 0.9, lag: defaultReportLag, surge: 1.5, surgeOfAll: true, overcommit: true},
+		{name: "surge 2.3, no preemption", load: 0.9, lag: defaultReportLag, surge: 2.3, surgeOfAll: true, overcommit: true},
 	}
 }
 
@@ -54,7 +60,7 @@
 // that differ in their numbers of requests.
 func scarceWorkload() workload {
 	w := longPrompts()
-	w.name = "scarce"
+	w.name = scarceName
 	w.kinds[shortKind].deadline = shortDeadline
 	w.kinds[reportKind].deadline = reportDeadline
 	w.kinds[reportKind].firstTokenTarget = 4 * time.Second
@@ -133,3 +139,18 @@
 	v[worstServed] = worst / (served / total)
 	v[heldInVain] = 100 * inVain / total
 }
+
+// addPreemptionComparisons adds what preemption costs in each seed: the measures with the
+// engine's rule, and with engines that preempt no run.
+func (r *report) addPreemptionComparisons() {
+	for _, l := range r.Rows {
+		if l.Workload != scarceName {
+			continue
+		}
+		for seed, x := range l.results {
+			v := x.Values
+			r.Aims = append(r.Aims, fmt.Sprintf("%s, %s, seed %d: on time %.2f %% (short %.2f, reports %.2f), %.0f preempted with %.1f k tokens",
+				l.Scenario, l.Policy, seed+1, v[goodput], v[goodShort], v[goodputReport], v[preemptions], v[preemptedTokens]))
+		}
+	}
+}
--- a/internal/tools/policybench/sim.go
+++ b/internal/tools/policybench/sim.go
@@ -32,6 +32,8 @@
 	// hasty lets every second caller repeat a refused request every hastyRetry for
 	// hastyTime, whatever its retry time.
 	hasty bool
+	// overcommit lets runs grow beyond a full cache instead of being preempted.
+	overcommit bool
 	// uneven makes a third of the runners slower than the others, and each runner
 	// slow for brief periods. There are no load reports.
 	uneven bool
@@ -129,6 +131,7 @@
 	if p.name == floorPolicy {
 		w = w.withoutLimits()
 	}
+	w.engine.Overcommit = sc.overcommit
 	s := &sim{w: w, scenario: sc, calls: make(map[string]*call), result: newResult(), end: length + drainTime, floodStart: length / 3}
 	for i := range w.runners {
 		s.engines = append(s.engines, &engineSlot{index: i, model: enginemodel.New(w.engine), usual: 1, present: 1})
