A repetition before its retry time uses no booking of another caller

Cause: with scarce_room, a request that was repeated before its retry time redeemed any booking of its organisation that was due, and went before the queue. It got an earlier place than its own booking, and the caller whose booking it used went after it or got none. Change: a request whose id has a booking redeems that one only, and none while one of its own isn't due. Requests without a known booking, and daemons without scarce_room, redeem as before. Result: TestRepeatedRequestsTakeNoBookingOfOthers (the repetition was released before a request held earlier) and TestEarlyRepetitionRedeemsNoBooking. TestRepetitionsAreBookedAsBeforeWithoutScarceRoom covers deployments without scarce_room, which no test did.

--- a/internal/core/admission/promise.go
+++ b/internal/core/admission/promise.go
@@ -109,6 +109,30 @@
 	return false
 }
 
+// RedeemOwn is Redeem for a request that may have been refused before. It redeems the
+// request's own booking, and none while one of its own isn't due: a caller who returns
+// early would otherwise go before the callers whose bookings are due. A request without
+// a known booking, as after a change of the coordinator, redeems any.
+func (p *RetryBookings) RedeemOwn(now time.Time, request string) bool {
+	p.dropExpired(now)
+	var own *promise
+	for i := range p.pending {
+		m := &p.pending[i]
+		switch {
+		case m.request != request || m.usesLeft == 0:
+		case m.due.After(now):
+			return false
+		default:
+			own = m
+		}
+	}
+	if own == nil {
+		return p.Redeem(now)
+	}
+	own.usesLeft--
+	return true
+}
+
 // Booked counts the unused promises that come due up to the given time. They go
 // before a caller without a promise.
 func (p *RetryBookings) Booked(now, until time.Time) int {
--- a/internal/core/admission/promise_test.go
+++ b/internal/core/admission/promise_test.go
@@ -30,6 +30,35 @@
 	}
 }
 
+// Guards against a repetition that goes before others by a booking that isn't its own or that
+// it has used, while its own isn't due, and against a request without a booking that gets none.
+func TestEarlyRepetitionRedeemsNoBooking(t *testing.T) {
+	var b RetryBookings
+	now := at(0)
+	wait, _ := b.BookOnce(now, "a", 0, 1)
+	dueA := now.Add(wait)
+	wait, _ = b.BookOnce(now, "b", 0, 1)
+	dueB := now.Add(wait)
+	if !dueA.Before(dueB) {
+		t.Fatalf("due at %v and %v, want b later", dueA, dueB)
+	}
+	if b.RedeemOwn(dueA, "b") {
+		t.Error("b redeems the booking of a")
+	}
+	if !b.RedeemOwn(dueA, "a") {
+		t.Error("a doesn't redeem its booking")
+	}
+	if _, repeated := b.BookOnce(dueA, "a", 0, 1); repeated || b.RedeemOwn(dueA, "a") {
+		t.Errorf("a, refused again at its time, redeems the same booking again (repeated %v)", repeated)
+	}
+	if !b.RedeemOwn(dueB, "b") {
+		t.Error("b doesn't redeem its booking")
+	}
+	if !b.RedeemOwn(dueB, "c") {
+		t.Error("a request without a booking redeems none")
+	}
+}
+
 // Guards against the booking of one request that is given to another.
 func TestRequestsGetBookingsOfTheirOwn(t *testing.T) {
 	var b RetryBookings
--- a/internal/core/routing/held.go
+++ b/internal/core/routing/held.go
@@ -60,7 +60,7 @@
 	if d, refused := s.applyLimits(now, e); refused {
 		return d
 	}
-	e.reserved = e.org.retryBookings[e.item.Lane].Redeem(now)
+	e.reserved = s.redeemRetry(now, e)
 	if s.scheduler.options.ScarceRoom && r.Attempt <= 1 {
 		s.kinds.observe(now, e, s.residence(e))
 	}
--- a/internal/core/routing/repeat_test.go
+++ b/internal/core/routing/repeat_test.go
@@ -11,10 +11,15 @@
 // fullPool returns a scheduler whose pool is full of long requests, with a queue of a few
 // places, and the time.
 func fullPool(t *testing.T) (*Scheduler, time.Time) {
+	t.Helper()
+	return fullPoolWith(t, true)
+}
+
+func fullPoolWith(t *testing.T, scarceRoom bool) (*Scheduler, time.Time) {
 	t.Helper()
 	w := DefaultWeights()
 	w.QueueLimit = 8
-	s := NewScheduler(Options{RouterID: "r", BusyThreshold: 1, PrefillBacklogLimit: 6144, ScarceRoom: true, Weights: w})
+	s := NewScheduler(Options{RouterID: "r", BusyThreshold: 1, PrefillBacklogLimit: 6144, ScarceRoom: scarceRoom, Weights: w})
 	fillWithLong(t, s, start)
 	return s, s.shards["p"].now
 }
@@ -81,6 +86,32 @@
 	}
 }
 
+// Guards against callers who repeat a request early and take the place that is booked for
+// another caller at that time.
+func TestRepeatedRequestsTakeNoBookingOfOthers(t *testing.T) {
+	s, now := fullPool(t)
+	var refused []*port.GenerationRequest
+	var due []time.Time
+	for i := 100; len(refused) < 2; i++ {
+		r, at := longOf("o", i, now), now.Add(time.Duration(len(refused))*2*time.Second)
+		if d := s.Submit(at, r); d.Verdict == port.VerdictRefuse {
+			refused, due = append(refused, r), append(due, at.Add(d.RetryAfter))
+		}
+	}
+	if !due[0].Before(due[1]) {
+		t.Fatalf("retry times %v, want the second one later", due)
+	}
+	s.Withdraw(due[0], "o-100")
+	s.Withdraw(due[0], "o-101")
+	earlier, repeated := "o-102", refused[1].RequestID
+	if d := s.Submit(due[0], refused[1]); d.Verdict != port.VerdictHold || isReleased(s, earlier) {
+		t.Fatalf("repeated %v before its time: %v; want it and %s held", due[1].Sub(due[0]), d.Verdict, earlier)
+	}
+	if first := finishSome(s, due[0], 3*time.Second, earlier, repeated); first != earlier {
+		t.Errorf("released first: %q, want %q, which was held before the repetition", first, earlier)
+	}
+}
+
 // Guards against a flood by callers who never wait: their repetitions must not push back
 // the retry times of others in their organisation.
 func TestRepetitionsDontPushBackOtherCallers(t *testing.T) {
@@ -99,6 +130,24 @@
 	}
 }
 
+// Guards against retry times that are booked by request where scarce room isn't set.
+func TestRepetitionsAreBookedAsBeforeWithoutScarceRoom(t *testing.T) {
+	s, now := fullPoolWith(t, false)
+	var refused *port.GenerationRequest
+	var first port.Decision
+	for i := 100; refused == nil; i++ {
+		r := longOf("o", i, now)
+		if first = s.Submit(now, r); first.Verdict == port.VerdictRefuse {
+			refused = r
+		}
+	}
+	at := now.Add(2 * time.Second)
+	d := s.Submit(at, refused)
+	if again := at.Add(d.RetryAfter); d.Verdict != port.VerdictRefuse || !again.After(now.Add(first.RetryAfter)) || s.RepeatedEarly() != 0 {
+		t.Errorf("%v, due at %v, %d counted as repeated; want a booking after %v", d.Verdict, again, s.RepeatedEarly(), now.Add(first.RetryAfter))
+	}
+}
+
 // Guards against an organisation that floods the pool, or floods it with one prefix, and keeps
 // what it used beyond its share while another one waits: freed cache goes to the other within
 // 2 s.
--- a/internal/core/routing/wait.go
+++ b/internal/core/routing/wait.go
@@ -33,7 +33,7 @@
 func (s *shard) bookRetry(now time.Time, e *entry) time.Duration {
 	lane := e.item.Lane
 	ahead := s.queue.HeldFlow(e.org.name, lane)
-	if s.scheduler.options.ScarceRoom && s.kinds.differ {
+	if s.booksByRequest() {
 		wait, repeated := e.org.retryBookings[lane].BookOnce(now, e.request.RequestID, ahead, s.serviceRate(now, e))
 		if repeated {
 			s.scheduler.repeatedEarly.Add(1)
@@ -42,3 +42,15 @@
 	}
 	return e.org.retryBookings[lane].Book(now, ahead, s.serviceRate(now, e))
 }
+
+// redeemRetry reports whether a request returns at a booked retry time, which it uses.
+func (s *shard) redeemRetry(now time.Time, e *entry) bool {
+	bookings := &e.org.retryBookings[e.item.Lane]
+	if s.booksByRequest() {
+		return bookings.RedeemOwn(now, e.request.RequestID)
+	}
+	return bookings.Redeem(now)
+}
+
+// booksByRequest reports whether retry times are booked for requests by their ids.
+func (s *shard) booksByRequest() bool { return s.scheduler.options.ScarceRoom && s.kinds.differ }
