A request whose key was removed is not placed at a free runner

Cause: a generation whose key was removed between its admission and its placement was refused only if it was held or the coordinator was another daemon. A coordinator on the same daemon placed it if a runner was free. Change: with scarce_room, the daemon checks before it asks for a placement and refuses with the reason key_removed. Descriptions of the reason say "before it was placed".

--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -65,12 +65,17 @@
 	defer stop()
 	revocable, stopWaiting := x.revocableContext(placingCtx)
 	defer stopWaiting()
+	if isRevoked(revocable, placingCtx) {
+		// The coordinator would place it if a runner is free.
+		x.record(port.VerdictRefuse.String(), reasonKeyRemoved, "", nil)
+		return nil, keyRemoved()
+	}
 	d := x.g.Placer.Place(revocable, request, func(d *port.Decision) {
 		x.coordinator = d.Coordinator
 		x.record(d.Verdict.String(), d.Reason, "", d.Candidates)
 	})
 	x.endpoint, x.coordinator = d.Endpoint.ID, d.Coordinator
-	removed := d.Verdict != port.VerdictPlace && revocable.Err() != nil && placingCtx.Err() == nil
+	removed := d.Verdict != port.VerdictPlace && isRevoked(revocable, placingCtx)
 	if removed {
 		d.Reason = reasonKeyRemoved
 	}
--- a/internal/gateway/revoke.go
+++ b/internal/gateway/revoke.go
@@ -6,7 +6,7 @@
 )
 
 // reasonKeyRemoved is the reason of a refusal whose key was removed, or whose organisation
-// was deleted, while the request waited for a placement.
+// was deleted, before the request was placed.
 const reasonKeyRemoved = "key_removed"
 
 // waitingRequests are the generations that wait for a placement, each with a function that
@@ -57,6 +57,12 @@
 	return revocable, func() { x.g.waiting.remove(x); end() }
 }
 
+// isRevoked reports whether a context of revocableContext ended because the key was
+// removed, and not because its parent did.
+func isRevoked(revocable, parent context.Context) bool {
+	return revocable.Err() != nil && parent.Err() == nil
+}
+
 // isKeyRemoved reports whether the routes in force no longer admit the request's key for
 // its organisation.
 func (x *exchange) isKeyRemoved() bool {
@@ -72,5 +78,5 @@
 func (g *Gateway) endRevoked() { g.waiting.endIf((*exchange).isKeyRemoved) }
 
 func keyRemoved() *Refusal {
-	return &Refusal{Cause: CauseNoKey, Detail: "the key was removed while the request waited for a placement"}
+	return &Refusal{Cause: CauseNoKey, Detail: "the key was removed before the request was placed"}
 }
--- a/internal/gateway/revoke_test.go
+++ b/internal/gateway/revoke_test.go
@@ -129,3 +129,32 @@
 		t.Error("the wait has begun")
 	}
 }
+
+// Guards against a request that is placed at a free runner although its key was removed
+// after its admission.
+func TestRequestOfRemovedKeyIsNotPlaced(t *testing.T) {
+	for _, scarceRoom := range []bool{false, true} {
+		b := newHarness(t)
+		o := *b.options()
+		o.ScarceRoom = scarceRoom
+		b.SetOptions(o)
+		pass, _ := b.Admit("h", "/stream/x", "aa")
+		b.changeOrganisations(route.Organisation{Name: "p", KeySHA256: []string{"cc"}})
+		x := b.newExchange(&Request{
+			ID: "late", Admission: pass, KeySHA256: "aa", Arrived: b.Clock(), Generation: &GenerationParams{Model: "m", PromptTokens: 100, MaxTokens: 10},
+		}, &fakeCaller{})
+		p, refusal := x.schedule(t.Context())
+		if !scarceRoom {
+			if p == nil {
+				t.Errorf("without scarce room: %+v, want it placed", refusal)
+			}
+			continue
+		}
+		if refusal == nil || refusal.Cause != CauseNoKey {
+			t.Errorf("placed at %+v, refusal %+v", p, refusal)
+		}
+		if n := b.scheduler().RunCount(); n != 0 {
+			t.Errorf("the scheduler counts %d runs", n)
+		}
+	}
+}
