--- a/internal/core/hostweight/load.go
+++ b/internal/core/hostweight/load.go
@@ -22,12 +22,15 @@
 	readingWeight = 0.2
 )
 
-// Load is the share of a host's processors in use, as announced to other daemons. Its
+// Load is the share of a host's processors in use, as announced to other daemons, or the
+// full load while its memory is short. Its
 // zero value is a host without load. It is not safe for concurrent use.
 type Load struct {
 	// Percent is the mean of the last seconds, Announced the last announcement.
-	Percent     float64
-	Announced   uint32
+	Percent   float64
+	Announced uint32
+	// full: the host accepts no new requests, whatever its processors do.
+	full        bool
 	announcedAt time.Time
 	readAt      time.Time
 	used        time.Duration
@@ -50,9 +53,26 @@
 	}
 	percent := min(fullLoad, 100*(used-before).Seconds()/granted)
 	l.Percent += readingWeight * (percent - l.Percent)
-	if math.Abs(l.Percent-float64(l.Announced)) < announceDifference || now.Sub(l.announcedAt) < announceInterval {
+	return l.announce(now)
+}
+
+// SetFull states whether the host accepts no new requests because of its memory. While it
+// accepts none, the announced load is that of a full host. It returns true if Announced has
+// changed.
+func (l *Load) SetFull(now time.Time, full bool) bool {
+	l.full = full
+	// A load that falls is announced with the next reading of the processor time.
+	return full && l.announce(now)
+}
+
+func (l *Load) announce(now time.Time) bool {
+	percent := l.Percent
+	if l.full {
+		percent = fullLoad
+	}
+	if math.Abs(percent-float64(l.Announced)) < announceDifference || now.Sub(l.announcedAt) < announceInterval {
 		return false
 	}
-	l.Announced, l.announcedAt = uint32(math.Round(l.Percent/LoadStep))*LoadStep, now
+	l.Announced, l.announcedAt = uint32(math.Round(percent/LoadStep))*LoadStep, now
 	return true
 }
