gateway: hold at most 64 KB of an answer, and don't blame unread endpoints

Cause: bodies and events were held up to 1 MB for each request, and an answer that an endpoint aborted because its caller didn't read counted as a failure of the endpoint.

Change: with Options.AnswerMemory up to 64 KB of an answer are held, 4 KB beyond the memory for all held answers, and writes are made in pieces of 8 KB. An answer that breaks off after a second without a read ends as answer_unread: no crash, no breaker, no failure for routing. New requests, also those of other daemons, are refused as host_memory if Ports.Memory grants no reservation. A failure of an endpoint that is longer than what is held is not kept any more, with or without the limit: its rest can't be read after the attempt, so that the caller got it in part.

--- a/internal/adapter/eventstream/eventstream.go
+++ b/internal/adapter/eventstream/eventstream.go
@@ -50,10 +50,17 @@
 	incomplete bool
 }
 
-// NewReader returns a Reader for the events of r.
-func NewReader(r io.Reader) *Reader {
+// ErrTooLong is returned for an event that is longer than the limit of the Reader.
+var ErrTooLong = bufio.ErrTooLong
+
+// NewReader returns a Reader for events of r of up to MaxEventBytes.
+func NewReader(r io.Reader) *Reader { return NewReaderSize(r, MaxEventBytes) }
+
+// NewReaderSize returns a Reader for events of r of up to maxBytes, which are the most that
+// it holds.
+func NewReaderSize(r io.Reader, maxBytes int) *Reader {
 	reader := &Reader{scanner: bufio.NewScanner(r)}
-	reader.scanner.Buffer(make([]byte, 0, initialBufferBytes), MaxEventBytes)
+	reader.scanner.Buffer(make([]byte, 0, initialBufferBytes), maxBytes)
 	reader.scanner.Split(reader.split)
 	return reader
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -18,7 +18,7 @@
 
 // maxBuffered is the size up to which an answer is read whole before any of it
 // is sent to the caller, so that a truncated answer can still be retried.
-// Longer answers are streamed.
+// Longer answers are streamed. With Options.AnswerMemory less is read.
 const maxBuffered = 1 << 20
 
 // bufferedAnswer is an endpoint's answer; if rest is not nil, body holds its
@@ -90,6 +90,7 @@
 	if answer != nil {
 		x.g.observeLimit(out.Endpoint, answer.RateLimit)
 		x.g.observeColdness(out.Endpoint, answer.ColdFor)
+		x.observeReads(answer)
 	}
 	return answer, err
 }
@@ -221,7 +222,7 @@
 
 // relayBody relays an answer that is not a stream of events.
 func (x *exchange) relayBody(ctx context.Context, p *placement, a *port.Answer, began time.Time) stream.RunOutcome {
-	b, err := readAnswer(a)
+	b, err := readAnswer(a, x.holdAnswer(a.Length))
 	if err == nil && b.rest == nil && !x.endedOrderly(ctx, p, a) {
 		err = errEndedWithEndpoint
 	}
@@ -241,7 +242,10 @@
 		return stream.OutcomeUnknown
 	}
 	if isFailure(b.status) && x.ledger.Idempotent {
-		x.keptFailure = b
+		if b.rest == nil {
+			// The rest of a longer answer can't be read after the attempt.
+			x.keptFailure = b
+		}
 		x.reason = "the endpoint answers " + http.StatusText(b.status)
 		x.endAttempt(p, port.FinishFailed)
 		return stream.OutcomeRan
@@ -254,6 +258,10 @@
 		x.reason = "the answer broke off: " + err.Error()
 		return stream.OutcomeRan
 	}
+	if err != nil && x.readFailed {
+		x.endBrokenBody(ctx, p, err)
+		return stream.OutcomeRan
+	}
 	x.endAttempt(p, port.FinishDone)
 	if err != nil {
 		x.reason = "the answer could not be passed on whole: " + err.Error()
@@ -263,6 +271,17 @@
 	return stream.OutcomeDone
 }
 
+// endBrokenBody ends an attempt whose endpoint broke the answer off while it was passed on.
+func (x *exchange) endBrokenBody(ctx context.Context, p *placement, err error) {
+	if x.abandonUnread(p, err) {
+		return
+	}
+	x.reason = "the answer broke off: " + err.Error()
+	x.connectionLost, x.left = ctx.Err() == nil, ctx.Err() != nil
+	x.g.metrics.attemptFailed("cut")
+	x.endAttempt(p, finishKind(ctx, port.FinishFailed))
+}
+
 func finishKind(ctx context.Context, kind port.FinishKind) port.FinishKind {
 	if ctx.Err() != nil {
 		return port.FinishCancelled
@@ -270,11 +289,11 @@
 	return kind
 }
 
-// readAnswer reads up to maxBuffered bytes of an answer.
-func readAnswer(a *port.Answer) (*bufferedAnswer, error) {
+// readAnswer reads up to limit bytes of an answer.
+func readAnswer(a *port.Answer, limit int) (*bufferedAnswer, error) {
 	var buffer bytes.Buffer
 	b := &bufferedAnswer{status: a.Status, header: a.Header, length: a.Length}
-	_, err := io.CopyN(&buffer, a.Body, maxBuffered)
+	_, err := io.CopyN(&buffer, a.Body, int64(limit))
 	b.body = buffer.Bytes()
 	switch {
 	case err == nil:
@@ -300,7 +319,13 @@
 	if b.rest == nil {
 		return nil
 	}
-	_, err := io.Copy(responderWriter{x.responder}, b.rest)
+	if !x.bounded {
+		_, err := io.Copy(responderWriter{x.responder}, b.rest)
+		return err
+	}
+	b.body = nil
+	x.giveBackAnswers()
+	_, err := io.CopyBuffer(responderWriter{x.responder}, b.rest, make([]byte, pieceBytes))
 	return err
 }
 
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -8,6 +8,7 @@
 
 	"github.com/dragonflyrail/dragonflyrail/internal/adapter/eventstream"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/continuity"
+	"github.com/dragonflyrail/dragonflyrail/internal/core/hostmemory"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/stream"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
@@ -100,10 +101,18 @@
 // errCallerGone means that writing to the caller failed.
 var errCallerGone = errors.New("the caller has gone")
 
+// newEventReader returns a reader of the events of an answer.
+func (x *exchange) newEventReader(body io.Reader) *eventstream.Reader {
+	if x.bounded {
+		return eventstream.NewReaderSize(body, hostmemory.MaxAnswer)
+	}
+	return eventstream.NewReader(body)
+}
+
 // relayFrom relays the events of one runner until its stream ends, and returns
 // the error that ended it, io.EOF included.
 func (r *relay) relayFrom(a *port.Answer) error {
-	reader := eventstream.NewReader(a.Body)
+	reader := r.x.newEventReader(a.Body)
 	for {
 		event, err := reader.Next()
 		if err != nil {
@@ -300,10 +309,15 @@
 func (r *relay) endBroken(err error) {
 	x := r.x
 	r.ended = true
+	brokeOff := x.readFailed || errors.Is(err, eventstream.ErrIncompleteEvent)
+	if brokeOff && r.attempt.Err() == nil && x.abandonUnread(r.p, err) {
+		return
+	}
 	x.reason = "the stream broke off: " + err.Error()
 	x.left = r.attempt.Err() != nil
 	// The endpoint is fine if it only doesn't continue this stream.
-	unusable := errors.Is(err, errNotNextEvent) || errors.Is(err, errNoContinuation)
+	unusable := errors.Is(err, errNotNextEvent) || errors.Is(err, errNoContinuation) ||
+		x.bounded && errors.Is(err, eventstream.ErrTooLong)
 	x.connectionLost = !x.left && !unusable
 	x.recordIfWithdrawn(r.attempt)
 	x.g.metrics.attemptFailed("cut")
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/dragonflyrail/dragonflyrail/internal/core/quarantine"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/route"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/stream"
+	"github.com/dragonflyrail/dragonflyrail/internal/core/unread"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
 
@@ -72,6 +73,14 @@
 	crashingPart string
 	// continuing is set while a new run is to continue the stream of an earlier one.
 	continuing *continuation
+	// bounded: little of each answer is held, because the host's memory is bounded.
+	// answersTaken is the memory that this takes of Options.AnswerMemory.
+	bounded      bool
+	answersTaken int64
+	// unread is how the present answer was read, and readFailed is set once a read of it
+	// has failed. They are kept only if bounded is set.
+	unread     unread.Answer
+	readFailed bool
 	// quarantineRequest caches the result of the method identity.
 	quarantineRequest *quarantine.Request
 }
@@ -96,6 +105,7 @@
 	stop := g.cancelAtForcedClose(cancel)
 	defer stop()
 	defer x.recoverServe(&refusal)
+	defer x.giveBackAnswers()
 	return x.serve(ctx)
 }
 
@@ -119,6 +129,9 @@
 	if req.CallerTimeout > 0 && req.CallerTimeout < r.Timeout || r.Timeout <= 0 {
 		x.deadline = req.Arrived.Add(req.CallerTimeout)
 	}
+	if g.options().AnswerMemory > 0 {
+		x.bounded, x.responder = true, boundedResponder{responder, x}
+	}
 	x.ledger.Idempotent = r.Repeat == route.RepeatSafe
 	x.pool = g.poolOf(&req.Admission, req.ID)
 	if index := g.index.Load(); index != nil {
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -434,20 +434,20 @@
 var requestNumber int
 
 // send sends one request through the gateway.
-func (b *harness) send(t *testing.T, path string, c *fakeCaller) *Refusal {
+func (b *harness) send(t *testing.T, path string, c Responder) *Refusal {
 	t.Helper()
 	requestNumber++
 	return b.sendWithID(t, fmt.Sprint("r", requestNumber), path, c)
 }
 
-func (b *harness) sendWithID(t *testing.T, id, path string, c *fakeCaller) *Refusal {
+func (b *harness) sendWithID(t *testing.T, id, path string, c Responder) *Refusal {
 	t.Helper()
 	return b.sendParts(t, id, path, c)
 }
 
 // sendParts sends a request whose prompt consists of the given parts, if it is a
 // generation.
-func (b *harness) sendParts(t *testing.T, id, path string, c *fakeCaller, parts ...uint64) *Refusal {
+func (b *harness) sendParts(t *testing.T, id, path string, c Responder, parts ...uint64) *Refusal {
 	t.Helper()
 	return b.sendPartsUntil(t.Context(), t, id, path, c, parts...)
 }
@@ -468,7 +468,7 @@
 }
 
 // sendPartsUntil is sendParts for a caller that leaves when the context ends.
-func (b *harness) sendPartsUntil(ctx context.Context, t *testing.T, id, path string, c *fakeCaller, parts ...uint64) *Refusal {
+func (b *harness) sendPartsUntil(ctx context.Context, t *testing.T, id, path string, c Responder, parts ...uint64) *Refusal {
 	t.Helper()
 	pass, refusal := b.Admit("h", path, "aa")
 	if refusal != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -84,6 +84,8 @@
 	// Relayer passes requests on to other daemons; nil if they can't be.
 	Relayer Relayer
 	Sink    port.DecisionSink
+	// Memory bounds the memory for requests; nil means no bound.
+	Memory HostMemory
 	// PlatformAge returns how long ago any daemon last got an answer from the
 	// platform, as far as this daemon knows; negative if none ever did. It may
 	// be nil.
@@ -113,6 +115,9 @@
 	RetryBurst int
 	// MaxOpen bounds the requests open at the same time.
 	MaxOpen int
+	// AnswerMemory bounds the bytes of all answers that are held before they are passed
+	// on, and makes the exchange hold little of each; zero means no bound.
+	AnswerMemory int64
 	// MaxRefusals bounds the endpoints that one request is sent to while each
 	// of them answers that it did not accept it.
 	MaxRefusals int
@@ -164,6 +169,7 @@
 	// now, because of their rate limits.
 	limitBackoffs limitBackoffs
 	promises      poolPromises
+	answers       answerMemory
 	index         atomic.Pointer[route.Index]
 	// recordsComplete: a complete set of records has been applied.
 	recordsComplete atomic.Bool
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -47,8 +47,9 @@
 	relaysDeclined      gometrics.Counter
 	relaysServed        gometrics.Counter
 	// entryLeftOut is the number of daemons that the last answer to a caller leaves out.
-	entryLeftOut gometrics.Gauge
-	entryChanges gometrics.Counter
+	entryLeftOut      gometrics.Gauge
+	entryChanges      gometrics.Counter
+	refusedHostMemory gometrics.Counter
 }
 
 func newInstruments(r gometrics.Registry) *instruments {
@@ -87,6 +88,7 @@
 		relaysServed:        counter("relays_served_total"),
 		entryLeftOut:        gometrics.GetOrRegisterGauge("entry_hosts_left_out", r),
 		entryChanges:        counter("entry_selection_changes_total"),
+		refusedHostMemory:   counter("refused_host_memory_total"),
 	}
 }
 
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -33,8 +33,12 @@
 	CauseTimeout     Cause = "timeout"
 	CauseStopping    Cause = "daemon_stopping"
 	CauseTooManyOpen Cause = "too_many_open_requests"
-	CauseCallerGone  Cause = "caller_gone"
-	CauseInternal    Cause = "internal_error"
+	// CauseHostMemory: this host has too little memory left for new requests.
+	CauseHostMemory Cause = "host_memory"
+	// CauseUnread: the endpoint broke the answer off after its caller hadn't read it.
+	CauseUnread     Cause = "answer_unread"
+	CauseCallerGone Cause = "caller_gone"
+	CauseInternal   Cause = "internal_error"
 )
 
 // Refusal describes why a request has no complete answer, and whether it may
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -121,7 +121,7 @@
 		return false
 	}
 	switch r.Refusal.Cause {
-	case CauseNotSynced, CauseNoPath, CauseStopping, CauseTooManyOpen:
+	case CauseNotSynced, CauseNoPath, CauseStopping, CauseTooManyOpen, CauseHostMemory:
 		return true
 	}
 	return false
@@ -230,6 +230,9 @@
 	case g.paths.Lost(g.poolOf(&admission, r.ID)):
 		refusal = &Refusal{Cause: CauseNoPath, Detail: "no path from here either"}
 	}
+	if refusal == nil {
+		refusal = g.checkMemory(r.BodyBytes)
+	}
 	if refusal != nil {
 		refusal.Outcome = outcome.NotRun
 		refusal.setRetryAfter(true)
@@ -260,6 +263,13 @@
 	x.attempts, x.mayHaveRun, x.tried = r.Attempts, r.MayHaveRun, slices.Clone(r.Tried)
 	x.reachedEndpoint = r.MayHaveRun > 0
 	x.record(verdictRelay, "passed on by "+r.From, "", nil)
+	memory, refusal := g.ReserveMemory(0)
+	if refusal != nil {
+		refusal.Outcome = outcome.NotRun
+		return x.endpoint, x.refuse(refusal)
+	}
+	defer memory.Release()
+	memory.Settle()
 	refusal = x.serveOpen(ctx)
 	return x.endpoint, refusal
 }
