--- a/internal/adapter/grpcrelay/client.go
+++ b/internal/adapter/grpcrelay/client.go
@@ -34,6 +34,9 @@
 type Client struct {
 	mu    sync.Mutex
 	conns map[string]*grpc.ClientConn
+	// answerWindow bounds the bytes of each answer that are received before they are
+	// passed on; zero means the usual bound.
+	answerWindow int32
 }
 
 var _ gateway.Relayer = (*Client)(nil)
@@ -41,6 +44,14 @@
 // NewClient returns a client without connections.
 func NewClient() *Client { return &Client{conns: make(map[string]*grpc.ClientConn)} }
 
+// NewBoundedClient returns a client that receives up to answerWindow bytes of each answer
+// before they are passed on. grpc-go ignores a window of less than 64 KiB - 1.
+func NewBoundedClient(answerWindow int32) *Client {
+	c := NewClient()
+	c.answerWindow = answerWindow
+	return c
+}
+
 // conn returns the connection to a peer address, which connects at the first call.
 func (c *Client) conn(address string) (*grpc.ClientConn, error) {
 	c.mu.Lock()
@@ -51,7 +62,11 @@
 	if len(c.conns) >= maxPeers {
 		c.closeAll()
 	}
-	conn, err := grpcpeer.Dial(address, grpc.WithIdleTimeout(idleTimeout))
+	options := []grpc.DialOption{grpc.WithIdleTimeout(idleTimeout)}
+	if c.answerWindow > 0 {
+		options = append(options, grpc.WithInitialWindowSize(c.answerWindow))
+	}
+	conn, err := grpcpeer.Dial(address, options...)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/adapter/oncehttp/oncehttp.go
+++ b/internal/adapter/oncehttp/oncehttp.go
@@ -34,6 +34,9 @@
 	IdleTimeout     time.Duration
 	// LocalAddress is the IP address to connect from; empty for the host's choice.
 	LocalAddress string
+	// ReceiveBytes is the receive buffer of each connection, see tcpopt.Buffers; zero
+	// means the system's default.
+	ReceiveBytes int
 	// DisableKeepAlives disables the reuse of connections.
 	DisableKeepAlives bool
 	// KeepStated closes an unused connection before the time that its server states in
@@ -87,6 +90,9 @@
 // server states another one; zero means no limit but IdleTimeout.
 func newPool(o Options, keepFor time.Duration) *pool {
 	dialer := tcpopt.EndpointDialer(o.DialTimeout)
+	if o.ReceiveBytes > 0 {
+		dialer.Control = tcpopt.Buffers{ReceiveBytes: o.ReceiveBytes}.Control
+	}
 	if ip := net.ParseIP(o.LocalAddress); ip != nil {
 		dialer.LocalAddr = &net.TCPAddr{IP: ip}
 	}
