dragonfly-entry: refuse new requests near the memory limit

Cause: 2,000 callers that read slowly or not at all take a daemon of a host of 112 MB to 372 MB resident (trial without capacity), so that it is killed.

--- a/cmd/dragonfly-entry/assemble.go
+++ b/cmd/dragonfly-entry/assemble.go
@@ -20,6 +20,8 @@
 	"github.com/dragonflyrail/dragonflyrail/internal/adapter/httprecords"
 	"github.com/dragonflyrail/dragonflyrail/internal/adapter/httpserver"
 	"github.com/dragonflyrail/dragonflyrail/internal/adapter/metrics"
+	"github.com/dragonflyrail/dragonflyrail/internal/adapter/tcpopt"
+	"github.com/dragonflyrail/dragonflyrail/internal/core/hostmemory"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/record"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/route"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/routing"
@@ -50,6 +52,8 @@
 	peers    *grpc.Server
 	// load is nil if the capacity of the host is not known.
 	load *loadReporter
+	// memory is nil if the memory limit of the host is not known.
+	memory *memoryMonitor
 }
 
 // httpListener is an HTTP server, the address to listen on, and the name of the
@@ -58,6 +62,8 @@
 	setting string
 	address string
 	server  *http.Server
+	// buffers bound what the system holds for each connection.
+	buffers tcpopt.Buffers
 }
 
 func assemble(s *entrySettings, logger *log.Logger, registry gometrics.Registry) *assembly {
@@ -69,7 +75,7 @@
 	runners := platform.NewRunnerClient(platform.RunnerClientOptions{
 		DialTimeout: s.ConnectTimeout, LoadTimeout: s.ReportTimeout,
 		IdleConnections: idleConnections, IdleTimeout: s.IdleTimeout, LocalAddress: s.EndpointSource,
-		KeepStated: s.UnevenEndpoints, Registry: registry,
+		KeepStated: s.UnevenEndpoints, ReceiveBytes: s.endpointBuffers().ReceiveBytes, Registry: registry,
 		OnNotice: func(e port.Endpoint, n port.EndpointNotice) { a.gateway.ObserveNotice(e, n) },
 		OnPath: func(e port.Endpoint, evidence port.PathEvidence, err error) {
 			a.gateway.ObservePath(e, evidence, err)
@@ -104,20 +110,26 @@
 		a.load = newLoadReporter(capacity.ProcessorMilli, a.keeper.PublishLoad, logger, registry)
 	}
 	a.relays = grpcrelay.NewClient()
-	a.gateway = gateway.New(s.options(), gateway.Ports{
+	ports := gateway.Ports{
 		Endpoints: runners,
 		Scheduler: scheduler, Placer: a.placer,
 		PlatformAge: func() time.Duration { return a.keeper.PlatformAge(time.Now()) },
 		View:        a.keeper, Quarantine: a.keeper.Quarantine(), Limits: a.keeper, Notices: a.keeper, Announcer: a.keeper, Relayer: a.relays, Sink: store, Policy: record.Policy, Evacuations: record.Evacuations, Metrics: registry,
-	})
+	}
+	if limit := s.memoryLimit(); limit > 0 {
+		a.memory = newMemoryMonitor(limit, a.load.setFull, logger, registry)
+		a.relays = grpcrelay.NewBoundedClient(hostmemory.MaxAnswer)
+		ports.Memory, ports.Relayer = a.memory, a.relays
+	}
+	a.gateway = gateway.New(s.options(), ports)
 	(&grpcrelay.Service{App: a.gateway}).Register(a.peers)
 	a.callers = httpserver.New(&platform.CallerHandler{App: a.gateway, Logger: logger})
 	a.servers = []httpListener{
-		{"listen.callers", s.Listen.Callers, a.callers},
-		{"directory", s.Directory, httpserver.New(platform.DirectoryHandler(a.gateway))},
-		{"readiness", s.Readiness, httpserver.New(platform.ReadinessHandler(a.gateway))},
-		{"metrics", s.Metrics, httpserver.New(metrics.Handler(registry))},
-		{"listen.admin", s.Listen.Admin, a.admin(store, registry)},
+		{setting: "listen.callers", address: s.Listen.Callers, server: a.callers, buffers: s.callerBuffers()},
+		{setting: "directory", address: s.Directory, server: httpserver.New(platform.DirectoryHandler(a.gateway))},
+		{setting: "readiness", address: s.Readiness, server: httpserver.New(platform.ReadinessHandler(a.gateway))},
+		{setting: "metrics", address: s.Metrics, server: httpserver.New(metrics.Handler(registry))},
+		{setting: "listen.admin", address: s.Listen.Admin, server: a.admin(store, registry)},
 	}
 	return a
 }
@@ -174,7 +186,7 @@
 func (a *assembly) serve(stopCtx context.Context) error {
 	serveErrs := make(chan error, len(a.servers)+1)
 	for _, l := range a.servers {
-		listener, err := net.Listen("tcp", l.address)
+		listener, err := l.buffers.Listen(stopCtx, l.address)
 		if err != nil {
 			return merry.Prepend(err, l.setting)
 		}
@@ -194,6 +206,9 @@
 	if a.load != nil {
 		background.Go(func() { a.load.run(runCtx) })
 	}
+	if a.memory != nil {
+		background.Go(func() { a.memory.run(runCtx) })
+	}
 	a.logger.Info().Str("event", "started").Str("callers", a.settings.Listen.Callers).
 		Str("admin", a.settings.Listen.Admin).Str("peers", a.settings.Listen.Peers).Msg("")
 	select {
--- a/cmd/dragonfly-entry/hostload.go
+++ b/cmd/dragonfly-entry/hostload.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"syscall"
 	"time"
 
@@ -24,6 +25,8 @@
 	// announced load.
 	processorPercent, announcedPercent gometrics.Gauge
 
+	// mu guards the fields below.
+	mu          sync.Mutex
 	load        hostweight.Load
 	announcedAt time.Time
 }
@@ -53,16 +56,33 @@
 }
 
 func (r *loadReporter) observe(now time.Time, used time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	before := r.load.Announced
 	changed := r.load.Observe(now, used, r.processorMilli)
 	r.processorPercent.Update(int64(r.load.Percent))
-	if !changed {
-		return
+	if changed {
+		r.announce(now, before, false)
 	}
+}
+
+// setFull states whether the host accepts no new requests because of its memory.
+func (r *loadReporter) setFull(now time.Time, full bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	before := r.load.Announced
+	if r.load.SetFull(now, full) {
+		r.announce(now, before, true)
+	}
+}
+
+// announce publishes and logs a new load. r.mu must be held.
+func (r *loadReporter) announce(now time.Time, before uint32, memory bool) {
 	r.announcedPercent.Update(int64(r.load.Announced))
 	r.publish(r.load.Announced)
 	line := r.logger.Info().Str("event", "host_load_changed").Uint32("from", before).Uint32("to", r.load.Announced).
-		Float64("processor_percent", r.load.Percent).Uint32("processor_milli", r.processorMilli)
+		Float64("processor_percent", r.load.Percent).Uint32("processor_milli", r.processorMilli).
+		Bool("for_memory", memory)
 	if !r.announcedAt.IsZero() {
 		line = line.Int64("age_ms", now.Sub(r.announcedAt).Milliseconds())
 	}
--- a/cmd/dragonfly-entry/settings.go
+++ b/cmd/dragonfly-entry/settings.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"github.com/dragonflyrail/dragonflyrail/internal/adapter/daemon"
+	"github.com/dragonflyrail/dragonflyrail/internal/adapter/tcpopt"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/breaker"
+	"github.com/dragonflyrail/dragonflyrail/internal/core/hostmemory"
 	"github.com/dragonflyrail/dragonflyrail/internal/gateway"
 	"github.com/dragonflyrail/dragonflyrail/internal/keeper"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
@@ -85,7 +87,8 @@
 	Processor float64 `json:"processor" validate:"gt=0,max=1024"`
 	Cores     float64 `json:"cores" validate:"min=0,max=1024"`
 	// LinkMbps is the bandwidth of the link in Mbit/s.
-	LinkMbps    float64 `json:"link_mbps" validate:"gt=0,max=1000000"`
+	LinkMbps float64 `json:"link_mbps" validate:"gt=0,max=1000000"`
+	// MemoryMB is the memory in MB at which the process is killed.
 	MemoryMB    float64 `json:"memory_mb" validate:"min=1"`
 	Descriptors int     `json:"descriptors" validate:"min=1"`
 }
@@ -93,6 +96,18 @@
 // maxProcessors bounds the product of capacitySettings.Processor and Cores.
 const maxProcessors = 1024
 
+// memoryLimit returns the limit in bytes at which the process is killed, or zero if the
+// settings don't state it.
+func (s *entrySettings) memoryLimit() uint64 {
+	if s.Capacity == nil {
+		return 0
+	}
+	return uint64(s.Capacity.MemoryMB * bytesPerMB)
+}
+
+// bytesPerMB is the smaller one of the two units in use.
+const bytesPerMB = 1_000_000
+
 // capacity returns the host's capacity, or zero if the settings don't state it.
 // Positive values are rounded up to the smallest unit, because zero means unknown.
 func (s *entrySettings) capacity() port.HostCapacity {
@@ -107,6 +122,29 @@
 	}
 }
 
+// Buffers of connections to endpoints and from callers.
+const (
+	endpointReceiveBytes = 8 << 10
+	callerBufferBytes    = 16 << 10
+)
+
+// endpointBuffers and callerBuffers bound what the system holds for each connection, on hosts
+// with a memory limit: what was received and not yet read counts toward it. With 8 KB,
+// 13 Mbit/s pass through a connection whose round trip takes 5 ms.
+func (s *entrySettings) endpointBuffers() tcpopt.Buffers {
+	if s.Capacity == nil {
+		return tcpopt.Buffers{}
+	}
+	return tcpopt.Buffers{ReceiveBytes: endpointReceiveBytes}
+}
+
+func (s *entrySettings) callerBuffers() tcpopt.Buffers {
+	if s.Capacity == nil {
+		return tcpopt.Buffers{}
+	}
+	return tcpopt.Buffers{ReceiveBytes: callerBufferBytes, SendBytes: callerBufferBytes}
+}
+
 func defaults() entrySettings {
 	return entrySettings{
 		Common: daemon.CommonDefaults(), StoreTimeout: platform.DefaultStoreTimeout,
@@ -179,7 +217,7 @@
 			MaxEndpoints: breakerMaxEndpoints,
 		},
 		RetryShare: s.RetryRatio * retryFraction, RetryBurst: int(s.RetrySlack * retryFraction),
-		MaxOpen: s.MaxOpen, MaxRefusals: maxRefusals, ReportMaxAge: reportMaxAge,
+		MaxOpen: s.MaxOpen, AnswerMemory: hostmemory.AnswersOf(s.memoryLimit()), MaxRefusals: maxRefusals, ReportMaxAge: reportMaxAge,
 		UnevenEndpoints: s.UnevenEndpoints,
 		EntryValidity:   s.EntryValidity, ReclaimNotice: time.Duration(s.ReclaimNotice) * time.Millisecond,
 		Drain: gateway.DrainOptions{
