--- a/test/coordinator_test.go
+++ b/test/coordinator_test.go
@@ -248,7 +248,12 @@
 	if err := coordinator.Terminate(); err != nil {
 		t.Fatal(err)
 	}
-	successor, _ := f.agreedCoordinator(others)
+	successor := coordinator
+	// The others may agree on the daemon until they learn that it stops.
+	procs.Until(t, "the others have a new coordinator", func() bool {
+		successor, _ = f.agreedCoordinator(others)
+		return successor != coordinator
+	})
 	f.checkHandedOver(coordinator, successor)
 	load.checkServed(t, before)
 	<-coordinator.Exited()
