A request with two quarantined parts waits for the part whose trial is due last

Cause: Quarantined chose among several combinations of parts by the length of the interval until a trial, without the time of the last crash. A part with five crashes (interval 4 min) whose last crash was 5 min ago was chosen over one with three crashes (1 min) that crashed an endpoint just now. Its trial was due, so a request that the other part crashes was sent. Change: the combination whose first trial is due last is chosen: last crash plus interval. Result: TestTrialWaitsForThePartThatCrashedLast failed before (refused for part f125, want dead) and passes; go test -count=1 ./internal/core/quarantine passes, and the tests of gateway that match Part or Trial.

--- a/internal/core/quarantine/partregister_test.go
+++ b/internal/core/quarantine/partregister_test.go
@@ -157,6 +157,24 @@
 	}
 }
 
+// Guards against a trial of a part that is due for long, with a request that another part crashed just now.
+func TestTrialWaitsForThePartThatCrashedLast(t *testing.T) {
+	d := newDaemons(1)
+	for range 5 {
+		d.crashPrompts(0, prompt("o", shared))
+	}
+	d.now = d.now.Add(5 * time.Minute)
+	for range 3 {
+		d.crashPrompts(0, prompt("o", crashing))
+	}
+	for _, ids := range [][]uint64{{shared, crashing}, {crashing, shared}} {
+		hold, refused := d.registers[0].Quarantined(d.now, prompt("o", ids...))
+		if !refused || len(hold.Parts) != 1 || hold.Parts[0].ID != crashing {
+			t.Errorf("prompt %x: refused %v for the parts %v, want %x", ids, refused, hold.Parts, crashing)
+		}
+	}
+}
+
 // Guards against a verdict on the parts of one organisation, pool or model for the crashes of another.
 func TestPartVerdictHoldsWithinItsScope(t *testing.T) {
 	d := newDaemons(1)
--- a/internal/core/quarantine/register.go
+++ b/internal/core/quarantine/register.go
@@ -110,6 +110,9 @@
 	return min(regular, completedTrialAfter<<min(trials, maxTrialDoublings))
 }
 
+// firstTrial returns when the first request with the parts may be sent.
+func (h *Hold) firstTrial() time.Time { return h.LastCrash.Add(h.TrialInterval(0)) }
+
 // Register holds what one daemon knows of requests and parts of prompts that crash
 // endpoints. It is safe for concurrent use.
 type Register struct {
@@ -155,7 +158,7 @@
 func (r *Register) Revision() uint64 { return r.verdicts.Load().revision }
 
 // Quarantined reports whether and why a request must not be sent. If several combinations
-// of parts are the reason, it returns the one of which a trial comes last.
+// of parts are the reason, it returns the one of which the first trial comes last.
 func (r *Register) Quarantined(now time.Time, request *Request) (Hold, bool) {
 	v := r.verdicts.Load()
 	if _, is := v.requests[request.Fingerprint]; is {
@@ -174,7 +177,7 @@
 			continue
 		}
 		// A trial of one combination must not be a request that another one crashes.
-		if next := r.holdOf(now, c); !held || next.TrialInterval(0) > hold.TrialInterval(0) {
+		if next := r.holdOf(now, c); !held || next.firstTrial().After(hold.firstTrial()) {
 			hold, held = next, true
 		}
 	}
