--- a/internal/scheduling/client.go
+++ b/internal/scheduling/client.go
@@ -124,11 +124,15 @@
 	if opts.Clock == nil {
 		opts.Clock = time.Now
 	}
-	return &Client{
+	c := &Client{
 		opts: opts, local: local, limiter: ratelimit.NewLimiter(), shareLimiter: ratelimit.NewShareLimiter(),
 		runs: make(map[string]*openRun), peers: make(map[string]*peerState), avoidUntil: make(map[string]time.Time),
 		lastCoordinators: make(map[string]string), handOvers: newHandOvers(&opts),
 	}
+	if local != nil {
+		local.limitShare = c.limitShare
+	}
+	return c
 }
 
 // Place places a generation or refuses it with a reason. It blocks while the
@@ -254,6 +258,11 @@
 			c.setCoordinator(requestID, coordinator.id)
 			return d
 		}
+		if ctx.Err() != nil {
+			// The run has ended or is no longer to be moved. The coordinator has not failed.
+			c.discardPlacement(coordinator, requestID)
+			return port.Decision{Verdict: port.VerdictRefuse, Reason: "the move was given up"}
+		}
 		c.handlePeerFailure(coordinator, err)
 	}
 	c.setCoordinator(requestID, c.opts.Self)
