Shares of rate limits: the next daemon's part, spread first requests, no gain by changes

Cause: three faults of the share of a daemon that isn't the listed coordinator. - All daemons ask the same one while the listed coordinator doesn't answer. That one had 1/(2n) of each limit for the requests of all: in a fleet of 90 it placed nothing in 30 s at three runners with 5 requests a second, or cold with 3. - Each daemon waited for exactly the time of one request at first. Those that began together sent together: 42 requests within a second to a cold runner of 3 a second, by 40 daemons (14 by 12, 6 by 4). - The meters were reset at each change between share and whole limit. A daemon that became the coordinator again sent each runner one more request: 33 at three runners of 1 a second with ten changes within 2 s, want 9 at most.

Change: the daemon that is asked next has a quarter of a limit, and another quarter is divided among all. The first wait is a random part of that time. The whole limit and the share have a meter each; the whole one is kept across changes, without a burst. Calls (shareLimiter) are as before; by reading, not tested, the first two faults apply to them too.

Result: TestSuccessorOfManyDaemonsPlacesAtLimitedRunners (0 runners got requests, want 3), TestSharesOfManyDaemonsAreNotUsedAtOnce (14 requests within a second, want at most 9) and TestChangingCoordinatorKeepsRateLimits (30 requests, want at most 3) failed before and pass.

--- a/internal/core/ratelimit/limiter.go
+++ b/internal/core/ratelimit/limiter.go
@@ -116,7 +116,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, m := range l.m {
-		m.stale = true
+		m.TakeOver()
 	}
 }
 
@@ -164,12 +164,14 @@
 	}
 	m = &endpointMeter{}
 	if l.isShare {
-		m.Restrict(now, a.Limit)
+		m.Restrict(now, a.Limit, wholeInterval)
 	}
 	l.m[a.Endpoint] = m
 	return m
 }
 
+func wholeInterval() float64 { return 1 }
+
 // Expire drops endpoints without requests for endpointRetention; call it regularly.
 func (l *Limiter) Expire(now time.Time) {
 	l.mu.Lock()
--- a/internal/core/ratelimit/meter.go
+++ b/internal/core/ratelimit/meter.go
@@ -79,12 +79,17 @@
 	return max(0, m.due.Add(-l.burst()).Sub(now))
 }
 
+// TakeOver records that another daemon has admitted requests to the endpoint until now, so
+// that it isn't due a burst.
+func (m *Meter) TakeOver() { m.stale = true }
+
 // Restrict makes a meter that hasn't been used admit nothing until the endpoint has had
-// time for one request. It is for a daemon that has only a share of the limit: all such
-// daemons together would send a burst.
-func (m *Meter) Restrict(now time.Time, l Limit) {
+// time for a portion of a request. It is for a daemon that has only a share of the limit:
+// all such daemons together would send a burst, and again after the time for one request
+// if the portions, from 0 to 1, weren't different.
+func (m *Meter) Restrict(now time.Time, l Limit, portion func() float64) {
 	if m.due.IsZero() && l.PerSecond > 0 {
-		m.due = now.Add(l.burst() + interval(l.PerSecond))
+		m.due = now.Add(l.burst() + time.Duration(portion()*float64(interval(l.PerSecond))))
 	}
 }
 
--- a/internal/core/routing/ratelimits.go
+++ b/internal/core/routing/ratelimits.go
@@ -25,13 +25,23 @@
 	if wasWhole == (share >= 1) {
 		return
 	}
-	// Another daemon begins or ceases to place at the same runners, so what was admitted
-	// here doesn't show how much they accept now.
+	// Another daemon begins or ceases to place at the same runners. What was admitted here
+	// before still counts: a member list that changes back and forth would otherwise let
+	// each runner get a further request at each change.
 	for _, r := range s.runners {
-		r.meter = ratelimit.Meter{}
+		r.meter.TakeOver()
+		r.shareMeter = ratelimit.Meter{}
 	}
 }
 
+// meterOf returns the meter for the limit that limitOf returns.
+func (s *shard) meterOf(r *runner) *ratelimit.Meter {
+	if s.limitShare < 1 {
+		return &r.shareMeter
+	}
+	return &r.meter
+}
+
 // limitOf returns the rate limit of a runner within which this scheduler places.
 func (s *shard) limitOf(r *runner) ratelimit.Limit {
 	l := ratelimit.LimitOf(&r.endpoint)
@@ -42,9 +52,9 @@
 // atRateLimit reports whether the runner has a rate limit and accepts no more requests of
 // this scheduler now.
 func (s *shard) atRateLimit(now time.Time, r *runner) bool {
-	l := s.limitOf(r)
+	l, m := s.limitOf(r), s.meterOf(r)
 	if s.limitShare < 1 {
-		r.meter.Restrict(now, l)
+		m.Restrict(now, l, s.random.Float64)
 	}
-	return r.meter.Wait(now, l) > 0
+	return m.Wait(now, l) > 0
 }
--- a/internal/core/routing/relocate.go
+++ b/internal/core/routing/relocate.go
@@ -46,7 +46,7 @@
 		return d
 	}
 	e.destination = c.runner
-	e.destination.meter.Take(now, s.limitOf(e.destination))
+	s.meterOf(e.destination).Take(now, s.limitOf(e.destination))
 	e.destination.addRun(now, e)
 	d := s.placement(e, &k, ReasonRelocated)
 	d.Endpoint = e.destination.endpoint
--- a/internal/core/routing/runner.go
+++ b/internal/core/routing/runner.go
@@ -64,8 +64,9 @@
 	longestGap     float64
 
 	breaker breaker
-	// meter enforces the rate limit that the runner sets.
-	meter ratelimit.Meter
+	// meter enforces the rate limit that the runner sets, and shareMeter the share of it
+	// that this scheduler may use while others place at the runner.
+	meter, shareMeter ratelimit.Meter
 	// index is the runner's position among those that accept new work, notLive if it
 	// doesn't.
 	index int
--- a/internal/core/routing/shard.go
+++ b/internal/core/routing/shard.go
@@ -168,7 +168,7 @@
 	e.org.work.add(now, e.cost)
 	e.org.rates[e.item.Lane].add(now, 1)
 	c.runner.breaker.dispatched()
-	c.runner.meter.Take(now, s.limitOf(c.runner))
+	s.meterOf(c.runner).Take(now, s.limitOf(c.runner))
 	s.dispatchRate.add(now, e.print.peak())
 	s.prefixes.record(now, e.request.PrefixHashes, c.runner)
 }
--- a/internal/scheduling/admit.go
+++ b/internal/scheduling/admit.go
@@ -75,12 +75,18 @@
 }
 
 // limitShare returns the share of the endpoints' rate limits within which this daemon's
-// scheduler places a pool's generations.
+// scheduler places a pool's generations. The daemons that don't reach the coordinator ask
+// the same other one, which places for up to all of them: half of their part of the limit
+// is for it, and the rest is divided among all daemons.
 func (c *Client) limitShare(pool string) float64 {
-	if c.isListedCoordinator(pool) {
+	const divisor = 2 * sharedLimitDivisor
+	switch c.opts.Self {
+	case c.listedCoordinator(pool):
 		return 1
+	case c.listedSuccessor(pool):
+		return 1. / divisor
 	}
-	return 1 / float64(sharedLimitDivisor*c.daemonCount())
+	return 1 / float64(divisor*c.daemonCount())
 }
 
 // daemonCount returns the number of daemons that may admit requests, at least 1.
--- a/internal/scheduling/coordinator.go
+++ b/internal/scheduling/coordinator.go
@@ -40,9 +40,32 @@
 // pool's coordinator. Otherwise it coordinates the pool only for daemons that
 // cannot reach another one.
 func (c *Client) isListedCoordinator(pool string) bool {
+	return c.listedCoordinator(pool) == c.opts.Self
+}
+
+// listedCoordinator returns the daemon that the member list alone makes the pool's
+// coordinator.
+func (c *Client) listedCoordinator(pool string) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.candidatesLocked(c.opts.Clock()).listedRing.Lookup(pool) == c.opts.Self
+	return c.candidatesLocked(c.opts.Clock()).listedRing.Lookup(pool)
+}
+
+// listedSuccessor returns the daemon that is asked for a pool's placements while its
+// listed coordinator doesn't answer; empty if there is none.
+func (c *Client) listedSuccessor(pool string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.candidatesLocked(c.opts.Clock())
+	coordinator := s.listedRing.Lookup(pool)
+	ring := s.ringsWithout[coordinator]
+	if ring == nil {
+		isCoordinator := func(h host) bool { return h.id == coordinator }
+		others := firstNonEmpty(slices.DeleteFunc(slices.Clone(s.live), isCoordinator), slices.DeleteFunc(slices.Clone(s.leaving), isCoordinator))
+		ring = rendezvous.New(largeHosts(others), xxhash.Sum64String)
+		s.ringsWithout[coordinator] = ring
+	}
+	return ring.Lookup(pool)
 }
 
 // candidates are the daemons that may coordinate pools.
@@ -57,6 +80,11 @@
 	addresses map[string]string
 	// listedRing does not leave out the daemons that are now avoided.
 	listedRing *rendezvous.Rendezvous
+	// live and leaving are the hosts in these states, also those that are avoided.
+	live, leaving []host
+	// ringsWithout are the rings of the listed daemons without the one that is the key,
+	// made when they are needed.
+	ringsWithout map[string]*rendezvous.Rendezvous
 }
 
 // candidatesLocked recomputes the candidates only when the member list has
@@ -95,6 +123,7 @@
 	large := largeHosts(firstNonEmpty(live.reachable, leaving.reachable))
 	s.ring, s.ringSize = rendezvous.New(large, xxhash.Sum64String), len(large)
 	s.listedRing = rendezvous.New(largeHosts(firstNonEmpty(live.listed, leaving.listed)), xxhash.Sum64String)
+	s.live, s.leaving, s.ringsWithout = live.listed, leaving.listed, make(map[string]*rendezvous.Rendezvous)
 	c.cachedCandidates = s
 	return s
 }
