Memory of a host: answers that fit are held whole, small reservations

Three faults of the bound on the memory of a host:

- An answer of 4 to 64 KiB with a stated length counted as longer than what may be held, because its end was not read.
Its endpoint's 5xx answer didn't reach the caller of a repeatable request (502 endpoint_failed instead), and the balancer got no sample of a call.
One more byte is read.
- A body of unknown length reserved the largest body for a second after it had arrived.
Settle states the size of the body, and the reservation shrinks to it.
- While reserved memory kept the bound reached, garbage was collected only if the reading alone was at 70% of the limit or more.
It is collected every 2 s while requests are refused.

Measured: before the change, TestAnswerThatFitsIsHeldWhole fails at 4096, 4097 and 65536 bytes, and TestReservationsDoNotKeepRequestsRefused at the seventh request of 10 bytes (limit 10 MB) and with no collection. Both pass with it. The tests of hostmemory, gateway, platform and dragonfly-entry pass.

--- a/cmd/dragonfly-entry/hostmemory.go
+++ b/cmd/dragonfly-entry/hostmemory.go
@@ -26,8 +26,6 @@
 	// system, so that the bound isn't reached by garbage alone. Without allocations the
 	// runtime collects every two minutes only.
 	collectPercent = 75
-	// collectPercentStopped is that share while no new requests are accepted.
-	collectPercentStopped = 70
 	// collectInterval is the shortest time between two such collections, whose processor time
 	// grows with the memory in use.
 	collectInterval = 2 * time.Second
@@ -141,13 +139,10 @@
 }
 
 // collectAt collects garbage in the background if the memory in use comes close to the
-// bound.
+// bound, and while new requests are refused: reserved memory may keep the bound reached at any
+// reading.
 func (m *memoryMonitor) collectAt(now time.Time, percent float64, refuses bool) {
-	from := float64(collectPercent)
-	if refuses {
-		from = collectPercentStopped
-	}
-	if percent < from || now.Sub(m.collectedAt) < collectInterval || !m.collecting.CompareAndSwap(false, true) {
+	if !refuses && percent < collectPercent || now.Sub(m.collectedAt) < collectInterval || !m.collecting.CompareAndSwap(false, true) {
 		return
 	}
 	m.collectedAt = now
@@ -175,10 +170,10 @@
 	reservation *hostmemory.Reservation
 }
 
-func (r *memoryReservation) Settle() {
+func (r *memoryReservation) Settle(bodyBytes int64) {
 	r.monitor.mu.Lock()
 	defer r.monitor.mu.Unlock()
-	r.monitor.bound.Settle(r.reservation)
+	r.monitor.bound.Settle(r.reservation, requestBytes+uint64(max(0, bodyBytes)))
 }
 
 func (r *memoryReservation) Release() {
--- a/cmd/dragonfly-entry/hostmemory_test.go
+++ b/cmd/dragonfly-entry/hostmemory_test.go
@@ -75,6 +75,31 @@
 	}
 }
 
+// Guards against garbage that keeps requests refused while the readings alone are below the
+// bound, and against a body of unknown length that is reserved in full once it has arrived.
+func TestReservationsDoNotKeepRequestsRefused(t *testing.T) {
+	logger := jsonlog.New(&bytes.Buffer{}, name, "e", "info")
+	m := newMemoryMonitor(1_000_000, func(time.Time, bool) {}, logger, gometrics.NewRegistry())
+	m.collect = func() {}
+	m.read = func() (uint64, error) { return 680_000, nil }
+	now := time.Unix(1_700_000_000, 0)
+	m.step(now)
+	if m.Reserve(0) == nil || m.Reserve(0) != nil {
+		t.Fatal("the second request doesn't reach the bound")
+	}
+	if m.step(now.Add(memoryReadInterval)); m.collections.Count() != 1 {
+		t.Errorf("%d collections while requests are refused, want 1", m.collections.Count())
+	}
+	m = newMemoryMonitor(10_000_000, func(time.Time, bool) {}, logger, gometrics.NewRegistry())
+	for i := range 40 {
+		r := m.Reserve(1 << 20)
+		if r == nil {
+			t.Fatalf("request %d with a body of 10 bytes is refused", i)
+		}
+		r.Settle(10)
+	}
+}
+
 // Guards against a memory limit, small buffers or a bound on answers at hosts that state no
 // capacity.
 func TestMemoryIsBoundedWithCapacityOnly(t *testing.T) {
--- a/internal/core/hostmemory/hostmemory.go
+++ b/internal/core/hostmemory/hostmemory.go
@@ -81,13 +81,15 @@
 	return &Reservation{bytes: bytes, unseen: unseen}, true
 }
 
-// Settle states that a request has received all that its caller sends. Its reservation ends
-// after growthReadings more readings, except for what they never show.
-func (b *Bound) Settle(r *Reservation) {
+// Settle states that a request has received all that its caller sends. bytes is what the
+// readings will show of it, no more than was reserved. Its reservation ends after
+// growthReadings more readings, except for what they never show.
+func (b *Bound) Settle(r *Reservation, bytes uint64) {
 	if r.settled {
 		return
 	}
 	b.unsettled -= r.bytes
+	r.bytes = min(r.bytes, bytes)
 	r.settled, r.reading = true, b.readings
 	b.growing[b.readings%growthReadings] += r.bytes
 }
--- a/internal/core/hostmemory/hostmemory_test.go
+++ b/internal/core/hostmemory/hostmemory_test.go
@@ -40,7 +40,7 @@
 		t.Fatalf("%d requests accepted, want %d", len(accepted), want)
 	}
 	for _, r := range accepted {
-		b.Settle(r)
+		b.Settle(r, 10)
 	}
 	for range growthReadings - 1 {
 		if b.Observe(300); b.Accepts() {
--- a/internal/gateway/hostmemory.go
+++ b/internal/gateway/hostmemory.go
@@ -20,8 +20,9 @@
 
 // MemoryReservation is the memory that an accepted request is expected to need.
 type MemoryReservation interface {
-	// Settle states that the body has been received.
-	Settle()
+	// Settle states that a body of bodyBytes has been received, which is no more than was
+	// reserved.
+	Settle(bodyBytes int64)
 	// Release must be called once, when the request has ended.
 	Release()
 }
@@ -29,8 +30,8 @@
 // noReservation is the reservation of a request at a host whose memory isn't bounded.
 type noReservation struct{}
 
-func (noReservation) Settle()  {}
-func (noReservation) Release() {}
+func (noReservation) Settle(int64) {}
+func (noReservation) Release()     {}
 
 // memoryRetry is the retry time of requests that are refused because of the host's memory.
 // By then callers have a newer answer of the directory, or the next readings.
@@ -89,6 +90,10 @@
 	}
 	held, taken := x.g.answers.take(x.g.options().AnswerMemory, length)
 	x.answersTaken += taken
+	if int64(held) == length {
+		// The end of an answer is found only by a read beyond its last byte.
+		held++
+	}
 	return held
 }
 
--- a/internal/gateway/hostmemory_test.go
+++ b/internal/gateway/hostmemory_test.go
@@ -124,6 +124,22 @@
 	}
 }
 
+// Guards against an answer of known length that fits but counts as longer than what may be
+// held: its endpoint's failure doesn't reach the caller, and the balancer gets no sample.
+func TestAnswerThatFitsIsHeldWhole(t *testing.T) {
+	for _, size := range []int{hostmemory.MinAnswer, hostmemory.MinAnswer + 1, hostmemory.MaxAnswer} {
+		text := strings.Repeat("x", size)
+		b, _ := newBoundedHarness(t, 2*hostmemory.MaxAnswer, 500, nil)
+		b.setHandlers("s", func(*port.Exchange) (*port.Answer, error) {
+			return &port.Answer{Status: 500, Header: http.Header{}, Length: int64(size), Delimited: true, Body: io.NopCloser(strings.NewReader(text))}, nil
+		})
+		got := &fakeCaller{}
+		if refusal := b.send(t, "/safe/x", got); refusal != nil || got.status != 500 || got.text() != text {
+			t.Errorf("%d bytes: %+v, status %d, %d bytes passed on", size, refusal, got.status, len(got.text()))
+		}
+	}
+}
+
 // fakeMemory is the memory of a host that accepts a number of requests.
 type fakeMemory struct{ free, open int }
 
@@ -136,8 +152,8 @@
 	return m
 }
 
-func (m *fakeMemory) Settle()  {}
-func (m *fakeMemory) Release() { m.open-- }
+func (m *fakeMemory) Settle(int64) {}
+func (m *fakeMemory) Release()     { m.open-- }
 
 // Guards against requests of other daemons that are run with too little memory, or refused to
 // their callers although a third daemon serves them, and against memory that is not given back.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -269,7 +269,7 @@
 		return x.endpoint, x.refuse(refusal)
 	}
 	defer memory.Release()
-	memory.Settle()
+	memory.Settle(0)
 	refusal = x.serveOpen(ctx)
 	return x.endpoint, refusal
 }
