Relayed requests reserve memory before their bodies come

Cause: AcceptRelayed reserved memory and gave it back at once, and ServeRelayed reserved none for the body, so that many bodies could be received between two readings of the memory in use (found in review, by reading). Change: one reservation from the acceptance to the end of the request, settled when the body has come. The test of a peer without memory needs one reservation a request in place of two.

--- a/internal/adapter/grpcrelay/server.go
+++ b/internal/adapter/grpcrelay/server.go
@@ -48,6 +48,7 @@
 	if refusal := s.App.AcceptRelayed(r); refusal != nil {
 		return stream.Send(endToWire(refusal, ""))
 	}
+	defer r.ReleaseMemory()
 	if err := stream.Send(&peerv1.RelayReply{Part: &peerv1.RelayReply_Accepted{Accepted: &peerv1.RelayAccepted{}}}); err != nil {
 		return err
 	}
--- a/internal/gateway/hostmemory.go
+++ b/internal/gateway/hostmemory.go
@@ -52,16 +52,6 @@
 	}
 }
 
-// checkMemory returns the refusal of a request that another daemon passes on if this host
-// has too little memory. The memory is reserved once the body has been received.
-func (g *Gateway) checkMemory(bodyBytes uint64) *Refusal {
-	r, refusal := g.ReserveMemory(int64(bodyBytes))
-	if refusal == nil {
-		r.Release()
-	}
-	return refusal
-}
-
 // answerMemory divides the memory for answers that are held whole. It is safe for concurrent
 // use.
 type answerMemory struct {
--- a/internal/gateway/hostmemory_test.go
+++ b/internal/gateway/hostmemory_test.go
@@ -159,8 +159,7 @@
 // their callers although a third daemon serves them, and against memory that is not given back.
 func TestPeerWithoutMemoryDeclines(t *testing.T) {
 	b, net := newRelayHarness(t, 2)
-	// The memory is checked before the body is sent, and reserved afterwards.
-	memory := &fakeMemory{free: 3}
+	memory := &fakeMemory{free: 1}
 	net.peers["peer0"].Memory, net.peers["peer1"].Memory = &fakeMemory{}, memory
 	for i, serves := range []bool{true, false, false} {
 		refusal := b.send(t, "/once/", &fakeCaller{})
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -52,6 +52,17 @@
 	Tried      []string
 	// BodyBytes is the announced size of the body.
 	BodyBytes uint64
+
+	// memory is reserved from AcceptRelayed to ReleaseMemory.
+	memory MemoryReservation
+}
+
+// ReleaseMemory gives back the memory of a request that AcceptRelayed has admitted. It must
+// be called once the request has ended, whether or not its body came.
+func (r *RelayedRequest) ReleaseMemory() {
+	if r.memory != nil {
+		r.memory.Release()
+	}
 }
 
 // RelayResult is the end of a request that was passed on.
@@ -231,7 +242,8 @@
 		refusal = &Refusal{Cause: CauseNoPath, Detail: "no path from here either"}
 	}
 	if refusal == nil {
-		refusal = g.checkMemory(r.BodyBytes)
+		// Reserved before the body comes, as many may be sent between two readings.
+		r.memory, refusal = g.ReserveMemory(int64(r.BodyBytes))
 	}
 	if refusal != nil {
 		refusal.Outcome = outcome.NotRun
@@ -263,13 +275,7 @@
 	x.attempts, x.mayHaveRun, x.tried = r.Attempts, r.MayHaveRun, slices.Clone(r.Tried)
 	x.reachedEndpoint = r.MayHaveRun > 0
 	x.record(verdictRelay, "passed on by "+r.From, "", nil)
-	memory, refusal := g.ReserveMemory(0)
-	if refusal != nil {
-		refusal.Outcome = outcome.NotRun
-		return x.endpoint, x.refuse(refusal)
-	}
-	defer memory.Release()
-	memory.Settle(0)
+	r.memory.Settle(int64(len(r.Body)))
 	refusal = x.serveOpen(ctx)
 	return x.endpoint, refusal
 }
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -35,6 +35,7 @@
 	if refusal := at.AcceptRelayed(&passed); refusal != nil {
 		return &RelayResult{Refusal: refusal}, nil
 	}
+	defer passed.ReleaseMemory()
 	if err != nil {
 		_, _ = at.ServeRelayed(ctx, &passed, &fakeCaller{})
 		return nil, err
