--- a/cmd/dragonfly-entry/hostload_test.go
+++ b/cmd/dragonfly-entry/hostload_test.go
@@ -12,8 +12,7 @@
 	"github.com/dragonflyrail/dragonflyrail/internal/adapter/jsonlog"
 )
 
-// Guards against loads that are announced without a log line, at each reading, or not at
-// all.
+// Guards against loads that are announced without a log line, at each reading, or not at all.
 func TestLoadIsPublishedAndLogged(t *testing.T) {
 	var out bytes.Buffer
 	var published []uint32
@@ -39,8 +38,7 @@
 	}
 }
 
-// Guards against readings that miss the processor time of the process, or the part of it
-// that is spent in the kernel.
+// Guards against readings that miss processor time of the process, or its part in the kernel.
 func TestProcessorTimeGrows(t *testing.T) {
 	before, err := processorTime()
 	if err != nil {
--- a/cmd/dragonfly-entry/hostmemory_test.go
+++ b/cmd/dragonfly-entry/hostmemory_test.go
@@ -13,8 +13,7 @@
 	"github.com/dragonflyrail/dragonflyrail/internal/adapter/jsonlog"
 )
 
-// Guards against a bound that is reached or left without a log line, without an announced
-// load, or because a reading failed; and against garbage that keeps requests refused.
+// Guards against a bound that is reached or left without a log line or an announced load, or because a reading failed, and against garbage that keeps requests refused.
 func TestMemoryBoundIsReportedAndAnnounced(t *testing.T) {
 	var out bytes.Buffer
 	var published []uint32
@@ -75,8 +74,7 @@
 	}
 }
 
-// Guards against garbage that keeps requests refused while the readings alone are below the
-// bound, and against a body of unknown length that is reserved in full once it has arrived.
+// Guards against garbage that keeps requests refused while readings alone are below the bound, and against a body of unknown length that stays reserved in full once it has arrived.
 func TestReservationsDoNotKeepRequestsRefused(t *testing.T) {
 	logger := jsonlog.New(&bytes.Buffer{}, name, "e", "info")
 	m := newMemoryMonitor(1_000_000, func(time.Time, bool) {}, logger, gometrics.NewRegistry())
@@ -100,8 +98,7 @@
 	}
 }
 
-// Guards against a memory limit, small buffers or a bound on answers at hosts that state no
-// capacity.
+// Guards against a memory limit, small buffers or a bound on answers at hosts that state no capacity.
 func TestMemoryIsBoundedWithCapacityOnly(t *testing.T) {
 	for _, bounded := range []bool{false, true} {
 		s := decodeSettings(t, settingsJSON(t, func(m map[string]any) {
--- a/internal/crashwatch/crashwatch_test.go
+++ b/internal/crashwatch/crashwatch_test.go
@@ -10,7 +10,7 @@
 	"github.com/dragonflyrail/dragonflyrail/internal/testkit/eventually"
 )
 
-// crashLog sends what it is told of crashes to a channel, and quarantines nothing.
+// crashLog sends reported crashes to a channel, and quarantines nothing.
 type crashLog chan []quarantine.Loss
 
 func (crashLog) Quarantined(time.Time, *quarantine.Request) (quarantine.Hold, bool) {
--- a/internal/gateway/hostmemory.go
+++ b/internal/gateway/hostmemory.go
@@ -34,7 +34,7 @@
 func (noReservation) Release()     {}
 
 // memoryRetry is the retry time of requests that are refused because of the host's memory.
-// By then callers have a newer answer of the directory, or the next readings.
+// By then callers have resolved the addresses again, or the host has taken new readings.
 const memoryRetry = time.Second
 
 // ReserveMemory reserves memory for a new request with a body of up to bodyBytes, or returns
--- a/internal/scheduling/client.go
+++ b/internal/scheduling/client.go
@@ -261,7 +261,7 @@
 		if ctx.Err() != nil {
 			// The run has ended or is no longer to be moved. The coordinator has not failed.
 			c.discardPlacement(coordinator, requestID)
-			return port.Decision{Verdict: port.VerdictRefuse, Reason: "the move was given up"}
+			return port.Decision{Verdict: port.VerdictRefuse, Reason: "relocation_cancelled"}
 		}
 		c.handlePeerFailure(coordinator, err)
 	}
