--- /dev/null
+++ b/review/cases/twice.go
@@ -0,0 +1,97 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Times and doses of the case.
+const (
+	quietBefore  = 8 * time.Second
+	crashes      = 12
+	betweenCrash = 6 * time.Second
+	downFor      = 500 * time.Millisecond
+	// spoiledShare is the largest share of its answers that the faulty runner sends again.
+	spoiledShare = 0.03
+	unsafePerS   = 28.1
+	safePerS     = 11.3
+)
+
+// spoiler chooses the answers to requests that one host sends a second time: those with
+// status 421, as far as the share allows.
+type spoiler struct {
+	mu               sync.Mutex
+	answers, spoiled int
+}
+
+func (s *spoiler) spoil(status int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answers++
+	if status != http.StatusMisdirectedRequest || float64(s.spoiled+1) > spoiledShare*float64(s.answers) {
+		return false
+	}
+	s.spoiled++
+	return true
+}
+
+// playTwice restarts a runner some times, which sends some of its answers again, late, and
+// returns how many requests that must run once ran twice, or ran after they were refused.
+func playTwice(rec *record, trouble bool) (broken int, err error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var mu sync.Mutex
+	runs := map[string][]string{}
+	f, err := newFleet(ctx, rec, func(h *host) {
+		h.onRun = func(requestID, runnerID string) {
+			mu.Lock()
+			defer mu.Unlock()
+			runs[requestID] = append(runs[requestID], runnerID)
+		}
+	})
+	defer f.stop()
+	if err != nil {
+		return 0, err
+	}
+	faulty, s := f.hosts[0], &spoiler{}
+	if trouble {
+		faulty.mu.Lock()
+		faulty.spoil = s.spoil
+		faulty.mu.Unlock()
+	}
+	c := newClients(f)
+	sending, stop := context.WithCancel(ctx)
+	var load sync.WaitGroup
+	load.Go(func() { c.run(sending, unsafePerS, http.MethodPost, unsafePath) })
+	time.Sleep(quietBefore)
+	for n := range crashes {
+		if trouble {
+			faulty.crash(false)
+			time.Sleep(downFor)
+			if err := f.startRunner(ctx, faulty, fmt.Sprintf("i-1-%d", n+2)); err != nil {
+				stop()
+				return 0, err
+			}
+		}
+		time.Sleep(betweenCrash)
+	}
+	stop()
+	load.Wait()
+	time.Sleep(2 * work)
+	mu.Lock()
+	defer mu.Unlock()
+	answers := c.all()
+	for id, where := range runs {
+		status := answers[id].status
+		refused := status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+		if len(where) > 1 || refused {
+			broken++
+			rec.add("BROKEN: %s, of an unsafe route, ran %d times, at %v; the client got %d", id, len(where), where, status)
+		}
+	}
+	rec.add("%d requests sent, %d run, %d broke the rule; the faulty runner sent %d of %d answers again", len(answers), len(runs), broken, s.spoiled, s.answers)
+	return broken, nil
+}
