--- a/review/cases/fleet.go
+++ b/review/cases/fleet.go
@@ -34,6 +34,10 @@
 	hostCount   = 3
 )
 
+// ownAddress is the loopback address of this play. No outgoing connection has it as its
+// source, so that a port that is free for a moment isn't taken.
+var ownAddress = fmt.Sprintf("127.%d.%d.1", 64+os.Getpid()>>8&63, os.Getpid()&255)
+
 // fleet is a small deployment: the store and the runners in this process, the daemons as
 // processes of their own.
 type fleet struct {
@@ -61,7 +65,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	f := &fleet{record: rec, store: standin.NewStore(), dir: dir, cancel: cancel}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", ownAddress+":0")
 	if err != nil {
 		return f, err
 	}
@@ -126,7 +130,7 @@
 	for i := range daemonCount {
 		d := &daemon{name: fmt.Sprintf("front-%d", i+1)}
 		for _, address := range []*string{&d.callers, &d.control, &d.directory, &d.readiness, &d.admin, &d.metrics} {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
+			l, err := net.Listen("tcp", ownAddress+":0")
 			if err != nil {
 				return err
 			}
@@ -193,7 +197,7 @@
 	port := func(address string) string { return address[strings.LastIndex(address, ":")+1:] }
 	out := sections.ReplaceAll(template, nil)
 	for name, value := range map[string]any{
-		"node_name": d.name, "ip": "127.0.0.1", "zone": zone, "listen.frontend": d.callers, "listen.control": d.control,
+		"node_name": d.name, "ip": ownAddress, "zone": zone, "listen.frontend": d.callers, "listen.control": d.control,
 		"port_range.0": port(d.admin), "port_range.1": port(d.metrics), "listen.directory": d.directory,
 		"listen.readiness": d.readiness, "seeds": seeds, "provider.address": store, "heartbeat_ms": heartbeat.Milliseconds(),
 		"bounds.grace_s": 8, "bounds.retry_budget_ratio": 0.2, "bounds.retry_slack": 54, "limits.cpu_share": 0.4,
--- a/review/cases/runner.go
+++ b/review/cases/runner.go
@@ -48,7 +48,7 @@
 }
 
 func newHost(name string, rec *record) (*host, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", ownAddress+":0")
 	if err != nil {
 		return nil, err
 	}
