--- a/review/cases-2/lab/client.go
+++ b/review/cases-2/lab/client.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 )
 
@@ -38,6 +39,8 @@
 	Body         string
 	// Deadline is how long the client waits.
 	Deadline time.Duration
+	// Tokens are the numbers of tokens of a generation, as in "1000,940".
+	Tokens string
 }
 
 // Answer is the end of a client attempt.
@@ -66,6 +69,10 @@
 	a := &Answer{}
 	header := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\nDragonflyrail-Request-Id: %s\r\nDragonflyrail-Deadline-Remaining: %d\r\n",
 		q.Method, q.Path, Host, Key, q.ID, q.Deadline.Milliseconds())
+	if q.Tokens != "" {
+		prompt, _, _ := strings.Cut(q.Tokens, ",")
+		header += fmt.Sprintf("Dragonflyrail-Model: m\r\nDragonflyrail-Token-Usage: %s\r\nDragonflyrail-Prompt-Prefix: %x:%s\r\n", q.Tokens, time.Now().UnixNano(), prompt)
+	}
 	if q.Method != http.MethodGet {
 		header += fmt.Sprintf("Content-Length: %d\r\n", len(q.Body))
 	}
--- a/review/cases-2/lab/lab.go
+++ b/review/cases-2/lab/lab.go
@@ -34,7 +34,6 @@
 	Key       = "key-of-crews"
 	Tenant    = "crews"
 	CallPool  = "dispatch"
-	DeskPool  = "desk"
 	ModelPool = "lm-pool"
 )
 
@@ -75,7 +74,7 @@
 	}
 	l := &Lab{Root: root, Trouble: os.Getenv("TROUBLE") != "0", Store: standin.NewStore(), dir: dir, began: time.Now(), record: record, written: map[string]time.Time{}}
 	l.ctx, l.cancel = context.WithCancel(context.Background())
-	l.storeAddr, err = l.Serve("", l.Store)
+	l.storeAddr, err = l.Serve(l.Store)
 	if err != nil {
 		return nil, err
 	}
@@ -117,13 +116,10 @@
 	}
 }
 
-// Serve serves a handler at an address, or at a free loopback port if it is empty, until the
-// lab is closed. It returns the address.
-func (l *Lab) Serve(address string, h http.Handler) (string, error) {
-	if address == "" {
-		address = "127.0.0.1:0"
-	}
-	listener, err := net.Listen("tcp", address)
+// Serve serves a handler at a free loopback port until the lab is closed. It returns the
+// address.
+func (l *Lab) Serve(h http.Handler) (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", err
 	}
@@ -305,8 +301,8 @@
 	}
 }
 
-// Configure writes the operator's configuration: /tile/ is safe, /ping/ and /desk/ unsafe,
-// /report/ a stream, with the figures of the site's kinds of requests.
+// Configure writes the operator's configuration: /tile/ is safe, /ping/ unsafe, /report/ a
+// stream, with the figures of the site's kinds of requests.
 func (l *Lab) Configure() {
 	route := func(name, kind, service string, attempts, timeout, goal, priority int) map[string]any {
 		return map[string]any{
@@ -319,12 +315,10 @@
 		"version": 7,
 		"routes": []any{
 			route("tile", "safe", CallPool, 2, 600, 100, 2), route("ping", "unsafe", CallPool, 1, 600, 100, 2),
-			route("desk", "unsafe", DeskPool, 1, 600, 100, 2),
 			route("report", "streaming", ModelPool, 1, 39000, 1800, 0),
 		},
 		"services": []any{
 			map[string]any{"name": CallPool, "health_path": "/health", "max_conns": 96, "protocol": "h1", "tls": false},
-			map[string]any{"name": DeskPool, "health_path": "/health", "max_conns": 96, "protocol": "h1", "tls": false},
 			map[string]any{"name": ModelPool, "health_path": "/health", "max_conns": 222, "protocol": "h1", "tls": false, "engine": map[string]any{
 				"capacity": 24, "kv_tokens": 34240, "kv_token_bytes": 327680, "link_mbps": 47000.0, "moves": true, "backups": true,
 				"stride": 4, "most": 12, "pin_ms": 4000.0, "hold_ms": 2000.0, "handle_ttl_s": 5.0, "models": []any{map[string]any{"name": "m"}},
--- a/review/cases-2/lapse/main.go
+++ b/review/cases-2/lapse/main.go
@@ -29,13 +29,13 @@
 	l.Configure()
 	var runners []*lab.Runner
 	add := func(r *lab.Runner) {
-		if err := l.AddRunner(r, ""); err != nil {
+		if err := l.AddRunner(r); err != nil {
 			l.Fail(err)
 		}
 		runners = append(runners, r)
 	}
 	for i := range 2 {
-		add(&lab.Runner{ID: fmt.Sprintf("i-model-%d", i+1), Service: lab.ModelPool, Work: 30 * time.Millisecond, Events: 40})
+		add(&lab.Runner{ID: fmt.Sprintf("i-model-%d", i+1), Service: lab.ModelPool, IsEngine: true})
 	}
 	time.Sleep(stagger)
 	for i := range 3 {
