--- a/test/crashing_test.go
+++ b/test/crashing_test.go
@@ -87,16 +87,8 @@
 	background.Go(func() { f.Respawn(ctx, time.Second) })
 	f.crashUntilQuarantined(testfleet.Generation)
 	f.checkRefusalExplained(t)
+	f.restartDaemons()
 	for _, d := range f.Daemons {
-		d.Kill()
-	}
-	for _, d := range f.Daemons {
-		if err := f.StartDaemon(d); err != nil {
-			t.Fatal(err)
-		}
-	}
-	for _, d := range f.Daemons {
-		f.waitServing(d)
 		procs.Until(t, d.ID+" quarantines the request", func() bool {
 			return bytes.Contains(d.Log(), []byte(`"verdict":"quarantine"`))
 		})
@@ -131,16 +123,8 @@
 		time.Sleep(200 * time.Millisecond)
 		return bytes.Contains(f.quarantineRecord(), []byte(`"part": "`+standin.CrashPart+`"`))
 	})
+	f.restartDaemons()
 	for _, d := range f.Daemons {
-		d.Kill()
-	}
-	for _, d := range f.Daemons {
-		if err := f.StartDaemon(d); err != nil {
-			t.Fatal(err)
-		}
-	}
-	for _, d := range f.Daemons {
-		f.waitServing(d)
 		procs.Until(t, d.ID+" quarantines the part", func() bool { return bytes.Contains(d.Log(), []byte(`"verdict":"quarantine"`)) })
 	}
 	before := len(f.runsOf(crashingPrefix))
--- a/test/entry_test.go
+++ b/test/entry_test.go
@@ -71,6 +71,22 @@
 	}
 }
 
+// restartDaemons kills all daemons and starts them again, and waits until each serves.
+func (f *fleetTest) restartDaemons() {
+	f.t.Helper()
+	for _, d := range f.Daemons {
+		d.Kill()
+	}
+	for _, d := range f.Daemons {
+		if err := f.StartDaemon(d); err != nil {
+			f.t.Fatal(err)
+		}
+	}
+	for _, d := range f.Daemons {
+		f.waitServing(d)
+	}
+}
+
 // startGeneration starts a generation and waits for its first event or its end.
 func (f *fleetTest) startGeneration(d *testfleet.Daemon, events int) *generation {
 	f.t.Helper()
--- a/test/evacuation_test.go
+++ b/test/evacuation_test.go
@@ -83,17 +83,7 @@
 	}
 	f.Daemons[0].StoreProxy.Set(faultproxy.Faults{})
 	// All daemons are killed, so only the store still has the evacuation.
-	for _, d := range f.Daemons {
-		d.Kill()
-	}
-	for _, d := range f.Daemons {
-		if err := f.StartDaemon(d); err != nil {
-			t.Fatal(err)
-		}
-	}
-	for _, d := range f.Daemons {
-		f.waitServing(d)
-	}
+	f.restartDaemons()
 	time.Sleep(time.Second)
 	f.checkNoRequests(domain, from, time.Now())
 	f.endEvacuation(domain)
