httpplatform: each call of the platform over a connection of its own

What callers could see: a record's write, a claim or an order's lease that counts as written although the platform refused it, as refused although it took effect, or read as an older state; a list of another kind, empty, in place of the kind's own. Cause: reads and writes shared kept connections, and the reply on a connection was taken for that to the call. Only objects in replies with 200 were compared with what was asked for; 412, 429, 503, 404, 410 and empty lists name nothing, and a late reply about the same object is an older state of it. Change: httpanswer.Client sends each request over a connection of its own and checks its head with core/reply; watches and reads use it as well. A 412 that contains another object counts as of unknown outcome.

--- a/internal/adapter/httpanswer/httpanswer.go
+++ b/internal/adapter/httpanswer/httpanswer.go
@@ -5,10 +5,16 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
+
+	"github.com/dragonflyrail/dragonflyrail/internal/core/reply"
+	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
 
 // Errors of responses that can't be read completely.
@@ -39,6 +45,39 @@
 	Body   []byte
 }
 
+// Client sends each request over a connection of its own, because a store's responses don't
+// name the call that they answer: a late one would be read as the answer to the next call.
+type Client struct {
+	client *http.Client
+}
+
+// NewClient returns a client that connects with the dialer.
+func NewClient(dialer *net.Dialer) *Client {
+	return &Client{client: &http.Client{
+		Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true},
+		// Following a redirect would send a write a second time.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
+}
+
+// Do is the function Do with the client's connections. It returns port.ErrForeignAnswer for a
+// response that may be that to another request.
+func (c *Client) Do(r *http.Request, b Bounds) (*Answer, error) {
+	var reused atomic.Bool
+	r = r.WithContext(httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { reused.Store(info.Reused) },
+	}))
+	a, err := Do(c.client, r, b)
+	if err != nil {
+		return nil, err
+	}
+	head := port.Reply{Status: a.Status, Identity: port.IdentityNone, Reused: reused.Load()}
+	if err := reply.Check(&head, reply.ByConnection); err != nil {
+		return nil, err
+	}
+	return a, nil
+}
+
 // Do sends a request and reads the complete response. The time limits apply to
 // the progress of the response: with a short limit on the total time, every
 // attempt to read a large response over a slow link would be cut off before its
--- a/internal/adapter/httpplatform/client.go
+++ b/internal/adapter/httpplatform/client.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -24,6 +25,7 @@
 // Limits of calls and replies.
 const (
 	DefaultTimeout = 5 * time.Second
+	dialTimeout    = 2 * time.Second
 	// MaxValueBytes is the platform's limit on one value.
 	MaxValueBytes = 1 << 20
 	// maxReplyBytes limits every reply. Only a list comes near it; a single
@@ -34,9 +36,12 @@
 	watchSlack = 5 * time.Second
 )
 
-// errBadReply is returned for a malformed reply or one about another object. A
-// read then counts as unavailable, a write as of unknown outcome.
-var errBadReply = merry.Sentinel("platform: reply makes no sense")
+// Errors of malformed replies and of those about another object. A read then counts as
+// unavailable, a write as of unknown outcome.
+var (
+	errBadReply    = merry.Sentinel("platform: reply makes no sense")
+	errOtherObject = merry.Sentinel("platform: reply about another object")
+)
 
 // Options configures a Client.
 type Options struct {
@@ -49,11 +54,12 @@
 	Registry gometrics.Registry
 }
 
-// Client implements port.Platform.
+// Client implements port.Platform. Each call has a connection of its own, because replies to
+// calls that failed name no object, and others may be an older state of theirs.
 type Client struct {
 	base    string
 	timeout time.Duration
-	http    *http.Client
+	http    *httpanswer.Client
 	reads   gometrics.Counter
 	writes  gometrics.Counter
 	failed  gometrics.Counter
@@ -61,7 +67,7 @@
 
 var _ port.Platform = (*Client)(nil)
 
-// New returns a client with its own connection pool.
+// New returns a client.
 func New(o Options) *Client {
 	registry := o.Registry
 	if registry == nil {
@@ -74,18 +80,10 @@
 	return &Client{
 		base:    strings.TrimSuffix(o.BaseURL, "/"),
 		timeout: timeout,
-		http: &http.Client{
-			Transport: &http.Transport{
-				DialContext:         tcpopt.StoreDialer(2 * time.Second).DialContext,
-				MaxIdleConnsPerHost: 16,
-				IdleConnTimeout:     30 * time.Second,
-			},
-			// Following a redirect would send a write a second time.
-			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-		},
-		reads:  gometrics.GetOrRegisterCounter("platform_reads_total", registry),
-		writes: gometrics.GetOrRegisterCounter("platform_writes_total", registry),
-		failed: gometrics.GetOrRegisterCounter("platform_failures_total", registry),
+		http:    httpanswer.NewClient(tcpopt.StoreDialer(dialTimeout)),
+		reads:   gometrics.GetOrRegisterCounter("platform_reads_total", registry),
+		writes:  gometrics.GetOrRegisterCounter("platform_writes_total", registry),
+		failed:  gometrics.GetOrRegisterCounter("platform_failures_total", registry),
 	}
 }
 
@@ -195,13 +193,7 @@
 		}
 		return o, nil
 	case http.StatusPreconditionFailed:
-		// The reply contains the stored object if one exists. The result is a
-		// conflict in either case.
-		o, err := decodeObject(raw, kind, name)
-		if err != nil {
-			return port.Object{}, port.ErrConflict
-		}
-		return o, port.ErrConflict
+		return conflict(raw, kind, name)
 	case http.StatusNotFound:
 		return port.Object{}, port.ErrConflict
 	case http.StatusRequestEntityTooLarge:
@@ -216,6 +208,18 @@
 	}
 }
 
+// conflict returns port.ErrConflict and the stored object, if the reply contains one.
+func conflict(raw []byte, kind, name string) (port.Object, error) {
+	o, err := decodeObject(raw, kind, name)
+	switch {
+	case err == nil:
+		return o, port.ErrConflict
+	case errors.Is(err, errOtherObject):
+		return port.Object{}, merry.Prepend(port.ErrOutcomeUnknown, err.Error())
+	}
+	return port.Object{}, port.ErrConflict
+}
+
 func (c *Client) read(ctx context.Context, timeout time.Duration, path string) ([]byte, error) {
 	c.reads.Inc(1)
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, http.NoBody)
@@ -245,7 +249,7 @@
 // do sends a request and reads the answer, which must start within the given
 // time.
 func (c *Client) do(r *http.Request, startTimeout time.Duration) (int, []byte, error) {
-	a, err := httpanswer.Do(c.http, r, httpanswer.Bounds{StartTimeout: startTimeout, IdleTimeout: c.timeout, MaxBytes: maxReplyBytes})
+	a, err := c.http.Do(r, httpanswer.Bounds{StartTimeout: startTimeout, IdleTimeout: c.timeout, MaxBytes: maxReplyBytes})
 	if err != nil {
 		return 0, nil, err
 	}
--- a/internal/adapter/httpplatform/client_test.go
+++ b/internal/adapter/httpplatform/client_test.go
@@ -126,7 +126,7 @@
 	})
 	const writes = 50
 	for range writes {
-		// The read leaves an idle connection that the write can reuse.
+		// If connections were kept, the write would use that of the read.
 		if _, err := c.Get(context.Background(), "k", "n"); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/adapter/httpplatform/decode.go
+++ b/internal/adapter/httpplatform/decode.go
@@ -24,8 +24,11 @@
 	if err := json.Unmarshal(raw, &o); err != nil {
 		return port.Object{}, merry.Prepend(errBadReply, err.Error())
 	}
-	if o.Kind != kind || o.Name != name || o.Version == 0 {
-		return port.Object{}, merry.Prependf(errBadReply, "asked for %s/%s, got %s/%s at %d", kind, name, o.Kind, o.Name, o.Version)
+	if o.Version == 0 {
+		return port.Object{}, merry.Prependf(errBadReply, "%s/%s without a version", o.Kind, o.Name)
+	}
+	if o.Kind != kind || o.Name != name {
+		return port.Object{}, merry.Prependf(errOtherObject, "asked for %s/%s, got %s/%s", kind, name, o.Kind, o.Name)
 	}
 	return o, nil
 }
