httpservice: connections are kept only where replies name their calls

What callers saw: the reply to another call as the reply to an idempotent call of a service that doesn't return Request-Id. Cause: a reply without a name counted as that of the call, also on a connection that another call had used: a late second copy of one reply became the next call's. Change: an idempotent call uses a kept connection only at an endpoint whose first reply named its call; on a used connection only a reply with the call's own name is its answer. One reply without it ends that until the endpoint's next start or address, and is logged (service_reply_unnamed). Why it works: each reply is either the first on its connection or names the call. What is left: a service that returns Request-Id in some of its replies only loses one call for each start of an endpoint (more if several are under way at once); the call is idempotent and tried elsewhere. TestStoredReplyOfNamingServiceIsAnAnswer fails without the rule for keys.

--- a/cmd/dragonfly-router/assemble.go
+++ b/cmd/dragonfly-router/assemble.go
@@ -52,7 +52,7 @@
 		IdleConnections: idleConnections,
 	})
 	ports.Services = httpservice.New(httpservice.Options{
-		DialTimeout: s.ConnectTimeout, LoadTimeout: s.OpenTimeout, IdleConnections: idleConnections,
+		DialTimeout: s.ConnectTimeout, LoadTimeout: s.OpenTimeout, IdleConnections: idleConnections, Logger: logger,
 	})
 	a := &assembly{settings: s, logger: logger, system: sys, app: router.New(options, ports)}
 	a.callers = httpserver.New(httpcaller.New(httpcaller.Options{
--- a/internal/adapter/httpservice/httpservice.go
+++ b/internal/adapter/httpservice/httpservice.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/phuslu/log"
 
 	"github.com/dragonflyrail/dragonflyrail/internal/adapter/oncehttp"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/reply"
@@ -28,14 +29,19 @@
 	// IdleConnections is the number of connections per endpoint that are kept for idempotent
 	// calls, and for load reports.
 	IdleConnections int
+	// Logger is nil for no log.
+	Logger *log.Logger
 }
 
 // Caller calls plain services.
 type Caller struct {
-	// once sends the calls that must not run twice, each over a connection of its own.
+	// once sends each call over a connection of its own: those that must not run twice, those
+	// with an idempotency key, whose stored replies name the first call, and those to endpoints
+	// that don't name the call in their replies.
 	once *oncehttp.Client
-	// idempotent sends the other calls. A reply that names no call counts as the call's own.
+	// idempotent sends the other calls.
 	idempotent *oncehttp.Client
+	naming     naming
 	// reports fetches load reports. Its connections carry nothing else, so that a late reply
 	// is only an older report.
 	reports *oncehttp.Client
@@ -84,7 +90,7 @@
 	}
 	r.Header.Set(router.HeaderRequestID, s.RequestID)
 	r.Header.Set(router.HeaderOrganisation, s.Organisation)
-	resp, err := c.send(r, s)
+	resp, err := c.send(r, e, s)
 	if err != nil {
 		return nil, err
 	}
@@ -101,19 +107,25 @@
 }
 
 // send sends a call and returns the reply to it.
-func (c *Caller) send(r *http.Request, s *router.ServiceRequest) (*http.Response, error) {
+func (c *Caller) send(r *http.Request, e port.Endpoint, s *router.ServiceRequest) (*http.Response, error) {
+	keep := s.Idempotent() && r.Header.Get(router.HeaderIdempotencyKey) == "" && c.naming.mayKeep(e)
 	client, proof := c.once, reply.ByConnection
-	if s.Idempotent() {
-		client, proof = c.idempotent, reply.ByKind
+	if keep {
+		client, proof = c.idempotent, reply.ByName
 	}
 	resp, err := client.Do(r, s.Body, nil)
 	if err != nil {
+		if keep {
+			c.naming.forget(e)
+		}
 		return nil, err
 	}
 	identity := port.IdentityNone
-	// A reply that is stored by the service for its idempotency key may name the first call.
-	if s.Idempotent() {
+	if keep {
 		identity = identityOf(resp, s.RequestID)
+		if c.naming.record(e, identity) {
+			c.logUnnamed(e, resp.StatusCode)
+		}
 	}
 	if err := oncehttp.CheckHead(resp, identity, proof, false); err != nil {
 		_ = resp.Body.Close()
@@ -122,6 +134,13 @@
 	return resp, nil
 }
 
+// logUnnamed logs that the connections of an endpoint's start are no longer kept.
+func (c *Caller) logUnnamed(e port.Endpoint, status int) {
+	if c.o.Logger != nil {
+		c.o.Logger.Info().Str("event", "service_reply_unnamed").Str("endpoint", e.ID).Uint64("incarnation", e.Incarnation).Int("status", status).Msg("")
+	}
+}
+
 // identityOf returns what a reply shows of the call that it answers. A service may name other
 // calls in it, for example that for which it stored the reply, so that only the name of the
 // call before it on the connection makes it that one's.
