--- a/internal/adapter/httpanswer/httpanswer.go
+++ b/internal/adapter/httpanswer/httpanswer.go
@@ -31,8 +31,8 @@
 
 // Bounds are the limits of one response.
 type Bounds struct {
-	// StartTimeout limits the wait for the start of the response, IdleTimeout the wait for
-	// each further part of it.
+	// StartTimeout limits the wait for a connection, and then that for the start of the
+	// response, IdleTimeout the wait for each further part of it.
 	StartTimeout, IdleTimeout time.Duration
 	// MaxBytes limits the size of the body.
 	MaxBytes int64
@@ -60,40 +60,35 @@
 	}}
 }
 
-// Do is the function Do with the client's connections. It returns port.ErrForeignAnswer for a
-// response that may be that to another request.
+// Do sends a request and reads the complete response. It returns port.ErrForeignAnswer for one
+// that may be that to another request. The time limits apply to the progress of the response:
+// with a short limit on the total time, every attempt to read a large response over a slow link
+// would be cut off before its end.
 func (c *Client) Do(r *http.Request, b Bounds) (*Answer, error) {
-	var reused atomic.Bool
-	r = r.WithContext(httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { reused.Store(info.Reused) },
-	}))
-	a, err := Do(c.client, r, b)
-	if err != nil {
-		return nil, err
-	}
-	head := port.Reply{Status: a.Status, Identity: port.IdentityNone, Reused: reused.Load()}
-	if err := reply.Check(&head, reply.ByConnection); err != nil {
-		return nil, err
-	}
-	return a, nil
-}
-
-// Do sends a request and reads the complete response. The time limits apply to
-// the progress of the response: with a short limit on the total time, every
-// attempt to read a large response over a slow link would be cut off before its
-// end.
-func Do(client *http.Client, r *http.Request, b Bounds) (*Answer, error) {
 	ctx, cancel := context.WithTimeoutCause(r.Context(), b.StartTimeout+maxBodyTime, ErrStalled)
 	defer cancel()
 	ctx, cancelCause := context.WithCancelCause(ctx)
 	defer cancelCause(nil)
 	stalled := time.AfterFunc(b.StartTimeout, func() { cancelCause(ErrStalled) })
 	defer stalled.Stop()
-	a, err := read(client, r.WithContext(ctx), b.MaxBytes, func() { stalled.Reset(b.IdleTimeout) })
-	if cause := context.Cause(ctx); err != nil && cause != nil {
+	var reused atomic.Bool
+	trace := httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		reused.Store(info.Reused)
+		// The time to connect is limited by the dialer.
+		stalled.Reset(b.StartTimeout)
+	}}
+	a, err := read(c.client, r.WithContext(httptrace.WithClientTrace(ctx, &trace)), b.MaxBytes, func() { stalled.Reset(b.IdleTimeout) })
+	switch cause := context.Cause(ctx); {
+	case err != nil && cause != nil:
 		return nil, cause
+	case err != nil:
+		return nil, err
 	}
-	return a, err
+	head := port.Reply{Status: a.Status, Identity: port.IdentityNone, Reused: reused.Load()}
+	if err := reply.Check(&head, reply.ByConnection); err != nil {
+		return nil, err
+	}
+	return a, nil
 }
 
 func read(client *http.Client, r *http.Request, maxBytes int64, onProgress func()) (*Answer, error) {
