httpservice: presence is checked over a new connection

What callers could see: a service's endpoint that counts as gone although it serves, so that a request under way there counts as one that ended it. Cause: the check read a load report on a connection that other reports use; a late report from before a restart names the former start. Change: checks of presence have a connection of their own, as those of engines.

--- a/internal/adapter/httpservice/httpservice.go
+++ b/internal/adapter/httpservice/httpservice.go
@@ -36,8 +36,8 @@
 // Caller calls plain services.
 type Caller struct {
 	// once sends each call over a connection of its own: those that must not run twice, those
-	// with an idempotency key, whose stored replies name the first call, and those to endpoints
-	// that don't name the call in their replies.
+	// with an idempotency key, whose stored replies name the first call, those to endpoints
+	// that don't name the call in their replies, and checks of presence.
 	once *oncehttp.Client
 	// idempotent sends the other calls.
 	idempotent *oncehttp.Client
@@ -154,27 +154,34 @@
 	return port.IdentityNone
 }
 
-// CheckPresence checks whether an endpoint serves.
+// CheckPresence checks whether an endpoint serves, over a connection of its own: an older
+// report may name a former start.
 func (c *Caller) CheckPresence(ctx context.Context, e port.Endpoint) port.Presence {
-	report, err := c.Load(ctx, e)
+	report, err := c.load(ctx, c.once, reply.ByConnection, e)
 	return oncehttp.PresenceOfReport(e, &report, err)
 }
 
-// Load reads an endpoint's load report.
+// Load reads an endpoint's load report, over a connection that may be kept.
 func (c *Caller) Load(ctx context.Context, e port.Endpoint) (port.LoadReport, error) {
+	return c.load(ctx, c.reports, reply.ByKind, e)
+}
+
+// load reads a load report. proof is how the replies that client receives are known to be those
+// to their calls.
+func (c *Caller) load(ctx context.Context, client *oncehttp.Client, proof reply.Proof, e port.Endpoint) (port.LoadReport, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.o.LoadTimeout)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.Address+"/v1/load", nil)
 	if err != nil {
 		return port.LoadReport{}, merry.Wrap(port.ErrNotSent, merry.WithCause(err))
 	}
-	resp, err := c.reports.Do(r, nil, nil)
+	resp, err := client.Do(r, nil, nil)
 	if err != nil {
 		return port.LoadReport{}, err
 	}
 	defer resp.Body.Close()
 	var report port.LoadReport
-	if err := oncehttp.CheckHead(resp, port.IdentityNone, reply.ByKind, false); err != nil {
+	if err := oncehttp.CheckHead(resp, port.IdentityNone, proof, false); err != nil {
 		return report, err
 	}
 	if resp.StatusCode != http.StatusOK {
--- a/internal/adapter/httpservice/latereplies_test.go
+++ b/internal/adapter/httpservice/latereplies_test.go
@@ -229,3 +229,18 @@
 		t.Fatalf("%d endpoints are remembered", len(n.endpoints))
 	}
 }
+
+// Guards against an endpoint that counts as gone because an older report, from before its restart, comes late.
+func TestPresenceIsNoOlderReport(t *testing.T) {
+	var reports atomic.Uint64
+	c, e := serveLate(t, func(*http.Request) string {
+		return replyText(http.StatusOK, "", fmt.Sprintf(`{"endpoint":"s1","incarnation":%d}`, reports.Add(1)))
+	})
+	if _, err := c.Load(t.Context(), e); err != nil {
+		t.Fatal(err)
+	}
+	e.Incarnation = 2
+	if got := c.CheckPresence(t.Context(), e); got != port.PresenceServing {
+		t.Fatalf("got %v, want PresenceServing", got)
+	}
+}
