ctl: each request of an operator over a connection of its own

What operators could see: a change reported as made although the keeper refused it, or as refused although it is in force, where the same command read the record before. Cause: replies don't name their request, and the requests of a command share a kept connection: a late second reply to the read was taken for that to the write. Keepers don't send one; what stands between may. Change: the client's transport keeps no connections. Measured: TestSecondCopyOfReplyIsNotTheNextAnswer failed before in 3 of 3 cases, passes now (2 of 2 runs with -race).

--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -69,8 +69,12 @@
 	http *http.Client
 }
 
+// newClient returns a client that makes each request over a connection of its own, because
+// replies don't name the request that they answer.
 func newClient(c *Connection) *client {
-	return &client{conn: c, http: &http.Client{Timeout: c.Timeout}}
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.DisableKeepAlives = true
+	return &client{conn: c, http: &http.Client{Timeout: c.Timeout, Transport: transport}}
 }
 
 // callKeeper sends the request to the keepers in turn until one replies with a
