gateway: a peer answers and repeats by the sender's routes, too

What callers could see: a call that must not run twice, passed on to a daemon whose newer routes let it (a version adds a longer prefix, or changes the kind), ran at two runners, and the runner's own 503 reached the caller as it came. The same with a daemon of an earlier build, which passes each status on. Evidence: TestPeerWithNewerRoutesDoesNotRepeatTheSendersCall failed before (status 503, runs at s2 and s1), TestRelayedAnswerWithStatusOfRefusalMayHaveRun for 4 of 4 statuses. Change: the order to a peer states whether the sender's routes let the request run twice (absent means no); the sender takes an answer with 408, 421, 429 or 503 to a call that must not run twice for one that may have run. Why it works: a peer ends a refused request without an answer, so such an answer never states "not run"; and both routes have to allow a second run. Measured: go test -race ./internal/gateway ./internal/adapter/grpcrelay passes.

--- a/internal/adapter/grpcrelay/grpcrelay_test.go
+++ b/internal/adapter/grpcrelay/grpcrelay_test.go
@@ -106,7 +106,7 @@
 			},
 			Admission: gateway.Admission{Version: 9},
 		},
-		From: "a", Attempts: 2, MayHaveRun: 1, Tried: []string{"e1", "e2"},
+		From: "a", Attempts: 2, MayHaveRun: 1, Tried: []string{"e1", "e2"}, Repeatable: true,
 	}
 }
 
--- a/internal/adapter/grpcrelay/wire.go
+++ b/internal/adapter/grpcrelay/wire.go
@@ -22,6 +22,7 @@
 		ArrivedAgeMillis: now.Sub(r.Arrived).Milliseconds(), TimeoutMillis: r.CallerTimeout.Milliseconds(),
 		Attempts: uint32(r.Attempts), MayHaveRun: uint32(r.MayHaveRun), Tried: r.Tried,
 		ConfigurationVersion: r.Admission.Version, From: r.From, BodyBytes: uint64(len(r.Body)),
+		Repeatable: r.Repeatable,
 	}
 	if g := r.Generation; g != nil {
 		out.Generation = &peerv1.RelayGeneration{
@@ -43,6 +44,7 @@
 		},
 		Attempts: int(h.GetAttempts()), MayHaveRun: int(h.GetMayHaveRun()), Tried: h.GetTried(),
 		From: h.GetFrom(), SenderVersion: h.GetConfigurationVersion(), BodyBytes: h.GetBodyBytes(),
+		Repeatable: h.GetRepeatable(),
 	}
 	if g := h.GetGeneration(); g != nil {
 		out.Generation = &gateway.GenerationParams{
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -50,6 +50,8 @@
 	Attempts   int
 	MayHaveRun int
 	Tried      []string
+	// Repeatable is set if the request may run twice by the sender's routes.
+	Repeatable bool
 	// BodyBytes is the announced size of the body.
 	BodyBytes uint64
 
@@ -157,9 +159,28 @@
 	x.record(verdictRelay, "no path to pool "+x.pool+"; passed on to "+peer.ID, "", nil)
 	relayCtx, cancel := withGrace(ctx, relayGrace)
 	defer cancel()
-	return x.g.Relayer.Relay(relayCtx, peer, &RelayedRequest{
+	result, err = x.g.Relayer.Relay(relayCtx, peer, &RelayedRequest{
 		Request: *x.req, From: x.g.options().ID, Attempts: x.attempts, MayHaveRun: x.mayHaveRun, Tried: x.tried,
+		Repeatable: x.ledger.Idempotent,
 	}, relayResponder{x})
+	if errors.Is(err, errUnstatedAtPeer) {
+		return nil, merry.Wrap(ErrRelayLost, merry.WithCause(errUnstatedAtPeer))
+	}
+	return result, err
+}
+
+// errUnstatedAtPeer means that a peer passed on an endpoint's answer with a status that callers
+// take for a statement that the request did not run.
+var errUnstatedAtPeer = merry.Sentinel("relay: the endpoint's status implies that it didn't run the request, without stating it")
+
+// impliesNotRun reports whether callers take a status for a statement that the request did
+// not run.
+func impliesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
 }
 
 // fateOfRelay returns the fate of an attempt that was left to a peer.
@@ -199,6 +220,10 @@
 type relayResponder struct{ x *exchange }
 
 func (r relayResponder) Begin(status int, header http.Header, length int64) error {
+	if impliesNotRun(status) && !r.x.ledger.Idempotent {
+		// A peer ends a request that was refused without an answer.
+		return errUnstatedAtPeer
+	}
 	r.x.responseStarted, r.x.status = true, status
 	return r.x.responder.Begin(status, header, length)
 }
@@ -295,6 +320,8 @@
 	g.metrics.relaysServed.Inc(1)
 	x := g.newExchange(&r.Request, out)
 	x.relayedFrom = r.From
+	// The routes here may be newer.
+	x.ledger.Idempotent = x.ledger.Idempotent && r.Repeatable
 	x.attempts, x.mayHaveRun, x.tried = r.Attempts, r.MayHaveRun, slices.Clone(r.Tried)
 	x.reachedEndpoint = r.MayHaveRun > 0
 	x.record(verdictRelay, "passed on by "+r.From, "", nil)
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -4,12 +4,16 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"slices"
 	"testing"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"github.com/dragonflyrail/dragonflyrail/internal/core/outcome"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/quarantine"
+	"github.com/dragonflyrail/dragonflyrail/internal/core/route"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/stream"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
@@ -202,3 +206,48 @@
 		t.Fatalf("%v, %+v", ended, refusal)
 	}
 }
+
+// A peer's newer routes let a call run twice that must not by the sender's, and its runner's own 503 reaches the caller.
+func TestPeerWithNewerRoutesDoesNotRepeatTheSendersCall(t *testing.T) {
+	b, net := newRelayHarness(t, 1)
+	peer := net.peers["peer0"]
+	newer := testTable(2)
+	for i := range newer.Routes {
+		newer.Routes[i].Repeat, newer.Routes[i].MaxAttempts = route.RepeatSafe, 2
+	}
+	peer.view.records = []port.Record{recordOf(newer)}
+	peer.apply()
+	peer.setHandlers("s", func(x *port.Exchange) (*port.Answer, error) {
+		a, err := reply(http.StatusServiceUnavailable, "own")(x)
+		a.ImpliesNotRun = true
+		return a, err
+	})
+	got := &fakeCaller{}
+	refusal := b.send(t, "/once/", got)
+	if refusal == nil || refusal.Outcome != outcome.Unknown || got.status != 0 {
+		t.Errorf("%+v, status %d for a call that ran", refusal, got.status)
+	}
+	if runs := peer.backends.arrivals(); len(runs) != 1 {
+		t.Errorf("runs at %v, want one", runs)
+	}
+}
+
+// A peer, for example of an earlier build, passes on a status that implies "not run" with an answer of its runner.
+func TestRelayedAnswerWithStatusOfRefusalMayHaveRun(t *testing.T) {
+	for _, status := range []int{408, 421, 429, 503} {
+		b, _ := newRelayHarness(t, 2)
+		asked := 0
+		b.Relayer = relayFunc(func(_ context.Context, _ *port.Member, _ *RelayedRequest, out Responder) (*RelayResult, error) {
+			asked++
+			if err := out.Begin(status, http.Header{}, 0); err != nil {
+				return nil, merry.Wrap(ErrRelayCallerGone, merry.WithCause(err))
+			}
+			return &RelayResult{Endpoint: "s0"}, nil
+		})
+		got := &fakeCaller{}
+		refusal := b.send(t, "/once/", got)
+		if refusal == nil || refusal.Outcome != outcome.Unknown || refusal.ResponseStarted || got.status != 0 || asked != 1 {
+			t.Errorf("status %d: %+v, the caller got %d, %d peers asked", status, refusal, got.status, asked)
+		}
+	}
+}
