keeper: a write isn't refused for a lack of evidence

What operators could see: a change that had taken effect was answered 503 or 422 with the outcome not_run, "nothing was changed". Each error of a write that isn't known counted as not written; and where the reply was lost, a value stored since then that this build can't read (a newer format) ended the search for the outcome with that error, which the admin interface answers with not_run. Evidence: TestUnknownErrorOfAWriteThatTookEffect failed before ("the platform did not take the write"), TestLostReplyThenUnreadableValue for 3 of 3 values. Change: only port.ErrPlatformUnavailable and port.ErrThrottled state that nothing was written; after any other error the outcome is looked up, and a value that can't be read leaves it unknown (504). Why it works: not_run now needs a statement of the platform or a value that shows what happened. Measured: go test -race ./internal/keeper ./internal/adapter/httprecords passes.

--- a/internal/keeper/fakes_test.go
+++ b/internal/keeper/fakes_test.go
@@ -27,6 +27,8 @@
 	resultReplyLost
 	// resultNotDelivered: the reply is lost and nothing is written.
 	resultNotDelivered
+	// resultReplyUnusable: the value is written, and the reply is an error of another kind.
+	resultReplyUnusable
 )
 
 // fakePlatform is an in-memory platform with a preset result for each call.
@@ -74,8 +76,11 @@
 		return port.Object{}, port.ErrOutcomeUnknown
 	}
 	o, err := p.Store.Put(ctx, kind, name, expect, value)
-	if f == resultReplyLost {
+	switch f {
+	case resultReplyLost:
 		return port.Object{}, port.ErrOutcomeUnknown
+	case resultReplyUnusable:
+		return port.Object{}, port.ErrRevisionRange
 	}
 	return o, err
 }
--- a/internal/keeper/records.go
+++ b/internal/keeper/records.go
@@ -204,12 +204,13 @@
 		return w.accept(&object)
 	case errors.Is(err, port.ErrConflict):
 		return w.resolveConflict(ctx)
-	case errors.Is(err, port.ErrOutcomeUnknown):
-		return w.resolveOutcome(ctx)
 	case errors.Is(err, port.ErrTooLarge):
 		return ErrTooLarge
-	default:
+	case errors.Is(err, port.ErrPlatformUnavailable), errors.Is(err, port.ErrThrottled):
 		return merry.Prepend(ErrNotWritten, err.Error())
+	default:
+		// Any other error leaves open whether the platform took the write.
+		return w.resolveOutcome(ctx)
 	}
 }
 
@@ -290,11 +291,11 @@
 func (w *write) resolveByStored(stored *port.Object) error {
 	envelope, err := record.DecodeEnvelope(stored.Value)
 	if err != nil {
-		return err
+		return merry.Prepend(ErrOutcomeUnknown, err.Error())
 	}
 	r, err := record.FromObject(stored)
 	if err != nil {
-		return err
+		return merry.Prepend(ErrOutcomeUnknown, err.Error())
 	}
 	w.result.Record = r
 	w.keeper.node.PutRecord(r)
--- a/internal/keeper/records_test.go
+++ b/internal/keeper/records_test.go
@@ -136,6 +136,36 @@
 	}
 }
 
+// The reply to a write that took effect is an error that states nothing: it counts as not written.
+func TestUnknownErrorOfAWriteThatTookEffect(t *testing.T) {
+	p := newFakePlatform()
+	k, _ := newTestKeeper(p)
+	p.putResults = []callResult{resultReplyUnusable}
+	if r := mustChange(t, k, create(1)); r.Record.Version != 1 || p.Writes() != 1 {
+		t.Fatalf("version %d after %d writes, want 1 after 1", r.Record.Version, p.Writes())
+	}
+}
+
+// The reply is lost, and a newer build then stores a value that this one can't read: the write took effect and counts as refused.
+func TestLostReplyThenUnreadableValue(t *testing.T) {
+	for _, value := range []string{`{"format":99}`, `{}`, `"x"`} {
+		p := newFakePlatform()
+		k, _ := newTestKeeper(p)
+		p.putResults = []callResult{resultReplyLost}
+		p.getResults = []callResult{resultOK, resultDown}
+		done := make(chan error)
+		go func() { _, err := k.Change(context.Background(), create(1)); done <- err }()
+		eventually.True(t, "the write is stored", func() bool { return p.Writes() == 1 })
+		if _, err := p.Store.Put(context.Background(), testKind, testName, 1, json.RawMessage(value)); err != nil {
+			t.Fatal(err)
+		}
+		// The read for the outcome may also have come before the newer value.
+		if err := <-done; err != nil && !errors.Is(err, ErrOutcomeUnknown) {
+			t.Errorf("%s: a write that took effect is reported as %v", value, err)
+		}
+	}
+}
+
 func repeat(f callResult, n int) []callResult {
 	out := make([]callResult, n)
 	for i := range out {
