gateway: a runner is out of reach only if connects to it fail

What callers could see: a request that goes on at another runner while the first, which this daemon reaches, works on it. The connection of a run broke, the calls to stop it were not sent, and a health check got a foreign response or bytes that are no response.

Cause: such a response counted as "no answer", the same as a path that is lost, and one of them was enough after a check that had been answered. A lack of files or ports on this host counted so as well.

TestRunnerIsOutOfReachOnlyOnEvidence plays the order of events: two of its three cases were resumed before.

Change: port.PresenceUnreached says that no connection could be established; two in a row are needed. All else that isn't an answer leaves the stop unconfirmed. TestPresenceOf expects the new value where it had "unknown" for an unreachable host; the row is as strict, and two more tell connects that fail on this host apart.

--- a/internal/adapter/oncehttp/presence.go
+++ b/internal/adapter/oncehttp/presence.go
@@ -29,6 +29,8 @@
 		// This also applies to a reset during the connect: the connection was
 		// accepted and then closed.
 		return port.PresenceSilent
+	case isUnreached(err):
+		return port.PresenceUnreached
 	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled), neverConnected(err):
 		return port.PresenceUnknown
 	default:
@@ -45,6 +47,16 @@
 	return PresenceOf(err)
 }
 
+// isUnreached reports whether a connect failed because of the network. Other connects fail for
+// a reason on this host, as a lack of files or ports.
+func isUnreached(err error) bool {
+	var failed *net.OpError
+	if !errors.As(err, &failed) || failed.Op != "dial" || errors.Is(err, context.Canceled) {
+		return false
+	}
+	return failed.Timeout() || errors.Is(err, syscall.EHOSTUNREACH) || errors.Is(err, syscall.ENETUNREACH) || errors.Is(err, syscall.EHOSTDOWN)
+}
+
 // neverConnected reports whether no connection was established.
 func neverConnected(err error) bool {
 	var failed *net.OpError
--- a/internal/adapter/oncehttp/presence_test.go
+++ b/internal/adapter/oncehttp/presence_test.go
@@ -28,7 +28,10 @@
 		{"refused", dial(syscall.ECONNREFUSED), port.PresenceGone},
 		{"reset at once", dial(syscall.ECONNRESET), port.PresenceSilent},
 		{"reset later", merry.Wrap(port.ErrEndpointLost, merry.WithCause(syscall.ECONNRESET)), port.PresenceSilent},
-		{"unreachable", dial(syscall.EHOSTUNREACH), port.PresenceUnknown},
+		{"unreachable", dial(syscall.EHOSTUNREACH), port.PresenceUnreached},
+		{"no answer to the connect", dial(syscall.ETIMEDOUT), port.PresenceUnreached},
+		{"no file for the connection", dial(syscall.EMFILE), port.PresenceUnknown},
+		{"no port for the connection", dial(syscall.EADDRNOTAVAIL), port.PresenceUnknown},
 		{"no answer in time", merry.Wrap(port.ErrEndpointLost, merry.WithCause(context.DeadlineExceeded)), port.PresenceUnknown},
 	} {
 		if got := oncehttp.PresenceOf(c.err); got != c.want {
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -186,7 +186,7 @@
 	switch g.checkPath(e.Endpoint) {
 	case port.PresenceServing:
 		return true, true
-	case port.PresenceUnknown:
+	case port.PresenceUnknown, port.PresenceUnreached:
 		return false, false
 	}
 	return false, !g.paths.IsSuspect(e.Pool)
--- a/internal/gateway/stops.go
+++ b/internal/gateway/stops.go
@@ -16,6 +16,9 @@
 	// one. It is short because the caller may be waiting for the next event, and grows because
 	// a runner may still be busy with an earlier copy.
 	stopRetryDelay = 50 * time.Millisecond
+	// minUnreached is the number of such calls in a row for which no connection could be
+	// established until the runner counts as out of reach. Less may be due to lost packets.
+	minUnreached = 2
 	// confirmTimeout bounds the calls to stop a run whose stream has broken off. A caller
 	// that waits for longer would take its stream for lost.
 	confirmTimeout = time.Second
@@ -45,6 +48,7 @@
 // again after an answer that doesn't confirm the stop: a runner that has stopped the run
 // then has no such run.
 func (x *exchange) stopRun(ctx context.Context, from, to port.Endpoint) (s stopResult) {
+	unreached := 0
 	for n := 0; n < maxStopCalls; n++ {
 		if n > 0 && !sleepUnlessDone(ctx, stopRetryDelay<<(n-1)) {
 			return s
@@ -54,8 +58,15 @@
 		}
 		c, err := x.copyRun(ctx, from, to, true)
 		s.handle, s.state = c.Handle, x.stopStateOf(ctx, from, c, err)
-		if s.state.IsOver() || s.state == continuity.StopRefused || s.state == continuity.StopUnreachable && n > 0 {
+		switch unreached++; {
+		case s.state.IsOver(), s.state == continuity.StopRefused:
 			return s
+		case s.state != continuity.StopUnreachable:
+			unreached = 0
+		case unreached == minUnreached:
+			return s
+		default:
+			s.state = continuity.StopUnconfirmed
 		}
 		if errors.Is(err, port.ErrCopyInProgress) {
 			// Nothing was lost, so the call doesn't count; only ctx limits the wait.
@@ -94,7 +105,7 @@
 		return continuity.StopNoRun
 	case port.PresenceGone:
 		return continuity.StopRefused
-	case port.PresenceUnknown:
+	case port.PresenceUnreached:
 		if ctx.Err() == nil {
 			return continuity.StopUnreachable
 		}
--- a/internal/gateway/stops_test.go
+++ b/internal/gateway/stops_test.go
@@ -34,6 +34,40 @@
 	}
 }
 
+// Guards against a run that goes on elsewhere, because a health check of its runner got an answer that proves nothing or a single connect failed, and the calls to stop it were not sent.
+func TestRunnerIsOutOfReachOnlyOnEvidence(t *testing.T) {
+	for _, c := range []struct {
+		checks  []port.Presence
+		resumed int32
+	}{
+		{[]port.Presence{port.PresenceUnknown, port.PresenceUnknown, port.PresenceUnknown, port.PresenceUnknown}, 0},
+		{[]port.Presence{port.PresenceServing, port.PresenceUnreached, port.PresenceServing, port.PresenceUnreached}, 0},
+		{[]port.Presence{port.PresenceServing, port.PresenceUnreached, port.PresenceUnreached}, 1},
+	} {
+		var resumed atomic.Int32
+		ready := make(chan struct{})
+		s := serveMovedStreamCopied(t, true, func(int, func()) (port.Copy, error) {
+			<-ready
+			return port.Copy{}, port.ErrNotSent
+		}, resumptions(&resumed))
+		n := 0
+		s.b.backends.mu.Lock()
+		s.b.backends.presence = map[string]port.Presence{}
+		s.b.backends.onCheck = func(e port.Endpoint) {
+			s.b.backends.mu.Lock()
+			defer s.b.backends.mu.Unlock()
+			s.b.backends.presence[e.ID] = c.checks[min(n, len(c.checks)-1)]
+			n++
+		}
+		s.b.backends.mu.Unlock()
+		close(ready)
+		s.end(t)
+		if resumed.Load() != c.resumed {
+			t.Errorf("checks %v: resumed %d times, want %d", c.checks, resumed.Load(), c.resumed)
+		}
+	}
+}
+
 // Guards against a run that goes on elsewhere because connections to its runner are refused, while its stream still brings events.
 func TestRunWithOpenStreamIsNotResumed(t *testing.T) {
 	const events = 20
--- a/internal/port/exchange.go
+++ b/internal/port/exchange.go
@@ -213,6 +213,10 @@
 	// PresenceReplaced means that another endpoint, or a later start of this one,
 	// replied at the address. Unlike the others it can't be due to the network.
 	PresenceReplaced
+	// PresenceUnreached means that no connection could be established, although the address
+	// doesn't refuse them. It shows no more than PresenceUnknown of whether the endpoint
+	// serves, but that this daemon has no path to it.
+	PresenceUnreached
 )
 
 // String returns the name of the value.
@@ -226,6 +230,8 @@
 		return "gone"
 	case PresenceReplaced:
 		return "replaced"
+	case PresenceUnreached:
+		return "unreached"
 	default:
 		return "unknown"
 	}
