gateway: a resumable stream is continued only once its run is over

What callers could see: two runs of one request at once. The connection of a resumable stream broke, or its endpoint sent an event that doesn't follow, and a second run was started in the same moment, whether or not the first runner went on; after a continuation whose answer was lost, a third one.

Cause: the ledger allowed a run from an event whatever else was in progress, and nothing told the first runner to stop. The close of the connection, which most runners take for a stop, was sent but not waited for.

Evidence: TestRequestHasOneRunAtATime with resumable routes failed within 50 requests ("e2 still runs it 800ms after it began at e0"). TestResumableStreamIsContinuedAfterStop and TestContinuationWithUnknownOutcomeIsNotRepeated failed in all cases before, TestNoAttemptBeginsWhileAnotherMayRun after 2 of its checks.

Change: the ledger asks the same of a run from an event as of one from a copy. Before the continuation the runner is told to stop the run, with the next runner as the destination, for up to confirmTimeout. A confirmed stop goes on from the copy that it made, so that nothing is read anew; "no such run", the runner's end and a lost path let a new run begin at once; without any of these the stream ends incomplete, and its caller may return. A stop doesn't end a run of an earlier attempt whose outcome is unknown.

Not covered: engines of pools without copies on request can't be told to stop, so their runs are still taken to end with their connections.

--- a/internal/core/outcome/begin_test.go
+++ b/internal/core/outcome/begin_test.go
@@ -15,15 +15,16 @@
 func TestNoAttemptBeginsWhileAnotherMayRun(t *testing.T) {
 	fates := []stream.RunOutcome{stream.OutcomeNotSent, stream.OutcomeRefused, stream.OutcomeRan, stream.OutcomeUnknown, stream.OutcomeDone}
 	rapid.Check(t, func(t *rapid.T) {
-		var l outcome.Ledger
+		l := outcome.Ledger{Resumable: rapid.Bool().Draw(t, "resumable")}
 		// begun: a run may have begun. running: one may be in progress. open: an attempt is.
-		begun, running, open, runningBefore := false, false, false, false
+		// unknown: so may one of an attempt whose outcome is unknown.
+		begun, running, open, runningBefore, unknown := false, false, false, false, false
 		for range rapid.IntRange(1, 12).Draw(t, "steps") {
 			switch rapid.IntRange(0, 2).Draw(t, "step") {
 			case 0:
 				start := rapid.SampledFrom([]outcome.Start{outcome.FromPrompt, outcome.FromCopy, outcome.FromEvent}).Draw(t, "start")
 				err := l.Begin(start)
-				if err == nil && (open || running || start == outcome.FromEvent || start == outcome.FromPrompt && begun) {
+				if err == nil && (open || running || start == outcome.FromEvent && !l.Resumable || start == outcome.FromPrompt && begun) {
 					t.Fatalf("an attempt of kind %d begins; begun: %v, running: %v, open: %v", start, begun, running, open)
 				}
 				if err != nil && !errors.Is(err, outcome.ErrMayRunTwice) {
@@ -43,10 +44,11 @@
 					running = runningBefore
 				} else {
 					begun = true
+					unknown = unknown || fate == stream.OutcomeUnknown
 				}
 			case 2:
 				l.Stopped()
-				begun, open, running = begun || open, false, false
+				begun, open, running = begun || open, false, unknown
 			}
 			if may := l.Outcome() != outcome.NotRun; may != (begun || open) {
 				t.Fatalf("outcome %s; begun: %v, open: %v", l.Outcome(), begun, open)
--- a/internal/core/outcome/outcome.go
+++ b/internal/core/outcome/outcome.go
@@ -81,7 +81,7 @@
 	case FromCopy:
 		return !l.done && !l.rejected && !l.inProgress
 	case FromEvent:
-		return !l.done && !l.rejected && l.Resumable
+		return !l.done && !l.rejected && !l.inProgress && l.Resumable
 	}
 	return false
 }
@@ -99,9 +99,13 @@
 // that it may go on from a copy.
 func (l *Ledger) Stopped() {
 	l.End(stream.OutcomeRan, false)
-	l.inProgress = false
+	// Where a run of unknown outcome may be in progress isn't known.
+	l.inProgress = l.mayHaveRun && !l.Idempotent
 }
 
+// InProgress reports whether a run of the request may be in progress.
+func (l *Ledger) InProgress() bool { return l.inProgress }
+
 // Add records the fate of one attempt; delivered tells whether a token or byte of
 // it reached the caller.
 func (l *Ledger) Add(f stream.RunOutcome, delivered bool) {
--- a/internal/gateway/concurrentruns_test.go
+++ b/internal/gateway/concurrentruns_test.go
@@ -36,7 +36,7 @@
 
 func drawFleetPlan(t *rapid.T) fleetPlan {
 	return fleetPlan{
-		Path: rapid.SampledFrom([]string{"/two/", "/once/"}).Draw(t, "path"),
+		Path: rapid.SampledFrom([]string{"/two/", "/once/", "/resume/"}).Draw(t, "path"),
 		Seed: rapid.Uint64().Draw(t, "seed"), Drops: rapid.Bool().Draw(t, "drops"),
 		DropAfter: rapid.SampledFrom([]time.Duration{0, 30 * time.Millisecond, 300 * time.Millisecond}).Draw(t, "drop after"),
 		Unframed:  rapid.Bool().Draw(t, "unframed"), Events: rapid.IntRange(1, 60).Draw(t, "events"),
@@ -408,18 +408,12 @@
 	return nil
 }
 
-// overlap returns the runs that were in progress at once for longer than allowed, although
-// this daemon reaches the endpoint of the first. A resumable request may run for
-// dropAllowance at its former endpoint, any other at one only.
+// overlap returns the runs that were in progress at once, although
+// this daemon reaches the endpoint of the first.
 func (f *faultyFleet) overlap() string {
-	const dropAllowance = 400 * time.Millisecond
-	allowed := time.Duration(0)
-	if f.Path == "/resume/" {
-		allowed = dropAllowance
-	}
 	for i, former := range f.runs {
 		for _, later := range f.runs[i+1:] {
-			if by := former.ended.Sub(later.began); by > allowed && f.conditions[former.at] != conditionCut {
+			if by := former.ended.Sub(later.began); by > 0 && f.conditions[former.at] != conditionCut {
 				return fmt.Sprintf("%s still runs it %v after it began at %s", former.at, by, later.at)
 			}
 		}
@@ -465,8 +459,8 @@
 			}
 		}
 	})
-	if total.resumed == 0 || total.unconfirmed == 0 {
-		t.Errorf("%d runs resumed and %d calls to stop one not answered, want some of both", total.resumed, total.unconfirmed)
+	if total.resumed == 0 || total.continued == 0 || total.unconfirmed == 0 {
+		t.Errorf("%d runs resumed, %d continued and %d calls to stop one not answered, want some of each", total.resumed, total.continued, total.unconfirmed)
 	}
 }
 
--- a/internal/gateway/continue.go
+++ b/internal/gateway/continue.go
@@ -21,6 +21,9 @@
 // the caller.
 var errNotNextEvent = errors.New("its event doesn't follow the caller's last one")
 
+// errMayBeInProgress means that a run isn't known to be over at its endpoint.
+var errMayBeInProgress = errors.New("its endpoint may still be working on it")
+
 // continuation is the remainder of a stream that a new run is to continue.
 type continuation struct {
 	began time.Time
@@ -71,10 +74,11 @@
 	if !r.ended {
 		r.endBroken(streamErr)
 	}
-	// The abandoned run may still be in progress at its endpoint.
+	// The abandoned run may still be in progress at its endpoint; stopBefore asks.
 	r.attempt.end()
 	_ = a.Body.Close()
 	x.ledger.End(stream.OutcomeRan, x.responseStarted)
+	r.ranAt = r.run.currentEndpoint()
 	x.continuing = &continuation{began: x.g.Clock(), tokens: x.delivered.Events * x.eventTokens()}
 	defer func() { x.continuing = nil }()
 	for {
@@ -87,11 +91,24 @@
 			r.notContinued(lastID, refusal.Error())
 			return nil
 		}
-		if next := r.sendContinuation(ctx, p, lastID); next != nil {
-			x.record(verdictResume, "continued without a copy after event "+lastID+", because the stream broke off: "+cause, "", nil)
-			x.g.metrics.streamsContinued.Inc(1)
-			return next
+		c, over := r.stopBefore(ctx, p.endpoint, streamErr)
+		if !over {
+			x.withdraw(p)
+			r.notContinued(lastID, errMayBeInProgress.Error())
+			return nil
+		}
+		next := r.sendContinuation(ctx, p, lastID, c)
+		if next == nil {
+			x.release(c)
+			continue
 		}
+		how := "without a copy"
+		if c != nil {
+			how = "from a copy made as its run was stopped"
+		}
+		x.record(verdictResume, "continued "+how+" after event "+lastID+", because the stream broke off: "+cause, "", nil)
+		x.g.metrics.streamsContinued.Inc(1)
+		return next
 	}
 }
 
@@ -121,16 +138,22 @@
 }
 
 // sendContinuation sends the request for the remainder of the stream to one endpoint. It
-// returns nil if the endpoint doesn't answer with a stream; the attempt has then ended.
-func (r *relay) sendContinuation(ctx context.Context, p *placement, lastID string) *port.Answer {
+// returns nil if the endpoint doesn't answer with a stream; the attempt has then ended. c is a
+// copy of the run at the endpoint, nil for none.
+func (r *relay) sendContinuation(ctx context.Context, p *placement, lastID string, c *runCopy) *port.Answer {
 	x := r.x
 	ctx, withdraw := context.WithCancelCause(ctx)
 	stop := func() { withdraw(nil) }
 	x.beginAttempt(p, func() { withdraw(errWithdrawn) })
 	out := x.outbound(p)
 	out.LastEventID = lastID
+	start := outcome.FromEvent
+	if c != nil {
+		out.Generation.Continue = &port.Continuation{Address: c.from.Address, Handle: c.handle, LastEventID: lastID}
+		start = outcome.FromCopy
+	}
 	stopCheck := x.checkPathIfSilent(p)
-	answer, err := x.send(ctx, outcome.FromEvent, out)
+	answer, err := x.send(ctx, start, out)
 	stopCheck()
 	if err == nil {
 		x.mayHaveRun++
@@ -143,11 +166,13 @@
 		_ = answer.Body.Close()
 		x.ledger.End(stream.OutcomeRan, x.responseStarted)
 		x.reason = errNoContinuation.Error()
+		r.ranAt, r.unconfirmed = p.endpoint, false
 		x.endAttempt(p, port.FinishCancelled)
 	default:
 		r.p, r.checked, r.joined, r.begun, r.ended = p, true, false, false, false
 		r.attempt = attemptContext{ctx, stop}
 		x.delivered.Runners++
+		r.unconfirmed = false
 		x.release(r.run.setSource(p.endpoint, answer.Body))
 		return answer
 	}
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -37,6 +37,10 @@
 	begun bool
 	// ended: the last attempt has been ended.
 	ended bool
+	// ranAt is the endpoint whose run is abandoned. unconfirmed: the calls to stop it didn't
+	// show that it is over.
+	ranAt       port.Endpoint
+	unconfirmed bool
 }
 
 // attemptContext is the context of one attempt, which ends before that of its request if the
@@ -266,6 +270,7 @@
 		r.p.endpoint = at
 		r.p.watched = r.x.g.crashWatch.Begin(at, r.x.identity(), nil)
 		r.x.delivered.Runners++
+		r.unconfirmed = false
 		r.x.release(r.run.setSource(at, next.Body))
 		return next
 	}
--- a/internal/gateway/stops.go
+++ b/internal/gateway/stops.go
@@ -27,8 +27,10 @@
 // stopResult is the result of the calls to stop a run.
 type stopResult struct {
 	state continuity.StopState
-	// handle is that of the run's last copy, empty if none was made.
+	// handle is that of the run's last copy, empty if none was made. copied: the destination
+	// has that copy; else only the source has.
 	handle string
+	copied bool
 	// unanswered: a call before the last one may have stopped the run without an answer.
 	unanswered bool
 }
@@ -57,7 +59,7 @@
 			return s
 		}
 		c, err := x.copyRun(ctx, from, to, true)
-		s.handle, s.state = c.Handle, x.stopStateOf(ctx, from, c, err)
+		s.handle, s.copied, s.state = c.Handle, c.Handle != "" && err == nil, x.stopStateOf(ctx, from, c, err)
 		switch unreached++; {
 		case s.state.IsOver(), s.state == continuity.StopRefused:
 			return s
@@ -113,6 +115,13 @@
 	return continuity.StopUnconfirmed
 }
 
+// showsEnd reports whether a run is over whose stream broke off.
+func (s *stopResult) showsEnd(streamErr error) bool {
+	// Without a path to the runner, the end of its stream is all that is known.
+	noPath := s.state == continuity.StopUnreachable && !s.unanswered || s.state == continuity.StopRefused
+	return s.state.IsOver() || noPath && !errors.Is(streamErr, errNotNextEvent)
+}
+
 // ensureStopped returns the copy from which the run may go on elsewhere, nil if its runner
 // may still be working on it. The end of a stream doesn't show that: some runners finish a
 // run whose connection was closed.
@@ -123,10 +132,8 @@
 	ctx, cancel := context.WithTimeout(r.attempt, confirmTimeout)
 	defer cancel()
 	s := r.x.stopRun(ctx, c.from, c.to)
-	// Without a path to the runner, the end of its stream is all that is known.
-	noPath := s.state == continuity.StopUnreachable && !s.unanswered || s.state == continuity.StopRefused
-	endedAlone := noPath && !errors.Is(streamErr, errNotNextEvent)
-	if !s.state.IsOver() && !endedAlone {
+	if !s.showsEnd(streamErr) {
+		r.unconfirmed = true
 		r.x.recordConcurrent(verdictResume, "not taken up: its runner may still be working on it", c.from.ID, nil)
 		return nil
 	}
@@ -136,3 +143,41 @@
 	}
 	return c
 }
+
+// stopBefore has the run that is abandoned stopped before it is continued at an endpoint. It
+// reports whether that run is over, and returns its copy at the endpoint, nil for none.
+func (r *relay) stopBefore(ctx context.Context, to port.Endpoint, streamErr error) (c *runCopy, over bool) {
+	x := r.x
+	switch {
+	case !x.ledger.InProgress():
+		return nil, true
+	case x.engine == nil || !x.engine.CopiesOnRequest:
+		// Its endpoint can't be told to stop it.
+		x.ledger.Stopped()
+		return nil, !x.ledger.InProgress()
+	case !r.unconfirmed && (r.ranAt.ID != r.run.currentEndpoint().ID || !r.run.isOver()):
+		ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+		defer cancel()
+		s := x.stopRun(ctx, r.ranAt, to)
+		r.unconfirmed = !s.showsEnd(streamErr)
+		c = r.copyOf(&s, to, streamErr)
+	}
+	if r.unconfirmed {
+		return nil, false
+	}
+	x.ledger.Stopped()
+	return c, !x.ledger.InProgress()
+}
+
+// copyOf returns the copy of a stopped run at an endpoint, and releases one that can't be used:
+// the endpoint has none, or the run isn't that of the caller's stream.
+func (r *relay) copyOf(s *stopResult, at port.Endpoint, streamErr error) *runCopy {
+	switch {
+	case s.handle == "":
+	case s.copied && !errors.Is(streamErr, errNotNextEvent) && !errors.Is(streamErr, errNoContinuation):
+		return &runCopy{from: r.ranAt, to: at, handle: s.handle}
+	default:
+		r.x.release(&runCopy{from: r.ranAt, to: r.ranAt, handle: s.handle})
+	}
+	return nil
+}
--- a/internal/gateway/stops_test.go
+++ b/internal/gateway/stops_test.go
@@ -1,11 +1,13 @@
 package gateway
 
 import (
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
+	"github.com/dragonflyrail/dragonflyrail/internal/testkit/eventually"
 )
 
 // resumptions returns a handler that counts the requests that continue a stream, and ends it.
@@ -114,3 +116,78 @@
 		t.Errorf("not resumed after %d calls to stop it", s.stopCalls())
 	}
 }
+
+// Guards against a second run of a resumable stream beside the first: the connection breaks, and its endpoint may work on.
+func TestResumableStreamIsContinuedAfterStop(t *testing.T) {
+	for name, c := range map[string]struct {
+		stopped  port.Copy
+		err      error
+		presence port.Presence
+		// continues is how the second request continues the stream, empty for none. released:
+		// the copy that the source keeps is released.
+		continues string
+		released  bool
+	}{
+		"stopped and copied":           {stopped: port.Copy{Handle: "h"}, continues: "copy h"},
+		"stopped, no room for a copy":  {stopped: port.Copy{Handle: "h"}, err: port.ErrNoRoom, continues: "event 3", released: true},
+		"no such run":                  {err: port.ErrNoGeneration, continues: "event 3"},
+		"its endpoint has ended":       {err: port.ErrNotSent, presence: port.PresenceGone, continues: "event 3"},
+		"its endpoint has restarted":   {err: port.ErrNotSent, presence: port.PresenceReplaced, continues: "event 3"},
+		"its endpoint isn't reached":   {err: port.ErrNotSent, presence: port.PresenceUnreached, continues: "event 3"},
+		"the stop is lost":             {err: port.ErrEndpointLost},
+		"the stop is answered foreign": {err: port.ErrForeignAnswer},
+		"the stop isn't sent":          {err: port.ErrNotSent, presence: port.PresenceServing},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newHarness(t)
+			b.setHandlers("e", sequence(cutStream(events(1, 3)), wholeStream(events(4, 6))))
+			stops := 0
+			b.backends.copyHandler = func(from, to port.Endpoint, stop bool) (port.Copy, error) {
+				b.backends.mu.Lock()
+				defer b.backends.mu.Unlock()
+				if stops++; !stop || len(b.backends.sent) != 1 || from.ID != b.backends.sent[0].Endpoint.ID || to.ID == from.ID {
+					t.Errorf("copied from %s to %s, stopped: %v, after %d requests", from.ID, to.ID, stop, len(b.backends.sent))
+				}
+				b.backends.presence = map[string]port.Presence{from.ID: c.presence}
+				return c.stopped, c.err
+			}
+			got := &fakeCaller{}
+			refusal := b.send(t, "/resume/", got)
+			if stops == 0 {
+				t.Error("the run was not stopped")
+			}
+			if c.continues == "" {
+				checkIncomplete(t, refusal, got, events(1, 3))
+				checkSent(t, b)
+				return
+			}
+			if refusal != nil || got.text() != events(1, 6) || len(b.backends.sent) != 2 {
+				t.Fatalf("%+v after %q and %d requests", refusal, got.text(), len(b.backends.sent))
+			}
+			second, how := b.backends.sent[1], "event "+b.backends.sent[1].LastEventID
+			if second.Generation.Continue != nil {
+				how = "copy " + second.Generation.Continue.Handle
+			}
+			if how != c.continues {
+				t.Errorf("continued from %s, want %s", how, c.continues)
+			}
+			if c.released {
+				eventually.True(t, "the copy is released", func() bool {
+					return slices.Equal(b.backends.releasedCopies(), []string{b.backends.sent[0].Endpoint.ID + "/h"})
+				})
+			}
+		})
+	}
+}
+
+// Guards against a third run of a resumable stream beside the second, whose outcome is unknown.
+func TestContinuationWithUnknownOutcomeIsNotRepeated(t *testing.T) {
+	for _, lost := range []error{port.ErrEndpointLost, port.ErrForeignAnswer} {
+		b := newHarness(t)
+		b.setMaxAttempts(3)
+		b.setHandlers("e", sequence(cutStream(events(1, 3)), failure(lost), wholeStream(events(4, 6))))
+		got := &fakeCaller{}
+		checkIncomplete(t, b.send(t, "/resume/", got), got, events(1, 3))
+		checkSent(t, b, "3")
+	}
+}
