gateway: a late stop of a resumed run isn't taken for its end

What callers could see: half of a stream as a whole answer. A call to stop a run got no answer and a second one stopped it; the destination refused the copy, so the run went on at its source. There the first call was executed, and the stream, which ends with its connection, ended without its last events.

Cause: that a call to stop a run may still be executed was kept with the move and forgotten with the next source, also where that is the same endpoint.

Evidence: TestLateStopOfResumedRunIsNoEnd: no refusal after 2 events before.

Change: the run keeps the endpoint of such calls, those of the relay as well. The end of an unframed stream of that endpoint then counts as unknown.

Measured: the new test and the tests of moves, stops and resumptions pass.

--- a/internal/gateway/moves.go
+++ b/internal/gateway/moves.go
@@ -145,7 +145,7 @@
 	if s.handle != "" {
 		m.run.x.release(m.run.setCopy(m.state, &runCopy{from: m.from, to: m.to, handle: s.handle}))
 	}
-	m.run.setStop(m.state, &s)
+	m.run.setStop(m.state, &s, m.from)
 }
 
 // releaseTimeout bounds a call that releases a copy. If the call fails, the
--- a/internal/gateway/runs.go
+++ b/internal/gateway/runs.go
@@ -54,6 +54,9 @@
 	source io.Closer
 	// move is the last move away from the endpoint, nil if there is none.
 	move *moveState
+	// lateStopAt is the id of the endpoint at which a call to stop the run, whose answer is
+	// missing, may still be executed; empty for none.
+	lateStopAt string
 }
 
 // moveState is the state of a move away from one runner. It belongs to the
@@ -183,8 +186,12 @@
 	r.mu.Lock()
 	m := r.move
 	stopping := m != nil && m.stopping
+	mayBeStopped := r.mayBeStopped()
 	r.mu.Unlock()
 	if !stopping {
+		if mayBeStopped {
+			return errEndUnknown
+		}
 		return nil
 	}
 	select {
@@ -196,19 +203,33 @@
 	switch {
 	case m.stop.state == continuity.StopConfirmed:
 		return errRunStopped
-	case (m.stop.state == continuity.StopNoRun || m.stop.state == continuity.StopRefused) && !m.stop.unanswered:
+	case (m.stop.state == continuity.StopNoRun || m.stop.state == continuity.StopRefused) && !r.mayBeStopped():
 		return nil
 	}
 	return errEndUnknown
 }
 
-// setStop stores the result of the calls to stop the run.
-func (r *run) setStop(m *moveState, s *stopResult) {
+// setStop stores the result of the calls of a move to stop the run.
+func (r *run) setStop(m *moveState, s *stopResult, at port.Endpoint) {
+	r.noteStop(s, at)
 	r.mu.Lock()
 	m.stop = *s
 	r.mu.Unlock()
 }
 
+// noteStop notes that calls to stop the run at an endpoint may still be executed there.
+func (r *run) noteStop(s *stopResult, at port.Endpoint) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s.unanswered {
+		r.lateStopAt = at.ID
+	}
+}
+
+// mayBeStopped reports whether such a call may end the run, which may have been resumed where
+// it was; r.mu must be held.
+func (r *run) mayBeStopped() bool { return r.lateStopAt != "" && r.lateStopAt == r.endpoint.ID }
+
 // isOver reports whether the run is known to be over at its endpoint.
 func (r *run) isOver() bool {
 	r.mu.Lock()
--- a/internal/gateway/stops.go
+++ b/internal/gateway/stops.go
@@ -132,6 +132,7 @@
 	ctx, cancel := context.WithTimeout(r.attempt, confirmTimeout)
 	defer cancel()
 	s := r.x.stopRun(ctx, c.from, c.to)
+	r.run.noteStop(&s, c.from)
 	if !s.showsEnd(streamErr) {
 		r.unconfirmed = true
 		r.x.recordConcurrent(verdictResume, "not taken up: its runner may still be working on it", c.from.ID, nil)
--- a/internal/gateway/unknown_outcome_test.go
+++ b/internal/gateway/unknown_outcome_test.go
@@ -202,3 +202,27 @@
 		}
 	}
 }
+
+// Guards against an answer that looks whole: a call to stop its run, counted as lost, ends the run after it was resumed at its source.
+func TestLateStopOfResumedRunIsNoEnd(t *testing.T) {
+	reader, writer := io.Pipe()
+	unframed := func(x *port.Exchange) (*port.Answer, error) {
+		a, err := unframedReply("text/event-stream", "")(x)
+		a.Body = reader
+		return a, err
+	}
+	s := serveMovedStream(t, func(n int, closeSource func()) (port.Copy, error) {
+		switch n {
+		case 1:
+			return port.Copy{}, port.ErrEndpointLost
+		case 2:
+			closeSource()
+			return port.Copy{Handle: "h"}, port.ErrNoRoom
+		}
+		return port.Copy{}, port.ErrNoGeneration
+	}, sequence(failure(port.ErrRefused), unframed))
+	_, _ = io.WriteString(writer, event(2))
+	eventually.True(t, "the event is relayed", func() bool { return s.got.text() == events(1, 2) })
+	writer.Close()
+	checkIncomplete(t, s.end(t), s.got, events(1, 2))
+}
