gateway: a call to stop a run is asked again after a second without an answer

What callers saw: a stream that stood still for three seconds. Its run had been stopped for a move, and only the answer to that call was missing.

Cause: a call to stop a run had the time of a copy of a run that goes on, which may wait for the other copies on its link.

Change: each call has a second.

--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -94,7 +94,10 @@
 	return port.LoadReport{EndpointID: at.ID, Incarnation: at.Incarnation, State: port.EndpointLive}, nil
 }
 
-func (e *fakeEndpoints) Copy(_ context.Context, from port.Endpoint, _ string, to port.Endpoint, stop bool) (port.Copy, error) {
+// errSilent has a call to copy a run stay without an answer.
+var errSilent = errors.New("silent")
+
+func (e *fakeEndpoints) Copy(ctx context.Context, from port.Endpoint, _ string, to port.Endpoint, stop bool) (port.Copy, error) {
 	e.mu.Lock()
 	f := e.copyHandler
 	e.mu.Unlock()
@@ -102,6 +105,10 @@
 		return port.Copy{}, port.ErrNoGeneration
 	}
 	c, err := f(from, to, stop)
+	if errors.Is(err, errSilent) {
+		<-ctx.Done()
+		return port.Copy{}, merry.Wrap(port.ErrEndpointLost, merry.WithCause(ctx.Err()))
+	}
 	c.Stopped = stop && c.Handle != "" && (err == nil || errors.Is(err, port.ErrNoRoom))
 	return c, err
 }
--- a/internal/gateway/moves.go
+++ b/internal/gateway/moves.go
@@ -9,8 +9,8 @@
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
 
-// copyTimeout bounds one copy, including the wait for other copies on the same
-// link.
+// copyTimeout bounds one copy of a run that goes on, including the wait for other copies on
+// the same link.
 const copyTimeout = 3 * time.Second
 
 // moveLeavingRuns begins to move the runs whose endpoints are leaving.
--- a/internal/gateway/stops.go
+++ b/internal/gateway/stops.go
@@ -16,6 +16,10 @@
 	// one. It is short because the caller may be waiting for the next event, and grows because
 	// a runner may still be busy with an earlier copy.
 	stopRetryDelay = 50 * time.Millisecond
+	// stopCallTimeout bounds each of them. The stream stands still meanwhile, and a further call
+	// finds out what became of the run: that it is over, or still copied. The last part of a
+	// run takes tens of milliseconds unless the links are busy.
+	stopCallTimeout = time.Second
 	// minUnreached is the number of such calls in a row for which no connection could be
 	// established until the runner counts as out of reach. Less may be due to lost packets.
 	minUnreached = 2
@@ -38,7 +42,11 @@
 // copyRun copies the run of the request once. With stop the run is stopped first.
 func (x *exchange) copyRun(ctx context.Context, from, to port.Endpoint, stop bool) (port.Copy, error) {
 	began := x.g.Clock()
-	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+	timeout := copyTimeout
+	if stop {
+		timeout = stopCallTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	c, err := x.g.Endpoints.Copy(ctx, from, x.req.ID, to, stop)
 	observe(x.g.metrics.copyDuration, x.g.Clock().Sub(began))
--- a/internal/gateway/unknown_outcome_test.go
+++ b/internal/gateway/unknown_outcome_test.go
@@ -226,3 +226,47 @@
 	writer.Close()
 	checkIncomplete(t, s.end(t), s.got, events(1, 2))
 }
+
+// Guards against a stream that stands still for the whole time of a copy: its run was stopped, and only the answer to that call is missing.
+func TestSilentStopIsAskedForAgainSoon(t *testing.T) {
+	var stopped, resumed time.Time
+	s := serveMovedStream(t, func(n int, closeSource func()) (port.Copy, error) {
+		if n == 1 {
+			stopped = time.Now()
+			closeSource()
+			return port.Copy{}, errSilent
+		}
+		return port.Copy{}, port.ErrNoGeneration
+	}, func(x *port.Exchange) (*port.Answer, error) {
+		resumed = time.Now()
+		return wholeStream(event(2))(x)
+	})
+	if refusal := s.end(t); refusal != nil || s.got.text() != events(1, 2) {
+		t.Fatalf("%+v after %q", refusal, s.got.text())
+	}
+	if after := resumed.Sub(stopped); after >= 2*stopCallTimeout {
+		t.Errorf("resumed %v after the stop", after)
+	}
+}
+
+// Guards against a run that is lost with its leaving runner, although a copy of it exists: the calls to stop it were not answered, and no other move is begun.
+func TestRunWithUnconfirmedStopIsResumedAfterItsRunnersEnd(t *testing.T) {
+	ended := make(chan struct{})
+	s := serveMovedStream(t, func(int, func()) (port.Copy, error) {
+		select {
+		case <-ended:
+			return port.Copy{}, port.ErrNotSent
+		default:
+			return port.Copy{}, port.ErrEndpointLost
+		}
+	}, wholeStream(event(2)))
+	eventually.True(t, "all calls to stop the run are made", func() bool { return s.stopCalls() == maxStopCalls })
+	s.b.backends.mu.Lock()
+	s.b.backends.presence = map[string]port.Presence{s.b.backends.sent[0].Endpoint.ID: port.PresenceGone}
+	s.b.backends.mu.Unlock()
+	close(ended)
+	s.pipe.CloseWithError(errReset)
+	if refusal := s.end(t); refusal != nil || s.got.text() != events(1, 2) {
+		t.Errorf("%+v after %q", refusal, s.got.text())
+	}
+}
