--- a/internal/gateway/moves.go
+++ b/internal/gateway/moves.go
@@ -9,8 +9,8 @@
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
 
-// copyTimeout bounds one copy, including the wait for other copies on the same
-// link.
+// copyTimeout bounds one copy of a run that goes on, including the wait for other copies on
+// the same link.
 const copyTimeout = 3 * time.Second
 
 // moveLeavingRuns begins to move the runs whose endpoints are leaving.
@@ -145,7 +145,7 @@
 	if s.handle != "" {
 		m.run.x.release(m.run.setCopy(m.state, &runCopy{from: m.from, to: m.to, handle: s.handle}))
 	}
-	m.run.setStop(m.state, &s)
+	m.run.setStop(m.state, &s, m.from)
 }
 
 // releaseTimeout bounds a call that releases a copy. If the call fails, the
