coldstart: a longer cold time is announced to the other daemons

A runner that is cold, ends and starts again under its id within a moment got the usual share from some daemons although it was cold, and ended. Callers lost their requests there.

Cause: a daemon that lost a request to the former start learns the new cold time from the answer to its health check, but published it only if the endpoint hadn't been cold for it. While the cold time of the former start lasted it kept the new end to itself; the others ended the cold time with the former start.

Runner-6 started at 37.076 and again at 39.873 (cold for 3 s); entry-1 had its check answered at 39.882 and took it for cold until 42.896; entry-2 and entry-3 logged "warm" at 40.089, by the former start, and sent 8 requests until the runner ended at 40.120.

Change: ApplyAnswer also reports a cold time that ends 100 ms or more later than known, and the daemon publishes it. Answers of one start differ by less, so they don't repeat it.

TestLongerColdTimeIsAnnounced: 1 s announced in place of 3 s before, 3 s now.

--- a/internal/core/coldstart/coldstart.go
+++ b/internal/core/coldstart/coldstart.go
@@ -15,6 +15,10 @@
 // that stays cold for longer announces it again.
 const MaxColdTime = time.Minute
 
+// minExtension is the time by which the end of an endpoint's cold time must move to count as a
+// change. Answers of one start differ by less, as they need different times.
+const minExtension = 100 * time.Millisecond
+
 // Tracker tracks the cold endpoints. It is safe for concurrent use.
 type Tracker struct {
 	// count is the number of tracked endpoints.
@@ -87,7 +91,8 @@
 }
 
 // ApplyAnswer applies the remaining cold time that an endpoint states with an answer,
-// nil for none. It reports whether the endpoint changed between cold and warm.
+// nil for none. It reports whether the endpoint changed between cold and warm, or stays cold
+// for longer than known, for example because it has started again.
 func (t *Tracker) ApplyAnswer(now time.Time, e *port.Endpoint, remaining *time.Duration) (changed bool) {
 	if remaining == nil || *remaining <= 0 && t.count.Load() == 0 {
 		return false
@@ -106,8 +111,9 @@
 		return wasCold
 	}
 	updated := t.entry(e)
+	before := updated.coldUntil
 	updated.coldUntil, updated.reportedWarm = now.Add(min(MaxColdTime, *remaining)), false
-	return !wasCold
+	return !wasCold || updated.coldUntil.Sub(before) >= minExtension
 }
 
 // entry returns the state of an incarnation, creating it if needed; t.mu is held.
--- a/internal/gateway/coldness.go
+++ b/internal/gateway/coldness.go
@@ -25,8 +25,8 @@
 }
 
 // observeColdness applies the time for which an endpoint reports that it stays
-// cold, and announces that it has become cold: what it accepts is shared among all
-// daemons.
+// cold, and announces that it has become cold or stays cold for longer than known: what
+// it accepts is shared among all daemons.
 func (g *Gateway) observeColdness(at port.Endpoint, coldFor *time.Duration) {
 	if coldFor == nil || !g.coldTracker.ApplyAnswer(g.Clock(), &at, coldFor) {
 		return
--- a/internal/gateway/coldness_test.go
+++ b/internal/gateway/coldness_test.go
@@ -142,6 +142,29 @@
 	})
 }
 
+// Guards against the usual share from the other daemons, when an endpoint has restarted under its id while it was cold.
+func TestLongerColdTimeIsAnnounced(t *testing.T) {
+	b := newHarness(t)
+	b.setColdRate()
+	b.listAsCold("s0", time.Second)
+	h, _ := b.endpointTable.get("s0")
+	announced := func() time.Duration {
+		for _, e := range b.view.Endpoints() {
+			if e.ID == "s0" {
+				return e.ColdFor
+			}
+		}
+		return 0
+	}
+	longer := 3 * time.Second
+	for _, remaining := range []time.Duration{longer, longer + 10*time.Millisecond, longer - time.Second} {
+		b.ObserveNotice(h.Endpoint, port.EndpointNotice{ColdFor: &remaining, Call: port.CallHealthCheck, Status: 200})
+		if got := announced(); got != longer {
+			t.Errorf("the other daemons were informed of %v after an answer that states %v, want %v", got, remaining, longer)
+		}
+	}
+}
+
 // Guards against ignoring the coldness that an endpoint reports in its answers.
 func TestColdnessIsReadFromAnswers(t *testing.T) {
 	b := newHarness(t)
