soak: checks say what they have judged, and fail where that is nothing

A run could pass without a check having looked.

Holes, each mended: - A stream without an end in its runner's log counted as never overlapping. It now lasts until its runner's process ended, or until the logs are read. - A configuration change excused its own late effect, so that "in force in time" was never judged for versions of the plan. Faults of runners excused it too. - Faults of any runner excused a request that a planned stop interrupted. Now they are those of the runners that ran it, while it was open, or of runners of its service that may hold it. A crash counts only at the start that ran the request, and after it began. - A fault long before excused a version, a leaving or an evacuation that wasn't known in time. Only faults within the time limit and settleTime do. - Crash reports: faults of other daemons excuse only if they began before all had to know. - Cuts, brittle times, and faults of a whole service: one other fault excused all of it, of whatever kind and target. Now each request is excused by itself, by kind, target and time. Version probes count for cuts. - A fault whose target had already ended, and a store fault that waited for another, were recorded as active. The end of one link fault, pause or cut ended an overlapping one at the same target, which still counted. - A leaving was forgotten with the runner's next start under its id. A runner's log line that couldn't be read, or of over 64 KB, was passed over, with all after it. A daemon that a foreign signal ended was passed over. A broken answer of a call wasn't compared.

A report counts the faults played by kind and the cases judged by promise.

--- a/cmd/dragonfly-standin/serve.go
+++ b/cmd/dragonfly-standin/serve.go
@@ -56,7 +56,7 @@
 	server.ConnContext = extra.connContext
 	logger := jsonlog.New(os.Stdout, name+"-"+kind, c.ID, "info")
 	logger.Info().Str("event", "ready").Str("address", c.Listen).
-		Str("failure_domain", c.FailureDomain).Msg("")
+		Str("failure_domain", c.FailureDomain).Int64("unix_ms", time.Now().UnixMilli()).Msg("")
 	if extra.prepare != nil {
 		extra.prepare(logger)
 	}
--- a/internal/testkit/procs/process.go
+++ b/internal/testkit/procs/process.go
@@ -44,6 +44,7 @@
 
 	mu      sync.Mutex
 	waitErr error
+	endedAt time.Time
 }
 
 // Start starts a process without waiting until it serves; see WaitReady.
@@ -83,11 +84,18 @@
 func (p *Process) wait() {
 	err := p.cmd.Wait()
 	p.mu.Lock()
-	p.waitErr = err
+	p.waitErr, p.endedAt = err, time.Now()
 	p.mu.Unlock()
 	close(p.exited)
 }
 
+// EndedAt returns when the process ended, zero if it runs.
+func (p *Process) EndedAt() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.endedAt
+}
+
 // PID is the process id.
 func (p *Process) PID() int { return p.cmd.Process.Pid }
 
--- a/internal/tools/soak/main.go
+++ b/internal/tools/soak/main.go
@@ -100,11 +100,14 @@
 	if err != nil {
 		return false, err
 	}
-	fmt.Printf("seed %d: %v\n", seed, report)
+	fmt.Printf("seed %d: %v\n%s\n", seed, report, report.Counts())
 	for _, v := range report.Violations {
 		fmt.Println("  ", v)
 	}
-	if len(report.Violations) == 0 {
+	for _, promise := range report.Unjudged {
+		fmt.Println("  ", promise+": nothing judged")
+	}
+	if len(report.Violations)+len(report.Unjudged) == 0 {
 		return true, o.clean(dir)
 	}
 	fmt.Println("   logs:", dir)
