gateway: a restarted endpoint counts as cold until it has answered its check

A cold engine that had restarted under its id got all requests that were held for a place, and ended; callers lost their streams there.

Cause: a daemon that receives a new start of an endpoint doesn't use it until a check is answered, which says whether it is cold. As the pool's coordinator it placed there for other daemons meanwhile: the limit of the former start was gone with it, and the cold time not yet known.

Runner-7 was ready at 53.479. Coordinator entry-2 received the start at 53.531 ("not used until it answers", "names no limit any more") and released held requests to it at once; its own were withdrawn, seven of entry-1 and entry-3 ran from 53.533 on. The check was answered at 53.533 (cold). The runner ended at 54.314.

TestRestartedEndpointCountsAsColdUntilItAnswers: no limit before, the cold rate now.

--- a/internal/gateway/coldness.go
+++ b/internal/gateway/coldness.go
@@ -9,11 +9,12 @@
 )
 
 // withColdness sets the request rate that an endpoint accepts while it is cold;
-// zero if it is not cold.
+// zero if it is not cold. One that has restarted counts as cold until it has answered a
+// check.
 func (g *Gateway) withColdness(now time.Time, e port.Endpoint) port.Endpoint {
 	g.coldTracker.ApplyEntry(now, &e)
 	e.ColdRate = 0
-	if !g.coldTracker.IsCold(now, &e) {
+	if !g.coldTracker.IsCold(now, &e) && !g.restartChecks.has(&e) {
 		return e
 	}
 	if index := g.index.Load(); index != nil {
--- a/internal/gateway/coldness_test.go
+++ b/internal/gateway/coldness_test.go
@@ -188,3 +188,21 @@
 		return h.ColdRate == 0
 	})
 }
+
+// Guards against held requests that are all released to a restarted endpoint before it has answered whether it is cold.
+func TestRestartedEndpointCountsAsColdUntilItAnswers(t *testing.T) {
+	b := newHarness(t)
+	b.setColdRate()
+	answer := make(chan struct{})
+	b.backends.onCheck = func(port.Endpoint) { <-answer }
+	b.restart("s0")
+	rate := func() float64 {
+		h, _ := b.endpointTable.get("s0")
+		return h.ColdRate
+	}
+	if got := rate(); got != coldPerSecond {
+		t.Errorf("it accepts %v requests a second before it has answered, want %d", got, coldPerSecond)
+	}
+	close(answer)
+	eventually.True(t, "it is warm", func() bool { return rate() == 0 })
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -151,6 +151,7 @@
 	metrics       *instruments
 	seenLeaving   membership.Departures
 	formerStarts  formerStarts
+	restartChecks restartChecks
 	trials        trials
 	runs          runs
 	crashWatch    *crashwatch.Watch
--- a/internal/gateway/restarts.go
+++ b/internal/gateway/restarts.go
@@ -46,7 +46,8 @@
 }
 
 // checkIncarnation asks an endpoint itself for its notices, in the background. Until
-// it has answered it counts as paused.
+// it has answered it counts as paused, and as cold for the requests that this daemon's
+// scheduler places for others.
 func (g *Gateway) checkIncarnation(e port.Endpoint) {
 	now := g.Clock()
 	until := now.Add(restartCheckTimeout)
@@ -54,6 +55,7 @@
 		return
 	}
 	g.recordNotice(e, verdictCheck, "it has restarted; it is not used until it answers")
+	g.restartChecks.begin(&e)
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), restartCheckTimeout)
 		defer cancel()
@@ -61,9 +63,41 @@
 		presence := g.probe(ctx, e)
 		g.pauses.Cancel(&e, until)
 		g.recordNotice(e, verdictCheck, "it is "+presence.String())
+		g.restartChecks.end(&e)
+		g.refreshEndpoints(e.ID)
 	}()
 }
 
+// restartChecks holds the incarnations of endpoints that are being checked after a restart.
+type restartChecks struct {
+	mu sync.Mutex
+	m  map[string]uint64
+}
+
+func (c *restartChecks) begin(e *port.Endpoint) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.m == nil {
+		c.m = make(map[string]uint64)
+	}
+	c.m[e.ID] = e.Incarnation
+}
+
+func (c *restartChecks) end(e *port.Endpoint) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.m[e.ID] == e.Incarnation {
+		delete(c.m, e.ID)
+	}
+}
+
+func (c *restartChecks) has(e *port.Endpoint) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	incarnation, found := c.m[e.ID]
+	return found && incarnation == e.Incarnation
+}
+
 // formerStartRetention is how long the former start of a restarted endpoint is
 // remembered, for requests that were lost with it.
 const formerStartRetention = time.Minute
