test: the logs of failed fleet tests can be kept

The logs of a red play were lost with the test's temporary directory, so that failures which show beside load couldn't be traced.

--- a/internal/testkit/procs/testing.go
+++ b/internal/testkit/procs/testing.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"os"
+	"strings"
 	"testing"
 	"time"
 )
@@ -43,6 +45,31 @@
 	return s
 }
 
+// envLogs is an environment variable with the name of an existing directory.
+const envLogs = "DRAGONFLYRAIL_TEST_LOGS"
+
+// LogDir returns a directory for the logs of a test. If envLogs is set, it lies in that
+// directory and is kept if the test fails.
+func LogDir(tb testing.TB) string {
+	tb.Helper()
+	parent := os.Getenv(envLogs)
+	if parent == "" {
+		return tb.TempDir()
+	}
+	dir, err := os.MkdirTemp(parent, strings.ReplaceAll(tb.Name(), "/", "-")+"-")
+	if err != nil {
+		tb.Fatal(err)
+	}
+	tb.Cleanup(func() {
+		if tb.Failed() {
+			tb.Log("logs:", dir)
+		} else if err := os.RemoveAll(dir); err != nil {
+			tb.Error(err)
+		}
+	})
+	return dir
+}
+
 // Until polls a condition and fails the test if it is not true before the
 // deadline.
 func Until(tb testing.TB, what string, ok func() bool) {
--- a/test/entry_test.go
+++ b/test/entry_test.go
@@ -30,7 +30,7 @@
 // logs are printed.
 func startFleet(t *testing.T, change func(*testfleet.Layout)) *fleetTest {
 	t.Helper()
-	l := testfleet.SmallLayout(procs.BinDir(), "..", t.TempDir())
+	l := testfleet.SmallLayout(procs.BinDir(), "..", procs.LogDir(t))
 	if change != nil {
 		change(&l)
 	}
