--- a/internal/gateway/coldness.go
+++ b/internal/gateway/coldness.go
@@ -9,11 +9,12 @@
 )
 
 // withColdness sets the request rate that an endpoint accepts while it is cold;
-// zero if it is not cold.
+// zero if it is not cold. One that has restarted counts as cold until it has answered a
+// check.
 func (g *Gateway) withColdness(now time.Time, e port.Endpoint) port.Endpoint {
 	g.coldTracker.ApplyEntry(now, &e)
 	e.ColdRate = 0
-	if !g.coldTracker.IsCold(now, &e) {
+	if !g.coldTracker.IsCold(now, &e) && !g.restartChecks.has(&e) {
 		return e
 	}
 	if index := g.index.Load(); index != nil {
@@ -25,8 +26,8 @@
 }
 
 // observeColdness applies the time for which an endpoint reports that it stays
-// cold, and announces that it has become cold: what it accepts is shared among all
-// daemons.
+// cold, and announces that it has become cold or stays cold for longer than known: what
+// it accepts is shared among all daemons.
 func (g *Gateway) observeColdness(at port.Endpoint, coldFor *time.Duration) {
 	if coldFor == nil || !g.coldTracker.ApplyAnswer(g.Clock(), &at, coldFor) {
 		return
