platform, keeper: a write that was answered with success isn't reported as not written

What operators could see: a change that took effect is answered 503 not_run, or counts as stored at no revision. Cause: the class of the untrue refusals. After a 200 or 201 whose object can't be used (no revision, or one out of range) the error was that of a read, port.ErrPlatformUnavailable, which states that nothing was written; and an object without a revision passed. As the cause of port.ErrOutcomeUnknown such an error still counts: errors.Is follows causes, and the keeper asked for it first.

--- a/internal/keeper/records.go
+++ b/internal/keeper/records.go
@@ -204,6 +204,8 @@
 		return w.accept(&object)
 	case errors.Is(err, port.ErrConflict):
 		return w.resolveConflict(ctx)
+	case errors.Is(err, port.ErrOutcomeUnknown):
+		return w.resolveOutcome(ctx)
 	case errors.Is(err, port.ErrTooLarge):
 		return ErrTooLarge
 	case errors.Is(err, port.ErrPlatformUnavailable), errors.Is(err, port.ErrThrottled):
