gateway: a lost path to a stopped run's runner is found out in time

What callers would see since resumable streams wait for a stop: a stream that ends with the path to its runner, although another one would continue it. The same held for runs with a copy.

Cause: the runner counted as out of reach after two rounds of a call and a health check. With the default connect_timeout of 500 ms these take 2 s where connects aren't answered, and the wait was bounded by 1 s.

Evidence: TestLostPathIsFoundInTimeToContinue: "not continued: its endpoint may still be working on it".

Change: after a call that wasn't sent, two health checks of 300 ms each, both without a connection, show it; the wait is bounded by 1.2 s. The drawn checks of TestRunnerIsOutOfReachOnlyOnEvidence repeat now, as more are made: with one check instead of two, or with an answer that proves nothing as a failed connect, its cases fail as before.

--- a/internal/gateway/stops.go
+++ b/internal/gateway/stops.go
@@ -20,12 +20,13 @@
 	// finds out what became of the run: that it is over, or still copied. The last part of a
 	// run takes tens of milliseconds unless the links are busy.
 	stopCallTimeout = time.Second
-	// minUnreached is the number of such calls in a row for which no connection could be
+	// minUnreached is the number of health checks in a row for which no connection could be
 	// established until the runner counts as out of reach. Less may be due to lost packets.
 	minUnreached = 2
 	// confirmTimeout bounds the calls to stop a run whose stream has broken off. A caller
-	// that waits for longer would take its stream for lost.
-	confirmTimeout = time.Second
+	// that waits for longer would take its stream for lost. It has room for a call whose
+	// connect fails after half a second, and for the checks that follow.
+	confirmTimeout = 1200 * time.Millisecond
 )
 
 // stopResult is the result of the calls to stop a run.
@@ -58,7 +59,6 @@
 // again after an answer that doesn't confirm the stop: a runner that has stopped the run
 // then has no such run.
 func (x *exchange) stopRun(ctx context.Context, from, to port.Endpoint) (s stopResult) {
-	unreached := 0
 	for n := 0; n < maxStopCalls; n++ {
 		if n > 0 && !sleepUnlessDone(ctx, stopRetryDelay<<(n-1)) {
 			return s
@@ -68,15 +68,8 @@
 		}
 		c, err := x.copyRun(ctx, from, to, true)
 		s.handle, s.copied, s.state = c.Handle, c.Handle != "" && err == nil, x.stopStateOf(ctx, from, c, err)
-		switch unreached++; {
-		case s.state.IsOver(), s.state == continuity.StopRefused:
+		if s.state.IsOver() || s.state == continuity.StopRefused || s.state == continuity.StopUnreachable {
 			return s
-		case s.state != continuity.StopUnreachable:
-			unreached = 0
-		case unreached == minUnreached:
-			return s
-		default:
-			s.state = continuity.StopUnconfirmed
 		}
 		if errors.Is(err, port.ErrCopyInProgress) {
 			// Nothing was lost, so the call doesn't count; only ctx limits the wait.
@@ -109,18 +102,26 @@
 	case !errors.Is(err, port.ErrNotSent):
 		return continuity.StopUnconfirmed
 	}
-	// A health check alone: a runner that answers it and not for its load report is reached.
-	switch x.g.Endpoints.CheckPresence(ctx, from, x.g.healthPath(from.Pool)) {
-	case port.PresenceReplaced:
-		return continuity.StopNoRun
-	case port.PresenceGone:
-		return continuity.StopRefused
-	case port.PresenceUnreached:
-		if ctx.Err() == nil {
-			return continuity.StopUnreachable
+	return x.stopStateByCheck(ctx, from)
+}
+
+// stopStateByCheck returns what health checks show of a run that no call to stop it reached. A
+// runner that answers them and not for its load report is reached.
+func (x *exchange) stopStateByCheck(ctx context.Context, from port.Endpoint) continuity.StopState {
+	for range minUnreached {
+		limited, cancel := context.WithTimeout(ctx, pathCheckTimeout)
+		presence := x.g.Endpoints.CheckPresence(limited, from, x.g.healthPath(from.Pool))
+		cancel()
+		switch {
+		case presence == port.PresenceReplaced:
+			return continuity.StopNoRun
+		case presence == port.PresenceGone:
+			return continuity.StopRefused
+		case presence != port.PresenceUnreached || ctx.Err() != nil:
+			return continuity.StopUnconfirmed
 		}
 	}
-	return continuity.StopUnconfirmed
+	return continuity.StopUnreachable
 }
 
 // showsEnd reports whether a run is over whose stream broke off.
--- a/internal/gateway/stops_test.go
+++ b/internal/gateway/stops_test.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"context"
 	"slices"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
@@ -42,8 +44,8 @@
 		checks  []port.Presence
 		resumed int32
 	}{
-		{[]port.Presence{port.PresenceUnknown, port.PresenceUnknown, port.PresenceUnknown, port.PresenceUnknown}, 0},
-		{[]port.Presence{port.PresenceServing, port.PresenceUnreached, port.PresenceServing, port.PresenceUnreached}, 0},
+		{[]port.Presence{port.PresenceUnknown}, 0},
+		{[]port.Presence{port.PresenceUnreached, port.PresenceServing}, 0},
 		{[]port.Presence{port.PresenceServing, port.PresenceUnreached, port.PresenceUnreached}, 1},
 	} {
 		var resumed atomic.Int32
@@ -58,7 +60,7 @@
 		s.b.backends.onCheck = func(e port.Endpoint) {
 			s.b.backends.mu.Lock()
 			defer s.b.backends.mu.Unlock()
-			s.b.backends.presence[e.ID] = c.checks[min(n, len(c.checks)-1)]
+			s.b.backends.presence[e.ID] = c.checks[n%len(c.checks)]
 			n++
 		}
 		s.b.backends.mu.Unlock()
@@ -191,3 +193,36 @@
 		checkSent(t, b, "3")
 	}
 }
+
+// cutEndpoints are endpoints to which connects fail after half a second, the default limit.
+type cutEndpoints struct{ *fakeEndpoints }
+
+const connectLimit = 500 * time.Millisecond
+
+func (e cutEndpoints) Copy(ctx context.Context, _ port.Endpoint, _ string, _ port.Endpoint, _ bool) (port.Copy, error) {
+	sleepUnlessDone(ctx, connectLimit)
+	return port.Copy{}, port.ErrNotSent
+}
+
+func (e cutEndpoints) CheckPresence(ctx context.Context, _ port.Endpoint, _ string) port.Presence {
+	sleepUnlessDone(ctx, connectLimit)
+	return port.PresenceUnreached
+}
+
+// Guards against a resumable stream that ends with the path to its endpoint: that no connection can be established is found out too late.
+func TestLostPathIsFoundInTimeToContinue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newHarness(t)
+		b.Endpoints = cutEndpoints{b.backends}
+		b.setHandlers("e", sequence(cutStream(events(1, 3)), wholeStream(events(4, 6))))
+		got, began := &fakeCaller{}, time.Now()
+		if refusal := b.send(t, "/resume/", got); refusal != nil || got.text() != events(1, 6) {
+			t.Errorf("%+v after %q", refusal, got.text())
+		}
+		if took := time.Since(began); took > 1500*time.Millisecond {
+			t.Errorf("continued after %v", took)
+		}
+		// The check of the endpoint ends.
+		time.Sleep(time.Minute)
+	})
+}
