crashes: an end is confirmed only while other endpoints are reached

Cause: the endpoints were probed during the cut, and the verdict fell 13 ms after its end: the first answer of another endpoint (48.784 in the log) had ended the doubt about the paths, no peer had an answer, and "no failure observed" confirmed the ends (48.797 and on).

Change: confirmEnd and CheckEndpoint take an endpoint for ended only if another one of its pool answered on a new connection between its failures, at a distance of 50 ms, or if one answers both before and after a further check of it. After a loss of the whole pool this waits 0.6 s, as the paths may come back one after the other. An end that isn't confirmed is tried again at every second late probe, so that a crash beside a cut counts once others are reached. The end of a whole pool is presumed as before.

Why it works: the cause of failures that other endpoints of the pool don't share isn't a path that they share.

--- a/internal/core/reachability/tracker.go
+++ b/internal/core/reachability/tracker.go
@@ -27,6 +27,10 @@
 	firstCheckPause    = 250 * time.Millisecond
 	maxCheckPause      = 4 * time.Second
 	lostPoolCheckPause = 750 * time.Millisecond
+	// aloneSpacing is the time within which paths that are cut together are all cut, and
+	// restoreSpan that within which those of a whole pool come back.
+	aloneSpacing = 50 * time.Millisecond
+	restoreSpan  = 600 * time.Millisecond
 	// maxChecks bounds the checks that one call of DueChecks returns.
 	maxChecks = 16
 )
@@ -37,6 +41,10 @@
 	// lostSince is the time of the first failure after which no new connection has
 	// been answered; zero if there is none.
 	lostSince time.Time
+	// aloneSince is the time of the first failure after which another endpoint of the pool
+	// had answered in the time of the loss, and failsAlone is set by one aloneSpacing later.
+	aloneSince time.Time
+	failsAlone bool
 	// reachedAt is when the endpoint last answered on a new connection, and
 	// connectedAt when a connection to it was last established.
 	reachedAt, connectedAt time.Time
@@ -54,6 +62,8 @@
 	suspectSince time.Time
 	// lostSince is when all paths to the pool were found lost; zero if they aren't.
 	lostSince time.Time
+	// restoredAt is when the last loss of all paths to the pool ended.
+	restoredAt time.Time
 	// answeredAt is when an endpoint last answered on any connection, and reachedAt
 	// when one last answered on a new connection.
 	answeredAt, reachedAt time.Time
@@ -115,6 +125,7 @@
 func (t *Tracker) restore(now time.Time, id string, p *path, o *pool) []Change {
 	var changes []Change
 	if !o.lostSince.IsZero() {
+		o.restoredAt = now
 		changes = append(changes, Change{Pool: p.pool, Evidence: port.PathReached, For: now.Sub(o.lostSince)})
 		// The other paths were lost together with this one and are as likely back.
 		t.expediteLost(now, p.pool)
@@ -122,7 +133,7 @@
 	if !p.lostSince.IsZero() {
 		changes = append(changes, Change{Endpoint: id, Pool: p.pool, Evidence: port.PathReached, For: now.Sub(p.lostSince)})
 	}
-	p.lostSince = time.Time{}
+	p.lostSince, p.aloneSince, p.failsAlone = time.Time{}, time.Time{}, false
 	delete(t.lostPaths, id)
 	o.suspectSince, o.lostSince = time.Time{}, time.Time{}
 	return changes
@@ -147,6 +158,7 @@
 		t.schedule(id, p, now.Add(firstCheckPause))
 		changes = append(changes, Change{Endpoint: id, Pool: p.pool, Lost: true, Evidence: evidence})
 	}
+	t.compareWithOthers(now, id, p, o)
 	if o.suspectSince.IsZero() && now.Sub(o.reachedAt) > freshness {
 		o.suspectSince = now
 		t.expediteChecks(now, p.pool)
@@ -159,6 +171,27 @@
 	return changes
 }
 
+// compareWithOthers evaluates whether an endpoint goes on failing although others of its
+// pool have answered since. After a loss of the whole pool its paths may come back one after
+// the other.
+func (t *Tracker) compareWithOthers(now time.Time, id string, p *path, o *pool) {
+	switch {
+	case p.aloneSince.IsZero() && now.Sub(o.restoredAt) >= restoreSpan && t.otherReachedSince(p.pool, id, p.lostSince.Add(aloneSpacing)):
+		p.aloneSince = now
+	case !p.aloneSince.IsZero() && now.Sub(p.aloneSince) >= aloneSpacing:
+		p.failsAlone = true
+	}
+}
+
+// FailsAlone reports whether an endpoint has failed, and again while or after others of
+// its pool answered on new connections, so that the cause isn't a path that they share.
+func (t *Tracker) FailsAlone(id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.paths[id]
+	return p != nil && p.failsAlone
+}
+
 // expediteChecks makes the paths of a suspect pool due for a check at once.
 func (t *Tracker) expediteChecks(now time.Time, poolName string) {
 	for _, id := range t.endpoints(poolName) {
@@ -227,6 +260,17 @@
 	return o != nil && !o.lostSince.IsZero() && t.allLost(poolName)
 }
 
+// RestoredAt returns when the last loss of all paths to a pool ended; zero if there was none.
+// Paths that were lost together may come back one after the other.
+func (t *Tracker) RestoredAt(poolName string) time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if o := t.pools[poolName]; o != nil {
+		return o.restoredAt
+	}
+	return time.Time{}
+}
+
 // LostPools returns the names of the pools to which this daemon has no path, in
 // ascending order.
 func (t *Tracker) LostPools() []string {
@@ -297,6 +341,13 @@
 func (t *Tracker) OtherReachedSince(poolName, except string, after time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.otherReachedSince(poolName, except, after)
+}
+
+func (t *Tracker) otherReachedSince(poolName, except string, after time.Time) bool {
+	if o := t.pools[poolName]; o == nil || !o.reachedAt.After(after) {
+		return false
+	}
 	for id, p := range t.paths {
 		if p.pool == poolName && id != except && p.reachedAt.After(after) {
 			return true
--- a/internal/core/reachability/tracker_test.go
+++ b/internal/core/reachability/tracker_test.go
@@ -219,3 +219,33 @@
 		}
 	})
 }
+
+// Guards against ends that aren't confirmed because a cut follows, and against taking the paths of a cut that come back one after the other for ends.
+func TestEndpointThatFailsWhileOthersAnswer(t *testing.T) {
+	const down, up = port.PathBroken, port.PathReached
+	type event struct {
+		at time.Duration // in ms
+		id string
+		e  port.PathEvidence
+	}
+	for name, c := range map[string]struct {
+		events []event
+		want   bool
+	}{
+		"another answers meanwhile, then all are cut": {[]event{{0, "a", down}, {100, "b", up}, {300, "a", down}, {600, "a", down}, {700, "b", down}, {700, "c", down}}, true},
+		"none answers meanwhile":                      {[]event{{0, "b", up}, {1, "a", down}, {100, "a", down}, {300, "a", down}, {600, "a", down}}, false},
+		"the others are cut a moment later":           {[]event{{0, "a", down}, {20, "b", up}, {30, "b", down}, {30, "c", down}, {300, "a", down}, {600, "a", down}}, false},
+		"the others come back a moment earlier":       {[]event{{0, "a", down}, {0, "b", down}, {300, "b", up}, {310, "a", down}, {340, "a", down}}, false},
+		"all were lost, and come back one by one":     {[]event{{0, "a", down}, {0, "b", down}, {0, "c", down}, {2000, "b", up}, {2100, "a", down}, {2500, "a", down}}, false},
+		"it answers again":                            {[]event{{0, "a", down}, {100, "b", up}, {300, "a", down}, {600, "a", down}, {700, "a", up}, {800, "a", down}}, false},
+	} {
+		tr := NewTracker(func(string) []string { return []string{"a", "b", "c"} })
+		began := time.Now()
+		for _, e := range c.events {
+			tr.Observe(began.Add(e.at*time.Millisecond), e.id, "pool", e.e)
+		}
+		if got := tr.FailsAlone("a"); got != c.want {
+			t.Errorf("%s: %v", name, got)
+		}
+	}
+}
--- a/internal/crashwatch/crashwatch.go
+++ b/internal/crashwatch/crashwatch.go
@@ -40,6 +40,9 @@
 	// not be established, maxLateProbes their number.
 	lateProbeInterval = 250 * time.Millisecond
 	maxLateProbes     = 40
+	// probesPerConfirmation is the number of late probes between two attempts to confirm
+	// the end.
+	probesPerConfirmation = 2
 )
 
 // probeDelays are the delays before each probe. An endpoint that has ended is
@@ -316,19 +319,27 @@
 // awaitAnswer probes an endpoint whose end could not be established until it answers, for
 // a limited time. Until then it stays down: a process that has restarted at its address
 // states in that answer what it accepts. It reports whether the end was reported; confirmed
-// is set if only an older attempt that is still open leaves it in doubt.
+// is set if only an older attempt that is still open leaves it in doubt. Otherwise the end
+// may be confirmed meanwhile, once other endpoints are reached.
 func (w *Watch) awaitAnswer(e port.Endpoint, confirmed bool) (reported bool) {
-	for range maxLateProbes {
+	for n := range maxLateProbes {
 		time.Sleep(lateProbeInterval)
 		if w.o.IsLeaving(e) {
 			return false
 		}
-		switch w.probe(e) {
+		switch presence := w.probe(e); presence {
 		case port.PresenceServing:
 			return false
 		case port.PresenceReplaced:
 			w.reportReplaced(e)
 			return true
+		case port.PresenceGone, port.PresenceSilent:
+			if confirmed || n%probesPerConfirmation != probesPerConfirmation-1 {
+				break
+			}
+			if confirmed = w.confirmEnd(e); confirmed && w.reportEnd(e, reasonFor(presence)) {
+				return true
+			}
 		}
 		if confirmed && w.reportEnd(e, reasonStalled) {
 			return true
@@ -352,6 +363,14 @@
 	reasonPresumed     = "no daemon reaches its pool, but other pools are reached"
 )
 
+// reasonFor returns the reason for the end of an endpoint that didn't answer a probe.
+func reasonFor(presence port.Presence) string {
+	if presence == port.PresenceGone {
+		return reasonNotListening
+	}
+	return reasonSilent
+}
+
 // reportReplaced reports the end of an endpoint in whose place another one answers. Unlike
 // a failed connection that can't be due to the network, so it needs no confirmation.
 func (w *Watch) reportReplaced(e port.Endpoint) {
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -35,10 +35,11 @@
 func (g *Gateway) confirmEnd(e port.Endpoint) bool {
 	reached, known := g.askPeers(e)
 	if !known {
-		for began := time.Now(); g.paths.IsSuspect(e.Pool) && time.Since(began) < pathSettleTime; {
+		for began := time.Now(); g.paths.IsSuspect(e.Pool) && !g.paths.FailsAlone(e.ID) && time.Since(began) < pathSettleTime; {
 			time.Sleep(tickInterval)
 		}
-		reached = g.paths.IsSuspect(e.Pool)
+		time.Sleep(pathSettleTime - g.Clock().Sub(g.paths.RestoredAt(e.Pool)))
+		reached = !g.failsAlone(e)
 	}
 	if reached {
 		g.recordChange(subjectEndpoint, e.ID, verdictPathLost, "its connections broke, but that is no sign of its end: others reach it or nothing else is reached from here", 0)
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -135,9 +136,12 @@
 // one that failed, so that the failure is that endpoint's. The only endpoint of a pool
 // counts as failed.
 func (g *Gateway) reachesOthers(failed port.Endpoint) bool {
-	if g.paths.IsSuspect(failed.Pool) {
-		return false
-	}
+	return !g.paths.IsSuspect(failed.Pool) && g.reachesAnother(failed)
+}
+
+// reachesAnother reports whether another endpoint of the pool of one that failed answers
+// now, or that there is no other.
+func (g *Gateway) reachesAnother(failed port.Endpoint) bool {
 	if g.paths.OtherReachedSince(failed.Pool, failed.ID, g.Clock().Add(-recentReach)) {
 		return true
 	}
@@ -146,6 +150,7 @@
 		return true
 	}
 	shuffle(others)
+	slices.SortStableFunc(others, func(a, b string) int { return cmp.Compare(g.failedChecks(a), g.failedChecks(b)) })
 	others = others[:min(otherChecks, len(others))]
 	serving := make(chan bool, len(others))
 	for _, id := range others {
@@ -159,6 +164,35 @@
 	return false
 }
 
+// failedChecks returns 1 if checks of an endpoint have failed and none has succeeded since,
+// or if it ended a moment ago, and 0 otherwise.
+func (g *Gateway) failedChecks(id string) int {
+	if e, found := g.endpointTable.get(id); !found || g.paths.IsLost(id) || g.crashWatch.IsDown(e.Endpoint) {
+		return 1
+	}
+	return 0
+}
+
+// failsAlone reports whether an endpoint that has just been found out of reach stays so
+// while another of its pool answers, both before and after a further check of it, or has
+// done so. Paths that are cut or found together change within recentReach.
+func (g *Gateway) failsAlone(e port.Endpoint) bool {
+	if g.paths.FailsAlone(e.ID) {
+		return true
+	}
+	if !g.reachesAnother(e) {
+		return false
+	}
+	time.Sleep(recentReach)
+	switch g.checkPath(e) {
+	case port.PresenceReplaced:
+		return true
+	case port.PresenceGone, port.PresenceSilent:
+		return g.reachesAnother(e)
+	}
+	return false
+}
+
 // checkOther checks the path to an endpoint. Concurrent calls for one share a check.
 func (g *Gateway) checkOther(id string) bool {
 	result, _, _ := g.otherCheckCalls.Do(id, func() (any, error) {
@@ -174,7 +208,7 @@
 
 // CheckEndpoint checks for another daemon whether this one reaches an endpoint. known is
 // false if it doesn't know that incarnation yet, if the endpoint has asked this host for a
-// pause or doesn't answer in time, or if its own paths are in doubt.
+// pause or doesn't answer in time, or if it doesn't answer while others aren't reached either.
 func (g *Gateway) CheckEndpoint(id string, incarnation uint64) (reached, known bool) {
 	e, found := g.endpointTable.get(id)
 	if found && e.Incarnation > incarnation {
@@ -189,5 +223,6 @@
 	case port.PresenceUnknown:
 		return false, false
 	}
-	return false, !g.paths.IsSuspect(e.Pool)
+	settled := g.Clock().Sub(g.paths.RestoredAt(e.Pool)) >= pathSettleTime
+	return false, settled && g.failsAlone(e.Endpoint)
 }
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -202,3 +203,6 @@
 		t.Fatalf("%v, %+v", ended, refusal)
 	}
 }
+
+// daemons returns the peers.
+func (n *relayNet) daemons() []*harness { return slices.Collect(maps.Values(n.peers)) }
