gateway: the only endpoint of a pool fails only while another pool is reached

A daemon without any path held its failures against the only endpoint of a pool, and confirmed its end: reachesOthers took "there is no other" for "others are reached". The scheduler then placed nothing there, for all daemons, and requests lost there counted as crashing it.

Change: if the pool has no other endpoint that can be asked, as it is the only one or the others have asked for a pause, one of another pool must answer. Those whose checks failed before are asked last, and an endpoint whose path is lost doesn't count.

Tests: TestOnlyEndpointFailsOnlyIfAnotherPoolIsReached (counted as failed and ended with the other pool silent or gone) and TestOnlyEndpointThatCanBeAskedHasEnded (its end not confirmed beside paused ones) failed before.

--- a/internal/gateway/confirmed_ends_test.go
+++ b/internal/gateway/confirmed_ends_test.go
@@ -134,3 +134,36 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// Guards against holding a failure against the only endpoint of a pool while nothing else is reached.
+func TestOnlyEndpointFailsOnlyIfAnotherPoolIsReached(t *testing.T) {
+	for other, want := range map[port.Presence]bool{port.PresenceServing: true, port.PresenceUnknown: false, port.PresenceGone: false} {
+		b := newHarness(t)
+		b.setLeaving("e1")
+		b.setLeaving("e2")
+		b.setPresence(other)
+		b.backends.presence["e0"] = port.PresenceGone
+		e0, _ := b.endpointTable.get("e0")
+		if got := b.reachesOthers(e0.Endpoint); got != want {
+			t.Errorf("the other pool is %d: it counts as failed: %v", other, got)
+		}
+		if got := b.confirmEnd(e0.Endpoint); got != want {
+			t.Errorf("the other pool is %d: its end is confirmed: %v", other, got)
+		}
+	}
+}
+
+// Guards against crashes that are not counted where the others have asked for a pause, and the first endpoint of another pool has failed.
+func TestOnlyEndpointThatCanBeAskedHasEnded(t *testing.T) {
+	b := newHarness(t)
+	for _, id := range []string{"e1", "e2"} {
+		e, _ := b.endpointTable.get(id)
+		b.pause(e.Endpoint, time.Minute)
+	}
+	b.setPresenceOf("s0", port.PresenceGone)
+	b.backends.presence["e0"] = port.PresenceGone
+	e0, _ := b.endpointTable.get("e0")
+	if !b.confirmEnd(e0.Endpoint) {
+		t.Error("its end is not confirmed although another pool is reached")
+	}
+}
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -65,25 +65,6 @@
 	return since, lost && peers > 0 && g.reachesOtherPool(e.Pool)
 }
 
-// reachesOtherPool reports whether an endpoint of another pool answers this daemon now.
-func (g *Gateway) reachesOtherPool(pool string) bool {
-	index := g.index.Load()
-	if index == nil {
-		return false
-	}
-	for _, other := range index.Pools() {
-		if other.Name == pool {
-			continue
-		}
-		for _, id := range g.endpointTable.usableIDs(other.Name) {
-			if !g.paths.IsLost(id) {
-				return g.checkOther(id)
-			}
-		}
-	}
-	return false
-}
-
 // askPeers asks other daemons whether they reach an endpoint. known is false if none
 // has an answer.
 func (g *Gateway) askPeers(e port.Endpoint) (reached, known bool) {
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -133,30 +133,59 @@
 )
 
 // reachesOthers reports whether this daemon has a path to other endpoints of the pool of
-// one that failed, so that the failure is that endpoint's. The only endpoint of a pool
-// counts as failed.
+// one that failed, so that the failure is that endpoint's. For the only endpoint of a pool
+// another pool counts.
 func (g *Gateway) reachesOthers(failed port.Endpoint) bool {
 	return !g.paths.IsSuspect(failed.Pool) && g.reachesAnother(failed)
 }
 
 // reachesAnother reports whether another endpoint of the pool of one that failed answers
-// now, or that there is no other.
+// now; if there is none that can be asked, whether one of another pool does.
 func (g *Gateway) reachesAnother(failed port.Endpoint) bool {
 	if g.paths.OtherReachedSince(failed.Pool, failed.ID, g.Clock().Add(-recentReach)) {
 		return true
 	}
-	others := slices.DeleteFunc(g.endpointTable.usableIDs(failed.Pool), func(id string) bool { return id == failed.ID })
+	others := slices.DeleteFunc(g.askableIDs(failed.Pool), func(id string) bool { return id == failed.ID })
 	if len(others) == 0 {
-		return true
+		return g.reachesOtherPool(failed.Pool)
+	}
+	return g.reachesAnyOf(others)
+}
+
+// reachesOtherPool reports whether an endpoint of another pool answers this daemon now.
+func (g *Gateway) reachesOtherPool(pool string) bool {
+	index := g.index.Load()
+	if index == nil {
+		return false
+	}
+	var others []string
+	for _, other := range index.Pools() {
+		if other.Name != pool {
+			others = append(others, g.askableIDs(other.Name)...)
+		}
 	}
-	shuffle(others)
-	slices.SortStableFunc(others, func(a, b string) int { return cmp.Compare(g.failedChecks(a), g.failedChecks(b)) })
-	others = others[:min(otherChecks, len(others))]
-	serving := make(chan bool, len(others))
-	for _, id := range others {
+	return g.reachesAnyOf(slices.DeleteFunc(others, g.paths.IsLost))
+}
+
+// askableIDs returns the endpoints of a pool that may be checked.
+func (g *Gateway) askableIDs(pool string) []string {
+	return slices.DeleteFunc(g.endpointTable.usableIDs(pool), func(id string) bool {
+		e, found := g.endpointTable.get(id)
+		return !found || g.IsPaused(e.Endpoint)
+	})
+}
+
+// reachesAnyOf checks the paths to some of the given endpoints, at first to those that
+// haven't failed, and reports whether one of them answers.
+func (g *Gateway) reachesAnyOf(ids []string) bool {
+	shuffle(ids)
+	slices.SortStableFunc(ids, func(a, b string) int { return cmp.Compare(g.failedChecks(a), g.failedChecks(b)) })
+	ids = ids[:min(otherChecks, len(ids))]
+	serving := make(chan bool, len(ids))
+	for _, id := range ids {
 		go func() { serving <- g.checkOther(id) }()
 	}
-	for range others {
+	for range ids {
 		if <-serving {
 			return true
 		}
