gateway: a peer passes on that another start answers, whatever its paths

A daemon that asks a peer for an endpoint learned "not known" though the peer had been answered by a later start or another endpoint at that address, if the peer's paths to the pool were in doubt. The crash was then counted only once the registry had it.

Cause: CheckEndpoint judged that answer like a failed check. Change: an answer by another start is certain, as it came over a connection.

Test: TestPeerKnowsThatAnotherStartAnswers failed before (not reached, not known). go test -race -run TestPeer ./internal/gateway green.

--- a/internal/gateway/confirmed_ends_test.go
+++ b/internal/gateway/confirmed_ends_test.go
@@ -167,3 +167,13 @@
 		t.Error("its end is not confirmed although another pool is reached")
 	}
 }
+
+// Guards against a peer that doesn't pass on that another start answers, as its own paths are in doubt.
+func TestPeerKnowsThatAnotherStartAnswers(t *testing.T) {
+	b := newHarness(t)
+	b.setPresence(port.PresenceReplaced)
+	b.losePool("plain")
+	if reached, known := b.CheckEndpoint("s0", 1); reached || !known {
+		t.Errorf("reached %v, known %v", reached, known)
+	}
+}
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -249,6 +249,8 @@
 	switch g.checkPath(e.Endpoint) {
 	case port.PresenceServing:
 		return true, true
+	case port.PresenceReplaced:
+		return false, true
 	case port.PresenceUnknown:
 		return false, false
 	}
