--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -132,26 +133,59 @@
 )
 
 // reachesOthers reports whether this daemon has a path to other endpoints of the pool of
-// one that failed, so that the failure is that endpoint's. The only endpoint of a pool
-// counts as failed.
+// one that failed, so that the failure is that endpoint's. For the only endpoint of a pool
+// another pool counts.
 func (g *Gateway) reachesOthers(failed port.Endpoint) bool {
-	if g.paths.IsSuspect(failed.Pool) {
-		return false
-	}
+	return !g.paths.IsSuspect(failed.Pool) && g.reachesAnother(failed)
+}
+
+// reachesAnother reports whether another endpoint of the pool of one that failed answers
+// now; if there is none that can be asked, whether one of another pool does.
+func (g *Gateway) reachesAnother(failed port.Endpoint) bool {
 	if g.paths.OtherReachedSince(failed.Pool, failed.ID, g.Clock().Add(-recentReach)) {
 		return true
 	}
-	others := slices.DeleteFunc(g.endpointTable.usableIDs(failed.Pool), func(id string) bool { return id == failed.ID })
+	others := slices.DeleteFunc(g.askableIDs(failed.Pool), func(id string) bool { return id == failed.ID })
 	if len(others) == 0 {
-		return true
+		return g.reachesOtherPool(failed.Pool)
 	}
-	shuffle(others)
-	others = others[:min(otherChecks, len(others))]
-	serving := make(chan bool, len(others))
-	for _, id := range others {
+	return g.reachesAnyOf(others)
+}
+
+// reachesOtherPool reports whether an endpoint of another pool answers this daemon now.
+func (g *Gateway) reachesOtherPool(pool string) bool {
+	index := g.index.Load()
+	if index == nil {
+		return false
+	}
+	var others []string
+	for _, other := range index.Pools() {
+		if other.Name != pool {
+			others = append(others, g.askableIDs(other.Name)...)
+		}
+	}
+	return g.reachesAnyOf(slices.DeleteFunc(others, g.paths.IsLost))
+}
+
+// askableIDs returns the endpoints of a pool that may be checked.
+func (g *Gateway) askableIDs(pool string) []string {
+	return slices.DeleteFunc(g.endpointTable.usableIDs(pool), func(id string) bool {
+		e, found := g.endpointTable.get(id)
+		return !found || g.IsPaused(e.Endpoint)
+	})
+}
+
+// reachesAnyOf checks the paths to some of the given endpoints, at first to those that
+// haven't failed, and reports whether one of them answers.
+func (g *Gateway) reachesAnyOf(ids []string) bool {
+	shuffle(ids)
+	slices.SortStableFunc(ids, func(a, b string) int { return cmp.Compare(g.failedChecks(a), g.failedChecks(b)) })
+	ids = ids[:min(otherChecks, len(ids))]
+	serving := make(chan bool, len(ids))
+	for _, id := range ids {
 		go func() { serving <- g.checkOther(id) }()
 	}
-	for range others {
+	for range ids {
 		if <-serving {
 			return true
 		}
@@ -159,6 +193,35 @@
 	return false
 }
 
+// failedChecks returns 1 if checks of an endpoint have failed and none has succeeded since,
+// or if it ended a moment ago, and 0 otherwise.
+func (g *Gateway) failedChecks(id string) int {
+	if e, found := g.endpointTable.get(id); !found || g.paths.IsLost(id) || g.crashWatch.IsDown(e.Endpoint) {
+		return 1
+	}
+	return 0
+}
+
+// failsAlone reports whether an endpoint that has just been found out of reach stays so
+// while another of its pool answers, both before and after a further check of it, or has
+// done so. Paths that are cut or found together change within recentReach.
+func (g *Gateway) failsAlone(e port.Endpoint) bool {
+	if g.paths.FailsAlone(e.ID) {
+		return true
+	}
+	if !g.reachesAnother(e) {
+		return false
+	}
+	time.Sleep(recentReach)
+	switch g.checkPath(e) {
+	case port.PresenceReplaced:
+		return true
+	case port.PresenceGone, port.PresenceSilent:
+		return g.reachesAnother(e)
+	}
+	return false
+}
+
 // checkOther checks the path to an endpoint. Concurrent calls for one share a check.
 func (g *Gateway) checkOther(id string) bool {
 	result, _, _ := g.otherCheckCalls.Do(id, func() (any, error) {
@@ -174,7 +237,7 @@
 
 // CheckEndpoint checks for another daemon whether this one reaches an endpoint. known is
 // false if it doesn't know that incarnation yet, if the endpoint has asked this host for a
-// pause or doesn't answer in time, or if its own paths are in doubt.
+// pause or doesn't answer in time, or if it doesn't answer while others aren't reached either.
 func (g *Gateway) CheckEndpoint(id string, incarnation uint64) (reached, known bool) {
 	e, found := g.endpointTable.get(id)
 	if found && e.Incarnation > incarnation {
@@ -186,8 +249,11 @@
 	switch g.checkPath(e.Endpoint) {
 	case port.PresenceServing:
 		return true, true
+	case port.PresenceReplaced:
+		return false, true
 	case port.PresenceUnknown, port.PresenceUnreached:
 		return false, false
 	}
-	return false, !g.paths.IsSuspect(e.Pool)
+	settled := g.Clock().Sub(g.paths.RestoredAt(e.Pool)) >= pathSettleTime
+	return false, settled && g.failsAlone(e.Endpoint)
 }
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net/http"
 	"slices"
 	"testing"
@@ -251,3 +252,6 @@
 		}
 	}
 }
+
+// daemons returns the peers.
+func (n *relayNet) daemons() []*harness { return slices.Collect(maps.Values(n.peers)) }
