--- a/internal/gateway/stops.go
+++ b/internal/gateway/stops.go
@@ -162,7 +162,7 @@
 	case !x.ledger.InProgress():
 		return nil, true
 	case x.engine == nil || !x.engine.CopiesOnRequest:
-		// Its endpoint can't be told to stop it.
+		// No call can stop it at its endpoint.
 		x.ledger.Stopped()
 		return nil, !x.ledger.InProgress()
 	case !r.unconfirmed && (r.ranAt.ID != r.run.currentEndpoint().ID || !r.run.isOver()):
