--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -173,16 +173,6 @@
 // take for a statement that the request did not run.
 var errUnstatedAtPeer = merry.Sentinel("relay: the endpoint's status implies that it didn't run the request, without stating it")
 
-// impliesNotRun reports whether callers take a status for a statement that the request did
-// not run.
-func impliesNotRun(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return true
-	}
-	return false
-}
-
 // fateOfRelay returns the fate of an attempt that was left to a peer.
 func fateOfRelay(result *RelayResult, err error) stream.RunOutcome {
 	switch {
@@ -220,7 +210,7 @@
 type relayResponder struct{ x *exchange }
 
 func (r relayResponder) Begin(status int, header http.Header, length int64) error {
-	if impliesNotRun(status) && !r.x.ledger.Idempotent {
+	if port.StatusImpliesNotRun(status) && !r.x.ledger.Idempotent {
 		// A peer ends a request that was refused without an answer.
 		return errUnstatedAtPeer
 	}
--- a/internal/port/exchange.go
+++ b/internal/port/exchange.go
@@ -127,6 +127,16 @@
 	Closing bool
 }
 
+// StatusImpliesNotRun reports whether callers take a status for a statement that their request
+// did not run and never will.
+func StatusImpliesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // EndpointCall is the kind of a call to an endpoint.
 type EndpointCall string
 
