gateway: an endpoint whose address was taken is used again once it answers there

A daemon that got a 421 for an endpoint, as another one answered at its address for a while, sent it nothing until it started again: the 421 was recorded like an announced leaving, which is final for a start. Callers lost that endpoint's capacity at this daemon, and with all of a pool displaced each request was refused.

Change: such an endpoint is displaced, a state of its own. It is checked each second, on a new connection that names it, and is used again once it answers itself. What it or the registry announced stands beside it and isn't touched, so that an endpoint that leaves gets no new work. The scheduler never takes a departure back at the same revision, so that a displaced runner is excluded from this daemon's placements instead of being reported as leaving. A later start ends the state at once.

TestDisplacedEndpointThatLeavesIsNotUsedAgain guards the drains; TestLaterStartOfDisplacedEndpointIsUsed failed while a later start didn't end the state.

--- a/internal/gateway/beliefs_test.go
+++ b/internal/gateway/beliefs_test.go
@@ -40,6 +40,8 @@
 	conditionGone
 	// conditionRefusing: the network refuses connections in its place.
 	conditionRefusing
+	// conditionTaken: another endpoint answers at its address.
+	conditionTaken
 )
 
 // incident is a disruption of some endpoints.
@@ -63,11 +65,12 @@
 	incidentReset   = "connections break"
 	// incidentEnd: at first nobody reaches the endpoint, then others find that nothing
 	// listens there.
-	incidentEnd = "end that is presumed and then confirmed"
+	incidentEnd  = "end that is presumed and then confirmed"
+	incidentTake = "another endpoint answers at the address"
 )
 
 var incidentKinds = []string{
-	incidentLapse, incidentCut, incidentCutAll, incidentSilence, incidentCrash, incidentReplace, incidentReset, incidentEnd,
+	incidentLapse, incidentCut, incidentCutAll, incidentSilence, incidentCrash, incidentReplace, incidentReset, incidentEnd, incidentTake,
 }
 
 func drawIncidents(t *rapid.T) []incident {
@@ -208,6 +211,9 @@
 		w.ObservePath(e, port.PathConnected, nil)
 		<-ctx.Done()
 		return nil, merry.Wrap(port.ErrEndpointLost, merry.WithCause(ctx.Err()))
+	case conditionTaken:
+		w.ObservePath(e, port.PathAnswered, nil)
+		return nil, port.ErrMisdirected
 	case conditionSound:
 	default:
 		w.ObservePath(e, port.PathConnectFailed, errReset)
@@ -231,6 +237,9 @@
 	case conditionGone, conditionRefusing:
 		w.ObservePath(e, port.PathConnectFailed, errReset)
 		return port.PresenceGone
+	case conditionTaken:
+		w.ObservePath(e, port.PathReached, nil)
+		return port.PresenceReplaced
 	case conditionSound:
 	default:
 		<-ctx.Done()
@@ -290,6 +299,8 @@
 		lapse = true
 	case incidentSilence:
 		w.set(ids, conditionSilent)
+	case incidentTake:
+		w.set(ids, conditionTaken)
 	case incidentReset:
 		w.set(ids, conditionSound)
 	case incidentCrash, incidentReplace:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -150,6 +150,7 @@
 	balancer      *balance.Balancer
 	metrics       *instruments
 	seenLeaving   membership.Departures
+	displaced     displacedEndpoints
 	formerStarts  formerStarts
 	trials        trials
 	runs          runs
@@ -265,6 +266,7 @@
 			g.Scheduler.Tick(g.Clock())
 			g.crashWatch.Tick()
 			g.checkPaths()
+			g.checkDisplaced()
 		}
 	}
 }
