--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -150,6 +150,7 @@
 	balancer      *balance.Balancer
 	metrics       *instruments
 	seenLeaving   membership.Departures
+	displaced     displacedEndpoints
 	formerStarts  formerStarts
 	restartChecks restartChecks
 	trials        trials
@@ -266,6 +267,7 @@
 			g.Scheduler.Tick(g.Clock())
 			g.crashWatch.Tick()
 			g.checkPaths()
+			g.checkDisplaced()
 		}
 	}
 }
