Revert "gateway: an endpoint whose address was taken is used again once it answers there"

Cause: a daemon that got a 421 no longer told the others and the coordinator. In a deployment of 91 daemons each would find a taken address by a refused request of its own, for as long as the former entry is listed (up to 3.6 s), and the coordinator goes on placing there, as an endpoint without load looks emptiest; these arrivals count against the budget of retries. On the users' platform the owner of an address doesn't come back without another start, so that the state that it ends doesn't last there. What was ruled out: nothing was measured on a large deployment; the argument is by reading. Measured: go test -race -count=1 -run 'Belief|Displac|Misdirect|Leav' ./internal/gateway: ok.

--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -92,7 +92,6 @@
 		}
 		if existed && before.Incarnation < e.Incarnation {
 			g.recordRestart(before.Endpoint)
-			g.displaced.forget(e.ID)
 		}
 		g.recordEndpointChange(before, existed, &e)
 		g.recordLimitChange(before.RateLimit, &e)
@@ -132,18 +131,16 @@
 		g.endpointTable.remove(id)
 		g.forgetCounters(id)
 		g.seenLeaving.Forget(id)
-		g.displaced.forget(id)
 	}
 }
 
 // withLocalState adds to endpoints of the view what this daemon observed itself
 // and what the operators configured: departures, cache sizes, coldness and
-// evacuations. A scheduler never takes a departure back, so a displaced runner is
-// only excluded from this daemon's placements.
+// evacuations.
 func (g *Gateway) withLocalState(now time.Time, changed []port.Endpoint) []port.Endpoint {
 	out := make([]port.Endpoint, 0, len(changed))
 	for _, e := range changed {
-		if (g.seenLeaving.Has(e) || e.Kind != port.KindRunner && g.displaced.has(e)) && e.State == port.EndpointLive {
+		if g.seenLeaving.Has(e) && e.State == port.EndpointLive {
 			e.State = port.EndpointLeaving
 		}
 		if e.Kind == port.KindRunner {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -223,7 +223,7 @@
 	case errors.Is(err, port.ErrMisdirected):
 		kind, name = port.FinishNotStarted, "misdirected"
 		x.reachedEndpoint = true
-		x.g.markDisplaced(p.endpoint)
+		x.g.markLeaving(p.endpoint, "another endpoint answers at its address")
 	case errors.Is(err, port.ErrRefused):
 		kind, name = port.FinishNotStarted, "refused"
 		x.reachedEndpoint = true
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -131,7 +131,7 @@
 // hasAnnouncedLeaving reports whether an endpoint that is as described has announced its
 // leaving, to this daemon or to the registry.
 func (g *Gateway) hasAnnouncedLeaving(e *port.Endpoint) bool {
-	return e.State != port.EndpointLive && !e.Dropped || g.isDeparted(*e)
+	return e.State != port.EndpointLive && !e.Dropped || g.seenLeaving.Has(*e)
 }
 
 // isDropped reports whether the registry has dropped an endpoint that had not announced
--- a/internal/gateway/eligibility.go
+++ b/internal/gateway/eligibility.go
@@ -31,7 +31,7 @@
 	switch {
 	case g.isEvacuated(e):
 		return ineligibleEvacuated
-	case g.isDeparted(e), g.endpointTable.hasLeft(e):
+	case g.seenLeaving.Has(e), g.endpointTable.hasLeft(e):
 		return ineligibleLeaving
 	case g.IsPaused(e):
 		return ineligiblePaused
@@ -107,14 +107,14 @@
 // excluded returns the ids of the endpoints at which the request must not be
 // placed. They include the paused ones, because an endpoint asks each host for a
 // pause of its own and the coordinator may run on another host, and those to which
-// only this daemon may have lost its path, or whose address it found taken. After a placement
+// only this daemon may have lost its path. After a placement
 // at an ineligible endpoint they include all ineligible ones of the pool, because the
 // coordinator does not know of them yet.
 func (x *exchange) excluded() []string {
 	if x.placedAtIneligible {
 		return slices.Concat(x.tried, x.g.ineligibleIDs(x.pool))
 	}
-	return slices.Concat(x.tried, x.g.pauses.Active(x.g.Clock()), x.g.paths.LostIn(x.pool), x.g.displaced.ids())
+	return slices.Concat(x.tried, x.g.pauses.Active(x.g.Clock()), x.g.paths.LostIn(x.pool))
 }
 
 // refuseIneligible returns the refusal of a request that was placed at
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -150,7 +150,6 @@
 	balancer      *balance.Balancer
 	metrics       *instruments
 	seenLeaving   membership.Departures
-	displaced     displacedEndpoints
 	formerStarts  formerStarts
 	restartChecks restartChecks
 	trials        trials
@@ -267,7 +266,6 @@
 			g.Scheduler.Tick(g.Clock())
 			g.crashWatch.Tick()
 			g.checkPaths()
-			g.checkDisplaced()
 		}
 	}
 }
--- a/internal/gateway/restarts.go
+++ b/internal/gateway/restarts.go
@@ -19,7 +19,7 @@
 const restartCheckTimeout = time.Second
 
 // hasNotice reports whether a notice of the endpoint's incarnation is in force here.
-func (g *Gateway) hasNotice(e port.Endpoint) bool { return g.isDeparted(e) || g.IsPaused(e) }
+func (g *Gateway) hasNotice(e port.Endpoint) bool { return g.seenLeaving.Has(e) || g.IsPaused(e) }
 
 // isRestart reports whether a description of an endpoint names a later incarnation than
 // this daemon has received.
