--- a/internal/tools/soak/main.go
+++ b/internal/tools/soak/main.go
@@ -50,8 +50,9 @@
 	Verbose bool          `long:"verbose" description:"print each action"`
 }
 
-// errViolations means that at least one seed violated a guarantee.
-var errViolations = errors.New("guarantees were violated")
+// errViolations means that at least one seed violated a guarantee, or had nothing on which one
+// that its faults are for could be judged.
+var errViolations = errors.New("guarantees were violated or not judged")
 
 func main() {
 	var o options
