gateway: a resumable stream goes on if connections to its runner only break

What callers would see since resumable streams wait for a stop: a stream that ends with its killed runner where something before it accepts connections and resets them, as the proxies of our fleets do. Cause: the call to stop the run was lost, not refused, so that the stop stayed unconfirmed; nothing asked whether the runner is reached at all. The new case of TestResumableStreamIsContinuedAfterStop failed before. Change: after calls that don't confirm the stop, two health checks in a row without any response show that the runner isn't reached. One that answers them and loses the calls stays unconfirmed, as does one whose stream brought a wrong event.

--- a/internal/gateway/stops.go
+++ b/internal/gateway/stops.go
@@ -169,7 +169,7 @@
 		ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 		defer cancel()
 		s := x.stopRun(ctx, r.ranAt, to)
-		r.unconfirmed = !s.showsEnd(streamErr)
+		r.unconfirmed = !s.showsEnd(streamErr) && (errors.Is(streamErr, errNotNextEvent) || !x.isSilent(ctx, r.ranAt))
 		c = r.copyOf(&s, to, streamErr)
 	}
 	if r.unconfirmed {
@@ -179,6 +179,24 @@
 	return c, !x.ledger.InProgress()
 }
 
+// isSilent reports whether an endpoint isn't reached, also through something that accepts its
+// connections and breaks them, as a proxy before a process that has ended does.
+func (x *exchange) isSilent(ctx context.Context, e port.Endpoint) bool {
+	for range minUnreached {
+		limited, cancel := context.WithTimeout(ctx, pathCheckTimeout)
+		presence := x.g.Endpoints.CheckPresence(limited, e, x.g.healthPath(e.Pool))
+		cancel()
+		switch presence {
+		case port.PresenceSilent, port.PresenceUnreached, port.PresenceGone:
+		case port.PresenceReplaced:
+			return true
+		default:
+			return false
+		}
+	}
+	return true
+}
+
 // copyOf returns the copy of a stopped run at an endpoint, and releases one that can't be used:
 // the endpoint has none, or the run isn't that of the caller's stream.
 func (r *relay) copyOf(s *stopResult, at port.Endpoint, streamErr error) *runCopy {
--- a/internal/gateway/stops_test.go
+++ b/internal/gateway/stops_test.go
@@ -136,6 +136,7 @@
 		"its endpoint has ended":       {err: port.ErrNotSent, presence: port.PresenceGone, continues: "event 3"},
 		"its endpoint has restarted":   {err: port.ErrNotSent, presence: port.PresenceReplaced, continues: "event 3"},
 		"its endpoint isn't reached":   {err: port.ErrNotSent, presence: port.PresenceUnreached, continues: "event 3"},
+		"connections to it break":      {err: port.ErrEndpointLost, presence: port.PresenceSilent, continues: "event 3"},
 		"the stop is lost":             {err: port.ErrEndpointLost},
 		"the stop is answered foreign": {err: port.ErrForeignAnswer},
 		"the stop isn't sent":          {err: port.ErrNotSent, presence: port.PresenceServing},
