--- a/cmd/dragonfly-standin/serve.go
+++ b/cmd/dragonfly-standin/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	stdlog "log"
 	"net"
 	"net/http"
 	"os"
@@ -55,6 +56,9 @@
 	server := httpserver.New(h)
 	server.ConnContext = extra.connContext
 	logger := jsonlog.New(os.Stdout, name+"-"+kind, c.ID, "info")
+	// net/http reports unsolicited responses to the standard logger.
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(logger.Std("", 0).Writer())
 	logger.Info().Str("event", "ready").Str("address", c.Listen).
 		Str("failure_domain", c.FailureDomain).Int64("unix_ms", time.Now().UnixMilli()).Msg("")
 	if extra.prepare != nil {
--- a/internal/core/reachability/tracker.go
+++ b/internal/core/reachability/tracker.go
@@ -31,6 +31,9 @@
 	// restoreSpan that within which those of a whole pool come back.
 	aloneSpacing = 50 * time.Millisecond
 	restoreSpan  = 600 * time.Millisecond
+	// maxFailureGap is the time between two failures from which on they aren't taken for those
+	// of one loss. While the end of an endpoint is looked for, it is probed each 250 ms.
+	maxFailureGap = time.Second
 	// maxChecks bounds the checks that one call of DueChecks returns.
 	maxChecks = 16
 )
@@ -45,6 +48,9 @@
 	// had answered in the time of the loss, and failsAlone is set by one aloneSpacing later.
 	aloneSince time.Time
 	failsAlone bool
+	// failedAt is the time of the last failure, and failingSince that of the first one that
+	// counts for aloneSince.
+	failedAt, failingSince time.Time
 	// reachedAt is when the endpoint last answered on a new connection, and
 	// connectedAt when a connection to it was last established.
 	reachedAt, connectedAt time.Time
@@ -133,7 +139,7 @@
 	if !p.lostSince.IsZero() {
 		changes = append(changes, Change{Endpoint: id, Pool: p.pool, Evidence: port.PathReached, For: now.Sub(p.lostSince)})
 	}
-	p.lostSince, p.aloneSince, p.failsAlone = time.Time{}, time.Time{}, false
+	p.lostSince, p.failedAt, p.aloneSince, p.failsAlone = time.Time{}, time.Time{}, time.Time{}, false
 	delete(t.lostPaths, id)
 	o.suspectSince, o.lostSince = time.Time{}, time.Time{}
 	return changes
@@ -175,8 +181,12 @@
 // pool have answered since. After a loss of the whole pool its paths may come back one after
 // the other.
 func (t *Tracker) compareWithOthers(now time.Time, id string, p *path, o *pool) {
+	if now.Sub(p.failedAt) > maxFailureGap {
+		p.failingSince, p.aloneSince, p.failsAlone = now, time.Time{}, false
+	}
+	p.failedAt = now
 	switch {
-	case p.aloneSince.IsZero() && now.Sub(o.restoredAt) >= restoreSpan && t.otherReachedSince(p.pool, id, p.lostSince.Add(aloneSpacing)):
+	case p.aloneSince.IsZero() && now.Sub(o.restoredAt) >= restoreSpan && t.otherReachedSince(p.pool, id, p.failingSince.Add(aloneSpacing)):
 		p.aloneSince = now
 	case !p.aloneSince.IsZero() && now.Sub(p.aloneSince) >= aloneSpacing:
 		p.failsAlone = true
--- a/internal/core/reachability/tracker_test.go
+++ b/internal/core/reachability/tracker_test.go
@@ -237,6 +237,7 @@
 		"the others are cut a moment later":           {[]event{{0, "a", down}, {20, "b", up}, {30, "b", down}, {30, "c", down}, {300, "a", down}, {600, "a", down}}, false},
 		"the others come back a moment earlier":       {[]event{{0, "a", down}, {0, "b", down}, {300, "b", up}, {310, "a", down}, {340, "a", down}}, false},
 		"all were lost, and come back one by one":     {[]event{{0, "a", down}, {0, "b", down}, {0, "c", down}, {2000, "b", up}, {2100, "a", down}, {2500, "a", down}}, false},
+		"it fails again long after, as all are cut":   {[]event{{0, "a", down}, {100, "b", up}, {300, "a", down}, {600, "a", down}, {3600, "a", down}, {3600, "b", down}, {3600, "c", down}, {3700, "a", down}, {3900, "a", down}}, false},
 		"it answers again":                            {[]event{{0, "a", down}, {100, "b", up}, {300, "a", down}, {600, "a", down}, {700, "a", up}, {800, "a", down}}, false},
 	} {
 		tr := NewTracker(func(string) []string { return []string{"a", "b", "c"} })
--- a/internal/gateway/continue.go
+++ b/internal/gateway/continue.go
@@ -66,7 +66,7 @@
 // nil. ctx is the context of the request.
 func (r *relay) continueElsewhere(ctx context.Context, a *port.Answer, streamErr error) *port.Answer {
 	x := r.x
-	if errors.Is(streamErr, io.EOF) || !x.responseStarted || !x.isResumable() {
+	if errors.Is(streamErr, io.EOF) || !x.responseStarted || !x.ledger.Resumable {
 		return nil
 	}
 	lastID, _ := r.place.LastID()
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -50,7 +50,8 @@
 	Attempts   int
 	MayHaveRun int
 	Tried      []string
-	// Repeatable is set if the request may run twice by the sender's routes.
+	// Repeatable is set if the request may run twice by the sender's routes, whole or from
+	// the caller's last event on.
 	Repeatable bool
 	// BodyBytes is the announced size of the body.
 	BodyBytes uint64
@@ -161,7 +162,7 @@
 	defer cancel()
 	result, err = x.g.Relayer.Relay(relayCtx, peer, &RelayedRequest{
 		Request: *x.req, From: x.g.options().ID, Attempts: x.attempts, MayHaveRun: x.mayHaveRun, Tried: x.tried,
-		Repeatable: x.ledger.Idempotent,
+		Repeatable: x.ledger.Idempotent || x.ledger.Resumable,
 	}, relayResponder{x})
 	if errors.Is(err, errUnstatedAtPeer) {
 		return nil, merry.Wrap(ErrRelayLost, merry.WithCause(errUnstatedAtPeer))
@@ -312,6 +313,7 @@
 	x.relayedFrom = r.From
 	// The routes here may be newer.
 	x.ledger.Idempotent = x.ledger.Idempotent && r.Repeatable
+	x.ledger.Resumable = x.ledger.Resumable && r.Repeatable
 	x.attempts, x.mayHaveRun, x.tried = r.Attempts, r.MayHaveRun, slices.Clone(r.Tried)
 	x.reachedEndpoint = r.MayHaveRun > 0
 	x.record(verdictRelay, "passed on by "+r.From, "", nil)
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -233,6 +233,24 @@
 	}
 }
 
+// A peer's newer routes let a stream be resumed that must not be by the sender's, and it runs twice.
+func TestPeerWithNewerRoutesDoesNotResumeTheSendersStream(t *testing.T) {
+	b, net := newRelayHarness(t, 1)
+	peer := net.peers["peer0"]
+	newer := testTable(2)
+	for i := range newer.Routes {
+		newer.Routes[i].Streams, newer.Routes[i].Resumable, newer.Routes[i].MaxAttempts = true, true, 2
+	}
+	peer.view.records = []port.Record{recordOf(newer)}
+	peer.apply()
+	peer.setHandlers("s", sequence(cutStream(events(1, 3)), wholeStream(events(4, 6))))
+	got := &fakeCaller{}
+	refusal := b.send(t, "/once/", got)
+	if runs := peer.backends.arrivals(); len(runs) != 1 {
+		t.Errorf("runs at %v, want one; %+v after %q", runs, refusal, got.text())
+	}
+}
+
 // A peer, for example of an earlier build, passes on a status that implies "not run" with an answer of its runner.
 func TestRelayedAnswerWithStatusOfRefusalMayHaveRun(t *testing.T) {
 	for _, status := range []int{408, 421, 429, 503} {
--- a/internal/gateway/stops.go
+++ b/internal/gateway/stops.go
@@ -26,7 +26,10 @@
 	// confirmTimeout bounds the calls to stop a run whose stream has broken off. A caller
 	// that waits for longer would take its stream for lost. It has room for a call whose
 	// connect fails after half a second, and for the checks that follow.
-	confirmTimeout = 1200 * time.Millisecond
+	confirmTimeout = 2 * time.Second
+	// reachCheckTimeout bounds a check of whether a runner is reached. It is longer than the
+	// default limit of a connect, which tells a connect without an answer from a busy runner.
+	reachCheckTimeout = 600 * time.Millisecond
 )
 
 // stopResult is the result of the calls to stop a run.
@@ -109,7 +112,7 @@
 // runner that answers them and not for its load report is reached.
 func (x *exchange) stopStateByCheck(ctx context.Context, from port.Endpoint) continuity.StopState {
 	for range minUnreached {
-		limited, cancel := context.WithTimeout(ctx, pathCheckTimeout)
+		limited, cancel := context.WithTimeout(ctx, reachCheckTimeout)
 		presence := x.g.Endpoints.CheckPresence(limited, from, x.g.healthPath(from.Pool))
 		cancel()
 		switch {
@@ -183,7 +186,7 @@
 // connections and breaks them, as a proxy before a process that has ended does.
 func (x *exchange) isSilent(ctx context.Context, e port.Endpoint) bool {
 	for range minUnreached {
-		limited, cancel := context.WithTimeout(ctx, pathCheckTimeout)
+		limited, cancel := context.WithTimeout(ctx, reachCheckTimeout)
 		presence := x.g.Endpoints.CheckPresence(limited, e, x.g.healthPath(e.Pool))
 		cancel()
 		switch presence {
