--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -173,6 +173,24 @@
 	}
 }
 
+// Guards against a request that goes on to the last endpoint of a pool whose others it has ended, as none answers beside it any more.
+func TestRequestThatCrashesAllEndpointsIsQuarantined(t *testing.T) {
+	b := newHarness(t)
+	b.setHandlers("s", failure(port.ErrEndpointLost))
+	b.setPresence(port.PresenceGone)
+	eventually.True(t, "the request is quarantined", func() bool {
+		refusal := b.send(t, "/once/fatal", &fakeCaller{})
+		return refusal != nil && refusal.Cause == CauseQuarantined
+	})
+	arrivals := len(b.backends.arrivals())
+	if refusal := b.send(t, "/once/fatal", &fakeCaller{}); refusal == nil || refusal.Cause != CauseQuarantined {
+		t.Fatalf("%+v", refusal)
+	}
+	if len(b.backends.arrivals()) != arrivals {
+		t.Fatal("the quarantined request was sent again")
+	}
+}
+
 // Guards against quarantining requests whose connections break at endpoints
 // that continue to serve.
 func TestBrokenConnectionIsNotACrash(t *testing.T) {
