httpstrict: a body without a length is whole only once its request was received

What callers saw: a runner answered a long upload at once with a 200 without a length, sent part of its body and closed the connection, which resets it, as the upload isn't read. The caller got the part as a whole 200 (MIXED). Cause: an end of file was taken for the end of the body. It isn't, in two cases. Linux reports a reset once: if a write that is under way gets it, the next read sees an end of file. And a runner that has read what had arrived so far closes its connection in order; the reset follows only when more of the upload arrives, while the transport ends the write at the end of file. Change: at the end of input of a body without a length the connection waits until the request has been written, and its bytes have been acknowledged; if writing it fails or the connection is reset, the body isn't whole. A package below all clients of HTTP responses, so that runners, engines, services, orders, both stores, probes, operators and callers get it. Bodies with a length or chunks are untouched. Why it works: the host of a runner that closes a connection with unread bytes resets it instead of ending it in order. So an orderly end after the whole request was acknowledged comes from a runner that has read it, or has shut down its sending side on purpose. TestUnframedBodyIsWholeOnceItsRequestIsReceived: a runner that answers first, ends its side and reads on gets its answer delivered. Price: a whole answer without a length whose runner never reads the upload is no longer delivered.

--- a/internal/adapter/httpanswer/httpanswer.go
+++ b/internal/adapter/httpanswer/httpanswer.go
@@ -13,6 +13,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/dragonflyrail/dragonflyrail/internal/adapter/httpstrict"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/reply"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
@@ -54,7 +55,7 @@
 // NewClient returns a client that connects with the dialer.
 func NewClient(dialer *net.Dialer) *Client {
 	return &Client{client: &http.Client{
-		Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true},
+		Transport: httpstrict.NewTransport(&http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}),
 		// Following a redirect would send a write a second time.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
--- a/internal/adapter/httpprobe/probe.go
+++ b/internal/adapter/httpprobe/probe.go
@@ -10,6 +10,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/dragonflyrail/dragonflyrail/internal/adapter/httpstrict"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
 
@@ -28,7 +29,7 @@
 // probe.
 func New() *Client {
 	return &Client{http: &http.Client{
-		Transport:     &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout},
+		Transport:     httpstrict.NewTransport(&http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
 }
--- a/internal/adapter/oncehttp/conn.go
+++ b/internal/adapter/oncehttp/conn.go
@@ -1,7 +1,6 @@
 package oncehttp
 
 import (
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -10,6 +9,8 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+
+	"github.com/dragonflyrail/dragonflyrail/internal/adapter/httpstrict"
 )
 
 const (
@@ -41,7 +42,7 @@
 // countedConn counts the bytes passed to the kernel, and closes itself if it is unused for
 // too long. The fields without a lock of their own are guarded by pool.mu.
 type countedConn struct {
-	net.Conn
+	*httpstrict.Conn
 	written atomic.Int64
 
 	pool    *connections
--- a/internal/adapter/oncehttp/conn_test.go
+++ b/internal/adapter/oncehttp/conn_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/dragonflyrail/dragonflyrail/internal/adapter/httpstrict"
 	"github.com/dragonflyrail/dragonflyrail/internal/testkit/eventually"
 )
 
@@ -126,7 +127,7 @@
 	near, far := net.Pipe()
 	defer far.Close()
 	p := &connections{idle: make(map[string]int)}
-	c := &countedConn{Conn: near, pool: p, address: "a", keepFor: time.Hour}
+	c := &countedConn{Conn: httpstrict.NewConn(near), pool: p, address: "a", keepFor: time.Hour}
 	first, second := &sentTrace{}, &sentTrace{}
 	c.take(first)
 	c.putBack(first)
@@ -149,7 +150,7 @@
 	near, far := net.Pipe()
 	defer far.Close()
 	p := &connections{idle: make(map[string]int)}
-	c := &countedConn{Conn: near, pool: p, address: "a", keepFor: time.Hour}
+	c := &countedConn{Conn: httpstrict.NewConn(near), pool: p, address: "a", keepFor: time.Hour}
 	first, second := &sentTrace{}, &sentTrace{}
 	c.take(first)
 	c.take(second)
--- a/internal/adapter/oncehttp/oncehttp.go
+++ b/internal/adapter/oncehttp/oncehttp.go
@@ -15,6 +15,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/dragonflyrail/dragonflyrail/internal/adapter/httpstrict"
 	"github.com/dragonflyrail/dragonflyrail/internal/adapter/tcpopt"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
@@ -106,7 +107,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &countedConn{Conn: c, pool: &p.conns, address: address, keepFor: keepFor}, nil
+			return &countedConn{Conn: httpstrict.NewConn(c), pool: &p.conns, address: address, keepFor: keepFor}, nil
 		},
 		MaxIdleConnsPerHost:    o.IdleConnections,
 		IdleConnTimeout:        o.IdleTimeout,
@@ -171,12 +172,14 @@
 // before anything was sent.
 func (c *Client) try(p *pool, r *http.Request, body []byte, observe Observer) (resp *http.Response, expired bool, err error) {
 	sent := sentTrace{observe: observe, id: r.Header.Get(c.idHeader)}
-	r = r.WithContext(httptrace.WithClientTrace(r.Context(), sent.clientTrace()))
+	ctx, exchange := httpstrict.Begin(r.Context())
+	r = r.WithContext(httptrace.WithClientTrace(ctx, sent.clientTrace()))
 	r.Body = io.NopCloser(onlyReader{bytes.NewReader(body)})
 	r.GetBody = nil
 	r.ContentLength = int64(len(body))
 	resp, err = p.transport.RoundTrip(r)
 	if err == nil {
+		exchange.Check(resp)
 		c.limitKeepTime(p, &sent, resp.Header)
 		sent.observeAnswer()
 		resp.Body = &responseBody{ReadCloser: resp.Body, sent: &sent}
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -14,6 +14,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/dragonflyrail/dragonflyrail/internal/adapter/httpstrict"
 	"github.com/dragonflyrail/dragonflyrail/internal/adapter/problem"
 )
 
@@ -73,7 +74,7 @@
 	transport.MaxIdleConnsPerHost = 256
 	return &Client{
 		Key: key, Organisation: organisation, Seeds: seeds,
-		HTTP:       &http.Client{Transport: transport},
+		HTTP:       &http.Client{Transport: httpstrict.NewTransport(transport)},
 		MaxResumes: DefaultMaxResumes, ResumePause: DefaultResumePause,
 	}
 }
--- /dev/null
+++ b/internal/ctl/brokenreplies_test.go
@@ -0,0 +1,20 @@
+package ctl
+
+import (
+	"errors"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/dragonflyrail/dragonflyrail/internal/testkit/rawserver"
+)
+
+// Guards against a change that counts as made by a part of a reply whose keeper reset the connection with the change unread.
+func TestPartOfUnframedReplyIsNoReply(t *testing.T) {
+	address := rawserver.Serve(t, rawserver.Part("HTTP/1.1 200 OK\r\n\r\n"))
+	ctl := newClient(&Connection{Keepers: []string{address}, Timeout: 10 * time.Second})
+	got, err := ctl.callKeeper(t.Context(), &request{method: http.MethodPut, path: "/", body: make([]byte, rawserver.UploadBytes)})
+	if !errors.Is(err, ErrUnknown) {
+		t.Errorf("got %+v, %v, want ErrUnknown", got, err)
+	}
+}
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -11,6 +11,8 @@
 	"strings"
 
 	"github.com/ansel1/merry/v2"
+
+	"github.com/dragonflyrail/dragonflyrail/internal/adapter/httpstrict"
 )
 
 // maxReplyBytes bounds the body of a reply.
@@ -74,7 +76,7 @@
 func newClient(c *Connection) *client {
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.DisableKeepAlives = true
-	return &client{conn: c, http: &http.Client{Timeout: c.Timeout, Transport: transport}}
+	return &client{conn: c, http: &http.Client{Timeout: c.Timeout, Transport: httpstrict.NewTransport(transport)}}
 }
 
 // callKeeper sends the request to the keepers in turn until one replies with a
