httpstrict: replies are read to their end

What callers saw: a status, a load report or a cancellation that counted as known from a reply which broke off, so that the next decision on a generation or an endpoint rested on it; in the client library a reply of over 8 MiB that ends there and counts as whole. Cause: the readers of JSON stopped after its first value, before the end of the body could show that its length or its last chunk was missing; others took the place where their limit ended the reading for the end of the body. Evidence: TestReplyThatBreaksOffIsNoReply plays four broken replies to the calls of all HTTP clients but the operators': those of services' and engines' load, engines' status and cancellation, and probes accepted each of them; orders, both stores, runners and callers none. TestReplyThatIsTooLargeIsNoReply: 8,388,608 of 9,437,184 bytes were a reply. Change: one function reads a body to its end, and fails for one that is larger than its limit. A report that breaks off, or can't be read, shows that somebody answers, so that its endpoint isn't silent (TestReportThatBreaksOffShowsNoEnd; silent without that part). Why it works: only the end of a body that net/http reports without an error shows that its framing was whole.

--- a/internal/adapter/httpanswer/httpanswer.go
+++ b/internal/adapter/httpanswer/httpanswer.go
@@ -18,13 +18,8 @@
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
 
-// Errors of responses that can't be read completely.
-var (
-	// ErrStalled is returned if the response doesn't start or continue in time.
-	ErrStalled = merry.Sentinel("http: the answer doesn't come")
-	// ErrTooLarge is returned if the response body exceeds MaxBytes.
-	ErrTooLarge = merry.Sentinel("http: the answer is too large")
-)
+// ErrStalled is returned if the response doesn't start or continue in time.
+var ErrStalled = merry.Sentinel("http: the answer doesn't come")
 
 // maxBodyTime limits a response that keeps arriving but never ends. It suffices
 // for a list of one megabyte over a link of 1 Mbit/s.
@@ -35,7 +30,7 @@
 	// StartTimeout limits the wait for a connection, and then that for the start of the
 	// response, IdleTimeout the wait for each further part of it.
 	StartTimeout, IdleTimeout time.Duration
-	// MaxBytes limits the size of the body.
+	// MaxBytes limits the size of the body; httpstrict.ErrTooLarge is returned for larger ones.
 	MaxBytes int64
 }
 
@@ -99,13 +94,10 @@
 	}
 	defer res.Body.Close()
 	onProgress()
-	body, err := io.ReadAll(io.LimitReader(&progressReader{Reader: res.Body, onProgress: onProgress}, maxBytes+1))
+	body, err := httpstrict.ReadAll(&progressReader{Reader: res.Body, onProgress: onProgress}, maxBytes)
 	if err != nil {
 		return nil, err
 	}
-	if int64(len(body)) > maxBytes {
-		return nil, ErrTooLarge
-	}
 	return &Answer{Status: res.StatusCode, Header: res.Header, Body: body}, nil
 }
 
--- a/internal/adapter/httpengine/httpengine.go
+++ b/internal/adapter/httpengine/httpengine.go
@@ -181,11 +181,7 @@
 	if err := headError(resp, proof); err != nil {
 		return err
 	}
-	err = json.NewDecoder(io.LimitReader(resp.Body, MaxReplyBytes)).Decode(out)
-	if err != nil {
-		return merry.Wrap(port.ErrEndpointLost, merry.WithCause(err))
-	}
-	return nil
+	return oncehttp.DecodeBody(resp, MaxReplyBytes, out)
 }
 
 func send(ctx context.Context, client *oncehttp.Client, ep port.Endpoint, method, path string, header http.Header, body []byte) (*http.Response, error) {
--- a/internal/adapter/httporders/httporders.go
+++ b/internal/adapter/httporders/httporders.go
@@ -5,12 +5,12 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/dragonflyrail/dragonflyrail/internal/adapter/httpstrict"
 	"github.com/dragonflyrail/dragonflyrail/internal/adapter/oncehttp"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/reply"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
@@ -89,7 +89,7 @@
 	if err := oncehttp.CheckHead(res, port.IdentityNone, reply.ByConnection, false); err != nil {
 		return 0, nil, err
 	}
-	raw, err := io.ReadAll(io.LimitReader(res.Body, maxReplyBytes))
+	raw, err := httpstrict.ReadAll(res.Body, maxReplyBytes)
 	if err != nil {
 		return 0, nil, merry.Wrap(port.ErrEndpointLost, merry.WithCause(err))
 	}
--- a/internal/adapter/httpprobe/probe.go
+++ b/internal/adapter/httpprobe/probe.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"time"
 
@@ -49,7 +48,11 @@
 		return port.LoadReport{}, merry.Prependf(ErrNoReport, "status %d", res.StatusCode)
 	}
 	var report port.LoadReport
-	if err := json.NewDecoder(io.LimitReader(res.Body, maxReportBytes)).Decode(&report); err != nil {
+	raw, err := httpstrict.ReadAll(res.Body, maxReportBytes)
+	if err == nil {
+		err = json.Unmarshal(raw, &report)
+	}
+	if err != nil {
 		return port.LoadReport{}, merry.Prepend(ErrNoReport, err.Error())
 	}
 	return report, nil
--- a/internal/adapter/httpservice/httpservice.go
+++ b/internal/adapter/httpservice/httpservice.go
@@ -4,8 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"io"
 	"net/http"
 	"time"
 
@@ -187,8 +185,6 @@
 	if resp.StatusCode != http.StatusOK {
 		return report, merry.Prependf(port.ErrEndpointLost, "status %d", resp.StatusCode)
 	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxReportBytes)).Decode(&report); err != nil {
-		return report, merry.Wrap(port.ErrEndpointLost, merry.WithCause(err))
-	}
-	return report, nil
+	err = oncehttp.DecodeBody(resp, maxReportBytes, &report)
+	return report, err
 }
--- a/internal/adapter/httpservice/httpservice_test.go
+++ b/internal/adapter/httpservice/httpservice_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 	"github.com/dragonflyrail/dragonflyrail/internal/router"
+	"github.com/dragonflyrail/dragonflyrail/internal/testkit/rawserver"
 )
 
 const testTimeout = 20 * time.Second
@@ -98,3 +99,14 @@
 		t.Fatalf("call: got %v", err)
 	}
 }
+
+// Guards against an endpoint that counts as ended because its report broke off.
+func TestReportThatBreaksOffShowsNoEnd(t *testing.T) {
+	for _, response := range rawserver.BrokenOff {
+		c := New(Options{DialTimeout: testTimeout, LoadTimeout: testTimeout})
+		e := port.Endpoint{ID: "s1", Address: rawserver.Serve(t, rawserver.Text(response.With("", `{"endpoint":"s1"}`)))}
+		if got := c.CheckPresence(t.Context(), e); got != port.PresenceUnknown {
+			t.Errorf("%q: %v, want unknown", response, got)
+		}
+	}
+}
--- /dev/null
+++ b/internal/adapter/httpstrict/adapters_test.go
@@ -0,0 +1,156 @@
+package httpstrict_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/dragonflyrail/dragonflyrail/internal/adapter/httpengine"
+	"github.com/dragonflyrail/dragonflyrail/internal/adapter/httporders"
+	"github.com/dragonflyrail/dragonflyrail/internal/adapter/httpplatform"
+	"github.com/dragonflyrail/dragonflyrail/internal/adapter/httpprobe"
+	"github.com/dragonflyrail/dragonflyrail/internal/adapter/httpservice"
+	"github.com/dragonflyrail/dragonflyrail/internal/caller"
+	"github.com/dragonflyrail/dragonflyrail/internal/port"
+	"github.com/dragonflyrail/dragonflyrail/internal/router"
+	"github.com/dragonflyrail/dragonflyrail/internal/testkit/rawserver"
+	"github.com/dragonflyrail/dragonflyrail/platform"
+)
+
+const testTimeout = 10 * time.Second
+
+// httpCall is a call of one of the system's HTTP clients.
+type httpCall struct {
+	name string
+	// body is that of a sound response.
+	body string
+	// readsHeadOnly is set if the call needs no more than the head of a response.
+	readsHeadOnly bool
+	do            func(ctx context.Context, address string) error
+}
+
+var errNotServing = merry.New("not serving")
+
+// httpCalls are calls of all HTTP clients, but for that of the operators' command.
+func httpCalls() []httpCall {
+	services := httpservice.New(httpservice.Options{DialTimeout: testTimeout, LoadTimeout: testTimeout, IdleConnections: 1})
+	engines := httpengine.New(httpengine.Options{DialTimeout: testTimeout, CallTimeout: testTimeout, OpenTimeout: testTimeout, IdleConnections: 1})
+	orders := httporders.New()
+	runners := platform.NewRunnerClient(platform.RunnerClientOptions{DialTimeout: testTimeout, LoadTimeout: testTimeout, IdleConnections: 1})
+	at := func(address string) port.Endpoint {
+		return port.Endpoint{ID: "e", Address: address, Kind: port.KindRunner}
+	}
+	const report, object = `{"endpoint":"e"}`, `{"kind":"k","name":"n","version":1,"value":{}}`
+	return []httpCall{
+		{"service", "reply", false, func(ctx context.Context, address string) error {
+			reply, err := services.Call(ctx, at(address), &router.ServiceRequest{RequestID: "r", Method: http.MethodGet, Path: "/"})
+			if err != nil {
+				return err
+			}
+			defer reply.Rest.Close()
+			_, err = io.ReadAll(reply.Rest)
+			return err
+		}},
+		{"service's load", report, false, func(ctx context.Context, address string) error {
+			_, err := services.Load(ctx, at(address))
+			return err
+		}},
+		{"engine's load", report, false, func(ctx context.Context, address string) error {
+			_, err := engines.Load(ctx, at(address))
+			return err
+		}},
+		{"engine's status", `{"status":"running"}`, false, func(ctx context.Context, address string) error {
+			_, err := engines.Status(ctx, at(address), "g")
+			return err
+		}},
+		{"engine's cancel", `{"status":"running"}`, false, func(ctx context.Context, address string) error {
+			_, err := engines.Cancel(ctx, at(address), "g")
+			return err
+		}},
+		{"engine's stream", "data: {}\n\n", false, func(ctx context.Context, address string) error {
+			stream, err := engines.Resume(ctx, at(address), "g", 0)
+			if err != nil {
+				return err
+			}
+			defer stream.Close()
+			for _, err := range stream.Frames(ctx) {
+				if err != nil {
+					return err
+				}
+			}
+			return nil
+		}},
+		{"order", "", false, func(ctx context.Context, address string) error {
+			return orders.Order(ctx, at(address), port.Order{ID: "o"})
+		}},
+		{"runner's state", report, false, func(ctx context.Context, address string) error {
+			_, err := orders.State(ctx, at(address))
+			return err
+		}},
+		{"probe", report, false, func(ctx context.Context, address string) error {
+			_, err := httpprobe.New().Load(ctx, at(address))
+			return err
+		}},
+		{"object", object, false, func(ctx context.Context, address string) error {
+			_, err := httpplatform.New(httpplatform.Options{BaseURL: "http://" + address}).Get(ctx, "k", "n")
+			return err
+		}},
+		{"write of an object", object, false, func(ctx context.Context, address string) error {
+			_, err := httpplatform.New(httpplatform.Options{BaseURL: "http://" + address}).Put(ctx, "k", "n", 1, []byte("{}"))
+			return err
+		}},
+		{"object of the platform's store", `{"metadata":{"name":"n","revision":1},"spec":{}}`, false, func(ctx context.Context, address string) error {
+			_, err := platform.NewStoreClient(platform.StoreOptions{Address: address, Timeout: testTimeout}).Get(ctx, "k", "n")
+			return err
+		}},
+		{"runner's load", `{}`, false, func(ctx context.Context, address string) error {
+			_, err := runners.Load(ctx, at(address))
+			return err
+		}},
+		{"copy", `{"handle":"h"}`, false, func(ctx context.Context, address string) error {
+			_, err := runners.Copy(ctx, at(address), "r", at(address), false)
+			return err
+		}},
+		{"release of a copy", "", false, func(ctx context.Context, address string) error {
+			return runners.Release(ctx, at(address), "h")
+		}},
+		{"health check", "", true, func(ctx context.Context, address string) error {
+			if presence := runners.CheckPresence(ctx, at(address), "/health"); presence != port.PresenceServing {
+				return errNotServing
+			}
+			return nil
+		}},
+		{"caller", "reply", false, func(ctx context.Context, address string) error {
+			_, err := caller.New("k", "o", nil).RequestState(ctx, address, "r")
+			return err
+		}},
+	}
+}
+
+// expectNoReply plays responses to all calls, which must fail.
+func expectNoReply(t *testing.T, responses []rawserver.Response, needsBody bool) {
+	for _, call := range httpCalls() {
+		if needsBody && call.readsHeadOnly {
+			continue
+		}
+		t.Run(call.name, func(t *testing.T) {
+			t.Parallel()
+			if err := call.do(t.Context(), rawserver.Serve(t, rawserver.Text(rawserver.Sound.With("", call.body)))); err != nil {
+				t.Fatalf("a sound response: %v", err)
+			}
+			for _, response := range responses {
+				text := response.With("", call.body)
+				if err := call.do(t.Context(), rawserver.Serve(t, rawserver.Text(text))); err == nil {
+					t.Errorf("%q is a response", text)
+				}
+			}
+		})
+	}
+}
+
+// Guards against replies that count as whole because what was read of them is a JSON document, although their connection ended before their end.
+func TestReplyThatBreaksOffIsNoReply(t *testing.T) { expectNoReply(t, rawserver.BrokenOff, true) }
--- a/internal/adapter/oncehttp/presence.go
+++ b/internal/adapter/oncehttp/presence.go
@@ -12,7 +12,7 @@
 )
 
 // errInvalidResponse means that what came in response to a request is no whole head of an
-// HTTP response. Somebody answers then, but it isn't known who.
+// HTTP response, or no whole document. Somebody answers then, but it isn't known who.
 var errInvalidResponse = errors.New("oncehttp: not an HTTP response")
 
 // PresenceOf derives an endpoint's presence from the error of a request to it.
--- a/internal/caller/brokenreplies_test.go
+++ b/internal/caller/brokenreplies_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/dragonflyrail/dragonflyrail/internal/caller"
@@ -16,3 +17,11 @@
 		t.Errorf("status %d with %q is a reply", reply.Status, reply.Body)
 	}
 }
+
+// Guards against a reply that counts as whole where its reader stopped, because it is larger than that reads.
+func TestReplyThatIsTooLargeIsNoReply(t *testing.T) {
+	address := rawserver.Serve(t, rawserver.Text(rawserver.Sound.With("", strings.Repeat("x", 9<<20))))
+	if reply, err := caller.New("k", "o", nil).RequestState(t.Context(), address, "r"); err == nil {
+		t.Errorf("%d bytes are a reply", len(reply.Body))
+	}
+}
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -7,7 +7,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/url"
 	"time"
@@ -165,7 +164,7 @@
 }
 
 func readReply(res *http.Response) (*Reply, error) {
-	raw, err := io.ReadAll(io.LimitReader(res.Body, maxReplyBytes))
+	raw, err := httpstrict.ReadAll(res.Body, maxReplyBytes)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -125,7 +124,7 @@
 		return nil, c.transportError(address, r, err)
 	}
 	defer res.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxReplyBytes))
+	body, err := httpstrict.ReadAll(res.Body, maxReplyBytes)
 	if err != nil {
 		return nil, c.transportError(address, r, err)
 	}
--- /dev/null
+++ b/internal/testkit/rawserver/responses.go
@@ -0,0 +1,31 @@
+package rawserver
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// Response is the text of a response, in which HEAD stands for further header fields, BODY for
+// its body, LEN for the length of that, and CHUNKS for the body in chunks, without the last one.
+type Response string
+
+// Sound is a valid response.
+const Sound Response = "HTTP/1.1 200 OK\r\nHEADContent-Length: LEN\r\n\r\nBODY"
+
+// With returns the response with a body and with header fields, each of which ends with CRLF.
+func (r Response) With(head, body string) string {
+	chunks := ""
+	if body != "" {
+		chunks = fmt.Sprintf("%x\r\n%s\r\n", len(body), body)
+	}
+	return strings.NewReplacer("HEAD", head, "BODY", body, "LEN", strconv.Itoa(len(body)), "CHUNKS", chunks).Replace(string(r))
+}
+
+// BrokenOff are responses whose connection ends before their end.
+var BrokenOff = []Response{
+	"HTTP/1.1 200 OK\r\nHEADContent-Length: 9LEN\r\n\r\nBODY",
+	"HTTP/1.1 200 OK\r\nHEADTransfer-Encoding: chunked\r\n\r\nCHUNKS",
+	"HTTP/1.1 200 OK\r\nHEADTransfer-Encoding: chunked\r\n\r\nCHUNKS0\r\n",
+	"HTTP/1.1 200 OK\r\nHEADTransfer-Encoding: chunked\r\n\r\nCHUNKS0\r\nName: x\r\n",
+}
