httpstrict: a response with an invalid field name is no response

What callers saw: a runner in trouble sent a head in which the name of a field held a blank, also right before the colon, also in the head of an interim response. The caller got a 200 without that line; where the line was that of the length or of the transfer coding, the body wasn't the runner's (chunk sizes in it, or more than its length). Cause: net/http keeps a field whose name has a blank under that name, for the sake of old servers, and so doesn't take it for the length or the coding. Its own server then leaves the field out. RFC 9112, section 5.1, allows no blank before the colon, though proxies may drop it; in RFC 9110, section 5.1, a name is a token. A control byte, NUL, DEL, a tab, a byte over 127, an empty name, a line without a colon and a control byte in a value were no answers before; these cases are kept. Change: what is received until net/http returns the response is kept, and the heads in it, those of interim responses included, are read again with net/textproto; a field name that httpguts doesn't call valid makes the response invalid, also one in a trailer. The request counts as one without an answer, and its connection is closed. Why it works: the check sees what the server sent, below all clients, and its grammar is that of the RFC for all names, not only for blanks.

--- a/internal/adapter/httpstrict/adapters_test.go
+++ b/internal/adapter/httpstrict/adapters_test.go
@@ -154,3 +154,9 @@
 
 // Guards against replies that count as whole because what was read of them is a JSON document, although their connection ended before their end.
 func TestReplyThatBreaksOffIsNoReply(t *testing.T) { expectNoReply(t, rawserver.BrokenOff, true) }
+
+// Guards against replies that count although their heads or trailers have fields whose names aren't valid.
+func TestReplyWithInvalidFieldIsNoReply(t *testing.T) {
+	expectNoReply(t, rawserver.InvalidFields, false)
+	expectNoReply(t, rawserver.InvalidTrailers, true)
+}
--- a/internal/adapter/httpstrict/httpstrict.go
+++ b/internal/adapter/httpstrict/httpstrict.go
@@ -42,18 +42,27 @@
 	c.mu.Lock()
 	x := c.current
 	c.mu.Unlock()
-	if x == nil || n > 0 || err != io.EOF || !x.isEndedByConnection() {
-		return n, err
+	switch {
+	case x == nil:
+	case n > 0:
+		x.record(p[:n])
+	case err == io.EOF && x.isEndedByConnection():
+		err = x.confirmEnd(c.Conn)
 	}
-	return 0, x.confirmEnd(c.Conn)
+	return n, err
 }
 
 // Exchange is one request and its response.
 type Exchange struct {
 	mu sync.Mutex
+	// conn is the connection, nil if it isn't a Conn.
+	conn *Conn
 	// wrote is closed once the request has been written, or has failed to be, with writeErr.
 	wrote    chan struct{}
 	writeErr error
+	// received is the beginning of what was received until the response is checked.
+	received []byte
+	checked  bool
 	// endedByConnection is set once the response is known to have a body that ends with its
 	// connection.
 	endedByConnection bool
@@ -71,13 +80,14 @@
 	if !ok {
 		return
 	}
+	conn := c.tracked()
 	x.mu.Lock()
-	if isClosed(x.wrote) {
+	if x.conn != nil && isClosed(x.wrote) {
 		// net/http sends the request over another connection.
 		x.wrote, x.writeErr = make(chan struct{}), nil
 	}
+	x.conn, x.received = conn, nil
 	x.mu.Unlock()
-	conn := c.tracked()
 	conn.mu.Lock()
 	conn.current = x
 	conn.mu.Unlock()
@@ -101,11 +111,43 @@
 	}
 }
 
-// Check must be called with the response before its body is read.
-func (x *Exchange) Check(res *http.Response) {
+// closeConnection closes the connection unless another request uses it.
+func (x *Exchange) closeConnection() {
+	x.mu.Lock()
+	conn := x.conn
+	x.mu.Unlock()
+	if conn == nil {
+		return
+	}
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	if conn.current == x {
+		// The response is dropped, so there is nothing to do about an error.
+		_ = conn.Close()
+	}
+}
+
+// record keeps what was received until the response is checked.
+func (x *Exchange) record(p []byte) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	if !x.checked {
+		x.received = append(x.received, p[:min(len(p), maxHeadBytes-len(x.received))]...)
+	}
+}
+
+// Check must be called with the response before its body is read. It returns ErrInvalid if the
+// response isn't valid; its connection must not be used again then.
+func (x *Exchange) Check(res *http.Response) error {
+	x.mu.Lock()
+	received := x.received
+	x.received, x.checked = nil, true
 	x.endedByConnection = res.ContentLength < 0 && len(res.TransferEncoding) == 0 && res.Body != http.NoBody
+	x.mu.Unlock()
+	if len(res.TransferEncoding) > 0 {
+		res.Body = &checkedBody{ReadCloser: res.Body, res: res}
+	}
+	return checkHeads(received)
 }
 
 func (x *Exchange) isEndedByConnection() bool {
--- a/internal/adapter/httpstrict/transport.go
+++ b/internal/adapter/httpstrict/transport.go
@@ -11,6 +11,9 @@
 
 // NewTransport returns a Transport that sends requests with base, whose connections it wraps.
 func NewTransport(base *http.Transport) *Transport {
+	if base.MaxResponseHeaderBytes == 0 {
+		base.MaxResponseHeaderBytes = maxHeadBytes
+	}
 	dial := base.DialContext
 	if dial == nil {
 		dial = (&net.Dialer{}).DialContext
@@ -32,7 +35,11 @@
 	if err != nil {
 		return nil, err
 	}
-	x.Check(res)
+	if err := x.Check(res); err != nil {
+		x.closeConnection()
+		_ = res.Body.Close()
+		return nil, err
+	}
 	return res, nil
 }
 
--- a/internal/adapter/oncehttp/oncehttp.go
+++ b/internal/adapter/oncehttp/oncehttp.go
@@ -179,7 +179,12 @@
 	r.ContentLength = int64(len(body))
 	resp, err = p.transport.RoundTrip(r)
 	if err == nil {
-		exchange.Check(resp)
+		if err = exchange.Check(resp); err != nil {
+			sent.closeConnection()
+			_ = resp.Body.Close()
+		}
+	}
+	if err == nil {
 		c.limitKeepTime(p, &sent, resp.Header)
 		sent.observeAnswer()
 		resp.Body = &responseBody{ReadCloser: resp.Body, sent: &sent}
@@ -206,9 +211,14 @@
 // has taken it already.
 func CloseConnection(res *http.Response) {
 	if body, ok := res.Body.(*responseBody); ok {
-		if conn := body.sent.conn.Load(); conn != nil {
-			conn.abandon(body.sent)
-		}
+		body.sent.closeConnection()
+	}
+}
+
+// closeConnection closes the connection of a request unless another request uses it.
+func (t *sentTrace) closeConnection() {
+	if conn := t.conn.Load(); conn != nil {
+		conn.abandon(t)
 	}
 }
 
--- a/internal/ctl/brokenreplies_test.go
+++ b/internal/ctl/brokenreplies_test.go
@@ -18,3 +18,14 @@
 		t.Errorf("got %+v, %v, want ErrUnknown", got, err)
 	}
 }
+
+// Guards against a change that counts as made, or as refused, by a reply that isn't valid.
+func TestInvalidReplyIsNoReply(t *testing.T) {
+	for _, response := range append(rawserver.InvalidFields, rawserver.InvalidTrailers...) {
+		address := rawserver.Serve(t, rawserver.Text(response.With("", "{}")))
+		ctl := newClient(&Connection{Keepers: []string{address}, Timeout: 10 * time.Second})
+		if got, err := ctl.callKeeper(t.Context(), &request{method: http.MethodPut, path: "/"}); !errors.Is(err, ErrUnknown) {
+			t.Errorf("%q: got %+v, %v, want ErrUnknown", response, got, err)
+		}
+	}
+}
--- a/internal/testkit/rawserver/responses.go
+++ b/internal/testkit/rawserver/responses.go
@@ -29,3 +29,34 @@
 	"HTTP/1.1 200 OK\r\nHEADTransfer-Encoding: chunked\r\n\r\nCHUNKS0\r\n",
 	"HTTP/1.1 200 OK\r\nHEADTransfer-Encoding: chunked\r\n\r\nCHUNKS0\r\nName: x\r\n",
 }
+
+// InvalidTrailers are responses with invalid fields in their trailers.
+var InvalidTrailers = []Response{
+	"HTTP/1.1 200 OK\r\nHEADTransfer-Encoding: chunked\r\n\r\nCHUNKS0\r\nBad Name: x\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nHEADTransfer-Encoding: chunked\r\n\r\nCHUNKS0\r\nBad\x01Name: x\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nHEADTransfer-Encoding: chunked\r\n\r\nCHUNKS0\r\nName: \x01\r\n\r\n",
+}
+
+// InvalidFields are responses with invalid fields in their heads or in those of interim
+// responses, most of them with names that aren't tokens.
+var InvalidFields = []Response{
+	"HTTP/1.1 200 OK\r\nHEADBad Name: x\r\nContent-Length: LEN\r\n\r\nBODY",
+	"HTTP/1.1 200 OK\r\nHEADName : x\r\nContent-Length: LEN\r\n\r\nBODY",
+	"HTTP/1.1 200 OK\r\nHEADContent-Length : 2\r\n\r\nBODY",
+	"HTTP/1.1 200 OK\r\nHEADTransfer-Encoding : chunked\r\n\r\nCHUNKS0\r\n\r\n",
+	"HTTP/1.1 103 Early Hints\r\nBad Name: x\r\n\r\nHTTP/1.1 200 OK\r\nHEADContent-Length: LEN\r\n\r\nBODY",
+	"HTTP/1.1 103 Early Hints\r\nName : x\r\n\r\nHTTP/1.1 200 OK\r\nHEADContent-Length: LEN\r\n\r\nBODY",
+	"HTTP/1.1 200 OK\r\nHEADBad\x01Name: x\r\nContent-Length: LEN\r\n\r\nBODY",
+	"HTTP/1.1 200 OK\r\nHEADBad\tName: x\r\nContent-Length: LEN\r\n\r\nBODY",
+	"HTTP/1.1 200 OK\r\nHEADBad\x00Name: x\r\nContent-Length: LEN\r\n\r\nBODY",
+	"HTTP/1.1 200 OK\r\nHEADBad\x7fName: x\r\nContent-Length: LEN\r\n\r\nBODY",
+	"HTTP/1.1 200 OK\r\nHEADBad\xe9Name: x\r\nContent-Length: LEN\r\n\r\nBODY",
+	"HTTP/1.1 200 OK\r\nHEADBad\rName: x\r\nContent-Length: LEN\r\n\r\nBODY",
+	"HTTP/1.1 200 OK\r\nHEADBad(Name): x\r\nContent-Length: LEN\r\n\r\nBODY",
+	"HTTP/1.1 200 OK\r\nHEAD: x\r\nContent-Length: LEN\r\n\r\nBODY",
+	"HTTP/1.1 200 OK\r\nHEADno colon\r\nContent-Length: LEN\r\n\r\nBODY",
+	"HTTP/1.1 200 OK\r\n Name: x\r\nHEADContent-Length: LEN\r\n\r\nBODY",
+	"HTTP/1.1 200 OK\r\nHEADName: a\x01b\r\nContent-Length: LEN\r\n\r\nBODY",
+	"HTTP/1.1 200 OK\r\nHEADName: a\x00b\r\nContent-Length: LEN\r\n\r\nBODY",
+	"HTTP/1.1 200 OK\r\nHEADName: a\rb\r\nContent-Length: LEN\r\n\r\nBODY",
+}
