httpstrict: a response with an invalid status is no response

What callers saw: a runner in trouble answered with a status of 000, 099 or +20, and its caller's connection was closed without an answer, also where the call could have run elsewhere; with 600 or 999 the caller got that status. An operator's change that a keeper answered with 000 counted as made. Cause: net/http accepts any three characters that strconv.Atoi reads as a number of zero or more. The daemon's own server then panics for a status under 100; the panic was recovered, but by then the answer counted as begun. The operators' command took all under 300 for a success. Change: a status outside 100 to 599 (RFC 9110, section 15) makes a response invalid, as does a switch of protocols, for which no client here asks. Why it works: no status outside the range gets above the check of heads, which all clients share.

--- a/internal/adapter/httpservice/httpservice.go
+++ b/internal/adapter/httpservice/httpservice.go
@@ -92,10 +92,6 @@
 	if err != nil {
 		return nil, err
 	}
-	if resp.StatusCode == http.StatusSwitchingProtocols {
-		_ = resp.Body.Close()
-		return nil, merry.Prepend(port.ErrEndpointLost, "the service switched protocols")
-	}
 	for _, name := range droppedReplyHeaders {
 		resp.Header.Del(name)
 	}
--- a/internal/adapter/httpstrict/adapters_test.go
+++ b/internal/adapter/httpstrict/adapters_test.go
@@ -160,3 +160,8 @@
 	expectNoReply(t, rawserver.InvalidFields, false)
 	expectNoReply(t, rawserver.InvalidTrailers, true)
 }
+
+// Guards against replies that count although their status isn't one of HTTP.
+func TestReplyWithInvalidStatusIsNoReply(t *testing.T) {
+	expectNoReply(t, rawserver.InvalidStatuses, false)
+}
--- a/internal/adapter/httpstrict/head.go
+++ b/internal/adapter/httpstrict/head.go
@@ -32,21 +32,35 @@
 		if err != nil {
 			return merry.Wrap(ErrInvalid, merry.WithCause(err))
 		}
+		status, err := checkStatusLine(line)
+		if err != nil {
+			return err
+		}
 		if err := checkNames(fields); err != nil {
 			return err
 		}
-		if !isInterim(line) {
+		if status/100 != 1 {
 			return nil
 		}
 	}
 }
 
-// isInterim reports whether a status line is that of a response which another one follows.
-func isInterim(line string) bool {
+// The range of valid status codes.
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
+// checkStatusLine checks a status line and returns its status code. A switch of protocols is
+// invalid, because no request asks for one.
+func checkStatusLine(line string) (status int, err error) {
 	_, rest, _ := strings.Cut(line, " ")
 	code, _, _ := strings.Cut(strings.TrimLeft(rest, " "), " ")
-	status, err := strconv.Atoi(code)
-	return err == nil && status/100 == 1 && status != http.StatusSwitchingProtocols
+	status, err = strconv.Atoi(code)
+	if err != nil || status < minStatus || status > maxStatus || status == http.StatusSwitchingProtocols {
+		return 0, merry.Prependf(ErrInvalid, "status %.8q", code)
+	}
+	return status, nil
 }
 
 // checkNames checks the names of header or trailer fields. textproto accepts blanks in them.
--- a/internal/ctl/brokenreplies_test.go
+++ b/internal/ctl/brokenreplies_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -21,7 +22,7 @@
 
 // Guards against a change that counts as made, or as refused, by a reply that isn't valid.
 func TestInvalidReplyIsNoReply(t *testing.T) {
-	for _, response := range append(rawserver.InvalidFields, rawserver.InvalidTrailers...) {
+	for _, response := range slices.Concat(rawserver.InvalidFields, rawserver.InvalidTrailers, rawserver.InvalidStatuses) {
 		address := rawserver.Serve(t, rawserver.Text(response.With("", "{}")))
 		ctl := newClient(&Connection{Keepers: []string{address}, Timeout: 10 * time.Second})
 		if got, err := ctl.callKeeper(t.Context(), &request{method: http.MethodPut, path: "/"}); !errors.Is(err, ErrUnknown) {
--- a/internal/testkit/rawserver/responses.go
+++ b/internal/testkit/rawserver/responses.go
@@ -60,3 +60,20 @@
 	"HTTP/1.1 200 OK\r\nHEADName: a\x00b\r\nContent-Length: LEN\r\n\r\nBODY",
 	"HTTP/1.1 200 OK\r\nHEADName: a\rb\r\nContent-Length: LEN\r\n\r\nBODY",
 }
+
+// InvalidStatuses are responses whose status isn't a number from 100 to 599, or is one of a
+// switch of protocols that was not asked for.
+var InvalidStatuses = []Response{
+	"HTTP/1.1 000 None\r\nHEADContent-Length: LEN\r\n\r\nBODY",
+	"HTTP/1.1 099 None\r\nHEADContent-Length: LEN\r\n\r\nBODY",
+	"HTTP/1.1 +20 None\r\nHEADContent-Length: LEN\r\n\r\nBODY",
+	"HTTP/1.1 -20 None\r\nHEADContent-Length: LEN\r\n\r\nBODY",
+	"HTTP/1.1 600 None\r\nHEADContent-Length: LEN\r\n\r\nBODY",
+	"HTTP/1.1 999 None\r\nHEADContent-Length: LEN\r\n\r\nBODY",
+	"HTTP/1.1 2000 None\r\nHEADContent-Length: LEN\r\n\r\nBODY",
+	"HTTP/1.1 20 None\r\nHEADContent-Length: LEN\r\n\r\nBODY",
+	"HTTP/1.1 2OO None\r\nHEADContent-Length: LEN\r\n\r\nBODY",
+	"HTTP/1.1  \r\nHEADContent-Length: LEN\r\n\r\nBODY",
+	"HTTP/1.1\r\nHEADContent-Length: LEN\r\n\r\nBODY",
+	"HTTP/1.1 101 Switching Protocols\r\nHEADUpgrade: x\r\nConnection: Upgrade\r\n\r\nBODY",
+}
