httpstrict: a response whose status line isn't one of HTTP/1 is no response

What callers saw: the 200 of a runner in trouble that answered in another protocol, "HTTP/2.0 200 OK" or "HTTP/0.9 200 OK", or with a control byte, a NUL or a carriage return in its reason; also where only an interim response had such a line. Cause: net/http accepts any version, and any bytes as a reason. HTTP/1 and http/1.1 were no answers before. Change: the check of heads asks for major version 1 (RFC 9112, section 2.3) and for a reason of visible characters and blanks (section 4). Why it works: it is the same check for all clients and all heads of a response.

--- a/internal/adapter/httpstrict/adapters_test.go
+++ b/internal/adapter/httpstrict/adapters_test.go
@@ -165,3 +165,8 @@
 func TestReplyWithInvalidStatusIsNoReply(t *testing.T) {
 	expectNoReply(t, rawserver.InvalidStatuses, false)
 }
+
+// Guards against replies that count although their status line isn't one of HTTP/1.
+func TestReplyWithInvalidStatusLineIsNoReply(t *testing.T) {
+	expectNoReply(t, rawserver.InvalidStatusLines, false)
+}
--- a/internal/adapter/httpstrict/head.go
+++ b/internal/adapter/httpstrict/head.go
@@ -54,8 +54,14 @@
 // checkStatusLine checks a status line and returns its status code. A switch of protocols is
 // invalid, because no request asks for one.
 func checkStatusLine(line string) (status int, err error) {
-	_, rest, _ := strings.Cut(line, " ")
-	code, _, _ := strings.Cut(strings.TrimLeft(rest, " "), " ")
+	version, rest, _ := strings.Cut(line, " ")
+	code, reason, _ := strings.Cut(strings.TrimLeft(rest, " "), " ")
+	if major, _, ok := http.ParseHTTPVersion(version); !ok || major != 1 {
+		return 0, merry.Prependf(ErrInvalid, "version %.16q", version)
+	}
+	if !httpguts.ValidHeaderFieldValue(reason) {
+		return 0, merry.Prependf(ErrInvalid, "reason %.64q", reason)
+	}
 	status, err = strconv.Atoi(code)
 	if err != nil || status < minStatus || status > maxStatus || status == http.StatusSwitchingProtocols {
 		return 0, merry.Prependf(ErrInvalid, "status %.8q", code)
--- a/internal/testkit/rawserver/responses.go
+++ b/internal/testkit/rawserver/responses.go
@@ -77,3 +77,15 @@
 	"HTTP/1.1\r\nHEADContent-Length: LEN\r\n\r\nBODY",
 	"HTTP/1.1 101 Switching Protocols\r\nHEADUpgrade: x\r\nConnection: Upgrade\r\n\r\nBODY",
 }
+
+// InvalidStatusLines are responses with invalid versions or reasons.
+var InvalidStatusLines = []Response{
+	"HTTP/2.0 200 OK\r\nHEADContent-Length: LEN\r\n\r\nBODY",
+	"HTTP/0.9 200 OK\r\nHEADContent-Length: LEN\r\n\r\nBODY",
+	"HTTP/1 200 OK\r\nHEADContent-Length: LEN\r\n\r\nBODY",
+	"http/1.1 200 OK\r\nHEADContent-Length: LEN\r\n\r\nBODY",
+	"HTTP/2.0 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nHEADContent-Length: LEN\r\n\r\nBODY",
+	"HTTP/1.1 200 O\x01K\r\nHEADContent-Length: LEN\r\n\r\nBODY",
+	"HTTP/1.1 200 O\x00K\r\nHEADContent-Length: LEN\r\n\r\nBODY",
+	"HTTP/1.1 200 O\rK\r\nHEADContent-Length: LEN\r\n\r\nBODY",
+}
