httpstrict: a body that is delimited in an invalid way is no body

What callers saw: a runner answered in HTTP/1.0 with a chunked body, and the caller got a 200 whose body had the chunk sizes in it, or, where a length stood beside the coding, the first bytes of that. Cause: net/http drops a Transfer-Encoding field of HTTP/1.0 before it decides how a body ends, so that nothing above it can see the field. RFC 9112, section 6.1, has a client treat the framing of such a response as faulty. Other codings, lists of lengths, signs, and invalid chunks were no answers before. Change: the check of heads rejects a transfer coding in HTTP/1.0 and one beside a length: section 6.3 calls the latter possible response splitting that ought to be handled as an error, and section 6.2 forbids servers to send it. Why it works: the check reads the head as it was sent, before net/http has dropped the field.

--- a/internal/adapter/httpstrict/adapters_test.go
+++ b/internal/adapter/httpstrict/adapters_test.go
@@ -170,3 +170,9 @@
 func TestReplyWithInvalidStatusLineIsNoReply(t *testing.T) {
 	expectNoReply(t, rawserver.InvalidStatusLines, false)
 }
+
+// Guards against replies whose bodies are read in another way than their servers sent them.
+func TestReplyWithInvalidFramingIsNoReply(t *testing.T) {
+	expectNoReply(t, rawserver.InvalidFramings, false)
+	expectNoReply(t, rawserver.InvalidChunks, true)
+}
--- a/internal/adapter/httpstrict/head.go
+++ b/internal/adapter/httpstrict/head.go
@@ -32,7 +32,7 @@
 		if err != nil {
 			return merry.Wrap(ErrInvalid, merry.WithCause(err))
 		}
-		status, err := checkStatusLine(line)
+		status, minor, err := checkStatusLine(line)
 		if err != nil {
 			return err
 		}
@@ -40,7 +40,7 @@
 			return err
 		}
 		if status/100 != 1 {
-			return nil
+			return checkFraming(minor, fields)
 		}
 	}
 }
@@ -51,22 +51,38 @@
 	maxStatus = 599
 )
 
-// checkStatusLine checks a status line and returns its status code. A switch of protocols is
-// invalid, because no request asks for one.
-func checkStatusLine(line string) (status int, err error) {
+// checkStatusLine checks a status line and returns its status code and the minor version of
+// HTTP/1. A switch of protocols is invalid, because no request asks for one.
+func checkStatusLine(line string) (status, minor int, err error) {
 	version, rest, _ := strings.Cut(line, " ")
 	code, reason, _ := strings.Cut(strings.TrimLeft(rest, " "), " ")
-	if major, _, ok := http.ParseHTTPVersion(version); !ok || major != 1 {
-		return 0, merry.Prependf(ErrInvalid, "version %.16q", version)
+	major, minor, ok := http.ParseHTTPVersion(version)
+	if !ok || major != 1 {
+		return 0, 0, merry.Prependf(ErrInvalid, "version %.16q", version)
 	}
 	if !httpguts.ValidHeaderFieldValue(reason) {
-		return 0, merry.Prependf(ErrInvalid, "reason %.64q", reason)
+		return 0, 0, merry.Prependf(ErrInvalid, "reason %.64q", reason)
 	}
 	status, err = strconv.Atoi(code)
 	if err != nil || status < minStatus || status > maxStatus || status == http.StatusSwitchingProtocols {
-		return 0, merry.Prependf(ErrInvalid, "status %.8q", code)
+		return 0, 0, merry.Prependf(ErrInvalid, "status %.8q", code)
 	}
-	return status, nil
+	return status, minor, nil
+}
+
+// checkFraming checks how a body is delimited, as far as net/http doesn't. It ignores a transfer
+// coding in HTTP/1.0, so that the chunk sizes count as part of the body, and a length beside one.
+func checkFraming(minor int, fields textproto.MIMEHeader) error {
+	if len(fields["Transfer-Encoding"]) == 0 {
+		return nil
+	}
+	switch {
+	case minor == 0:
+		return merry.Prepend(ErrInvalid, "a transfer coding in HTTP/1.0")
+	case len(fields["Content-Length"]) > 0:
+		return merry.Prepend(ErrInvalid, "a transfer coding and a length")
+	}
+	return nil
 }
 
 // checkNames checks the names of header or trailer fields. textproto accepts blanks in them.
--- a/internal/ctl/brokenreplies_test.go
+++ b/internal/ctl/brokenreplies_test.go
@@ -22,7 +22,8 @@
 
 // Guards against a change that counts as made, or as refused, by a reply that isn't valid.
 func TestInvalidReplyIsNoReply(t *testing.T) {
-	for _, response := range slices.Concat(rawserver.InvalidFields, rawserver.InvalidTrailers, rawserver.InvalidStatuses, rawserver.InvalidStatusLines) {
+	for _, response := range slices.Concat(rawserver.InvalidFields, rawserver.InvalidTrailers, rawserver.InvalidStatuses,
+		rawserver.InvalidStatusLines, rawserver.InvalidFramings, rawserver.InvalidChunks) {
 		address := rawserver.Serve(t, rawserver.Text(response.With("", "{}")))
 		ctl := newClient(&Connection{Keepers: []string{address}, Timeout: 10 * time.Second})
 		if got, err := ctl.callKeeper(t.Context(), &request{method: http.MethodPut, path: "/"}); !errors.Is(err, ErrUnknown) {
--- a/internal/testkit/rawserver/responses.go
+++ b/internal/testkit/rawserver/responses.go
@@ -89,3 +89,30 @@
 	"HTTP/1.1 200 O\x00K\r\nHEADContent-Length: LEN\r\n\r\nBODY",
 	"HTTP/1.1 200 O\rK\r\nHEADContent-Length: LEN\r\n\r\nBODY",
 }
+
+// InvalidFramings are responses whose body is delimited in an invalid way.
+var InvalidFramings = []Response{
+	"HTTP/1.0 200 OK\r\nHEADTransfer-Encoding: chunked\r\n\r\nCHUNKS0\r\n\r\n",
+	"HTTP/1.0 200 OK\r\nHEADTransfer-Encoding: chunked\r\nContent-Length: LEN\r\n\r\nCHUNKS0\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nHEADTransfer-Encoding: chunked\r\nContent-Length: LEN\r\n\r\nCHUNKS0\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nHEADTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\nCHUNKS0\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nHEADTransfer-Encoding: gzip\r\n\r\nBODY",
+	"HTTP/1.1 200 OK\r\nHEADTransfer-Encoding:\r\n\r\nBODY",
+	"HTTP/1.1 200 OK\r\nHEADContent-Length: LEN, LEN\r\n\r\nBODY",
+	"HTTP/1.1 200 OK\r\nHEADContent-Length: LEN\r\nContent-Length: 1LEN\r\n\r\nBODY",
+	"HTTP/1.1 200 OK\r\nHEADContent-Length: +LEN\r\n\r\nBODY",
+	"HTTP/1.1 200 OK\r\nHEADContent-Length: -LEN\r\n\r\nBODY",
+	"HTTP/1.1 200 OK\r\nHEADContent-Length: LENx\r\n\r\nBODY",
+	"HTTP/1.1 200 OK\r\nHEADContent-Length:\r\n\r\nBODY",
+	"HTTP/1.1 200 OK\r\nHEADContent-Length: 99999999999999999999\r\n\r\nBODY",
+}
+
+// InvalidChunks are responses with invalid chunks.
+var InvalidChunks = []Response{
+	"HTTP/1.1 200 OK\r\nHEADTransfer-Encoding: chunked\r\n\r\n-CHUNKS0\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nHEADTransfer-Encoding: chunked\r\n\r\n CHUNKS0\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nHEADTransfer-Encoding: chunked\r\n\r\n0xCHUNKS0\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nHEADTransfer-Encoding: chunked\r\n\r\nCHUNKSx0\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nHEADTransfer-Encoding: chunked\r\n\r\nCHUNKS\r\n0\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nHEADTransfer-Encoding: chunked\r\n\r\nCHUNKS0\n\r\n",
+}
