--- a/internal/adapter/httpstrict/adapters_test.go
+++ b/internal/adapter/httpstrict/adapters_test.go
@@ -152,6 +152,22 @@
 	}
 }
 
+// Guards against replies whose server stopped in the middle of their head, which count with what had come of it.
+func TestReplyWithCutHeadIsNoReply(t *testing.T) {
+	for _, call := range httpCalls() {
+		t.Run(call.name, func(t *testing.T) {
+			t.Parallel()
+			for _, head := range rawserver.CutHeads("", 8, 5) {
+				for end, answer := range map[string]func(string) rawserver.Answer{"closed": rawserver.Text, "reset": rawserver.Reset} {
+					if err := call.do(t.Context(), rawserver.Serve(t, answer(head))); err == nil {
+						t.Errorf("%q, %s, is a response", head, end)
+					}
+				}
+			}
+		})
+	}
+}
+
 // Guards against replies that count as whole because what was read of them is a JSON document, although their connection ended before their end.
 func TestReplyThatBreaksOffIsNoReply(t *testing.T) { expectNoReply(t, rawserver.BrokenOff, true) }
 
--- a/internal/testkit/rawserver/rawserver.go
+++ b/internal/testkit/rawserver/rawserver.go
@@ -63,8 +63,12 @@
 // UploadBytes is the size of a request that the buffers of a connection don't hold.
 const UploadBytes = 16 << 20
 
-// endDelay is the time between the end of a part and the reset of its connection.
-const endDelay = 100 * time.Millisecond
+const (
+	// endDelay is the time between the end of a part and the reset of its connection.
+	endDelay = 100 * time.Millisecond
+	// resetDelay is the time between a response and the reset of its connection.
+	resetDelay = time.Millisecond
+)
 
 // Part returns an Answer that sends the response and ends its side of the connection, which it
 // then resets with the request unread.
@@ -76,3 +80,16 @@
 		return false
 	}
 }
+
+// Reset returns an Answer that reads the request, sends the response and resets the connection
+// once the response has arrived.
+func Reset(response string) Answer {
+	return func(conn *net.TCPConn, r *http.Request) bool {
+		// An error shows with the next request.
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(conn, response)
+		time.Sleep(resetDelay)
+		_ = conn.SetLinger(0)
+		return false
+	}
+}
--- a/internal/testkit/rawserver/responses.go
+++ b/internal/testkit/rawserver/responses.go
@@ -116,3 +116,29 @@
 	"HTTP/1.1 200 OK\r\nHEADTransfer-Encoding: chunked\r\n\r\nCHUNKS\r\n0\r\n\r\n",
 	"HTTP/1.1 200 OK\r\nHEADTransfer-Encoding: chunked\r\n\r\nCHUNKS0\n\r\n",
 }
+
+// cutHeads are the heads of which CutHeads returns beginnings.
+var cutHeads = []Response{
+	"HTTP/1.1 200 OK\r\nHEADContent-Length: 0\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nHEADTransfer-Encoding: chunked\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nHEADConnection: close\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nHEADName: x\r\n folded\r\n\r\n",
+	"HTTP/1.0 200 OK\r\nHEADName: x\n\n",
+	"HTTP/1.1 103 Early Hints\r\nName: x\r\n\r\nHTTP/1.1 200 OK\r\nHEADContent-Length: 0\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nHEADContent-Type: text/event-stream\r\n\r\n",
+}
+
+// CutHeads returns beginnings of heads with these header fields: each one that ends within the
+// first or the last edge bytes, and each step-th one between.
+func CutHeads(fields string, edge, step int) []string {
+	var cut []string
+	for _, head := range cutHeads {
+		text := head.With(fields, "")
+		for end := range len(text) {
+			if end < edge || end >= len(text)-edge || end%step == 0 {
+				cut = append(cut, text[:end])
+			}
+		}
+	}
+	return cut
+}
