router: a service's reply without a length is whole only if the service outlived it

What callers saw: on the product's own interface a part of a service's reply with neither a length nor chunks, as a whole reply, when the service ended in the middle of it; with an idempotency key the part was stored and given again. Cause: the gateway asks for evidence since, the router took the end of the connection for that of the reply. The kernel closes the connections of a process that ends in order, as the end of a reply does. Why it works: a response that was sent after the end of the reply can only come from a process that outlived it. TestUnframedReplyOfServingServiceIsWhole: 0, 4 and 1,048,586 bytes of a service that goes on are delivered.

--- a/internal/adapter/httpservice/httpservice.go
+++ b/internal/adapter/httpservice/httpservice.go
@@ -97,6 +97,7 @@
 	}
 	return &router.ServiceReply{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Rest: resp.Body,
+		Framed: len(resp.TransferEncoding) > 0 || s.Method == http.MethodHead,
 	}, nil
 }
 
--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -13,6 +14,7 @@
 	"github.com/dragonflyrail/dragonflyrail/internal/core/outcome"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/quarantine"
 	"github.com/dragonflyrail/dragonflyrail/internal/core/stream"
+	"github.com/dragonflyrail/dragonflyrail/internal/crashwatch"
 	"github.com/dragonflyrail/dragonflyrail/internal/port"
 )
 
@@ -78,6 +80,9 @@
 	Body   []byte
 	// Length is the length of the whole body, -1 if unknown.
 	Length int64
+	// Framed is set if the end of the body is marked otherwise than by Length or by the end of
+	// the connection.
+	Framed bool
 	// Rest reads the part of the body that is not in Body. The receiver of the reply
 	// closes it.
 	Rest io.ReadCloser
@@ -279,13 +284,18 @@
 	callCtx, cancel := context.WithTimeout(ctx, r.o.ServiceTimeout)
 	watched := r.crashWatch.Begin(e, &quarantine.Request{Fingerprint: c.print}, nil)
 	reply, err := r.Services.Call(callCtx, e, c.req)
+	isUnframed := err == nil && reply.Length < 0 && !reply.Framed
 	if err == nil {
 		err = reply.readBody(cancel)
 	} else {
 		cancel()
 	}
 	observe(r.metrics.serviceCall, r.Clock().Sub(start))
-	r.crashWatch.End(watched, err != nil && ctx.Err() == nil && !errors.Is(err, port.ErrNotSent))
+	if isUnframed && err == nil {
+		err = c.endUnframed(ctx, reply, watched)
+	} else {
+		r.crashWatch.End(watched, err != nil && ctx.Err() == nil && !errors.Is(err, port.ErrNotSent))
+	}
 	if err != nil {
 		return nil, c.classifyFailure(ctx, callCtx, e, err)
 	}
@@ -297,6 +307,28 @@
 	return reply, stream.OutcomeDone
 }
 
+// endUnframed ends an attempt whose reply ends with its connection, or has the receiver of the
+// reply do so if it isn't read to its end yet.
+func (c *call) endUnframed(ctx context.Context, reply *ServiceReply, watched *crashwatch.Attempt) error {
+	end := &endOfReply{watch: c.r.crashWatch, watched: watched, wait: c.r.o.ServiceTimeout}
+	if reply.Rest != nil {
+		reply.Rest = &unframedRest{ReadCloser: reply.Rest, ctx: ctx, end: end}
+		return nil
+	}
+	if c.mayRepeat() {
+		end.wait = min(end.wait, maxEvidenceWait)
+	}
+	return end.confirm(ctx)
+}
+
+// mayRepeat reports whether another endpoint can get the call if its reply isn't whole.
+func (c *call) mayRepeat() bool {
+	if !c.ledger.Idempotent || c.attempt >= c.r.o.MaxAttempts {
+		return false
+	}
+	return slices.ContainsFunc(c.r.eligible.Load().byService[c.req.Service], func(e port.Endpoint) bool { return !c.tried[e.ID] })
+}
+
 // classifyFailure returns the fate of a call without a complete reply and stores
 // the reason. callerCtx shows whether the caller has disconnected. callCtx has
 // ended in any case by now, so it shows only whether the call timed out.
