oncehttp: the reason why a response isn't valid on one line

Cause: the errors of an invalid response were joined with a line break, in the middle of a decision's reason. Change: a colon, so that the reason reads "not an HTTP response: field name "Bad Name": http: not a valid response". No behaviour changes. Measured: go test -race -count=1 ./internal/adapter/oncehttp ./internal/adapter/httpservice ./internal/adapter/httpengine: ok.

--- a/internal/adapter/oncehttp/decode.go
+++ b/internal/adapter/oncehttp/decode.go
@@ -2,7 +2,7 @@
 
 import (
 	"encoding/json"
-	"errors"
+	"fmt"
 	"net/http"
 
 	"github.com/ansel1/merry/v2"
@@ -19,7 +19,7 @@
 		err = json.Unmarshal(raw, out)
 	}
 	if err != nil {
-		return merry.Wrap(port.ErrEndpointLost, merry.WithCause(errors.Join(errInvalidResponse, err)))
+		return merry.Wrap(port.ErrEndpointLost, merry.WithCause(fmt.Errorf("%w: %w", errInvalidResponse, err)))
 	}
 	return nil
 }
--- a/internal/adapter/oncehttp/oncehttp.go
+++ b/internal/adapter/oncehttp/oncehttp.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -191,7 +192,7 @@
 		return resp, false, nil
 	}
 	if sent.responded.Load() {
-		err = errors.Join(errInvalidResponse, err)
+		err = fmt.Errorf("%w: %w", errInvalidResponse, err)
 	}
 	if sent.nothingSent() {
 		conn := sent.conn.Load()
