--- a/internal/router/replyend.go
+++ b/internal/router/replyend.go
@@ -43,16 +43,20 @@
 	io.ReadCloser
 	ctx context.Context
 	end *endOfReply
+	// isConfirmed is set once the reply is known to be whole.
+	isConfirmed bool
 }
 
 // Read implements io.Reader. It returns io.EOF only if the reply is whole.
 func (r *unframedRest) Read(p []byte) (int, error) {
 	n, err := r.ReadCloser.Read(p)
-	if errors.Is(err, io.EOF) {
-		if cut := r.end.confirm(r.ctx); cut != nil {
-			return n, cut
-		}
+	if !errors.Is(err, io.EOF) || r.isConfirmed {
+		return n, err
 	}
+	if cut := r.end.confirm(r.ctx); cut != nil {
+		return n, cut
+	}
+	r.isConfirmed = true
 	return n, err
 }
 
--- a/internal/router/replyend_test.go
+++ b/internal/router/replyend_test.go
@@ -78,6 +78,9 @@
 		got := int64(len(reply.Body))
 		if reply.Rest != nil {
 			rest, err := io.Copy(io.Discard, reply.Rest)
+			if _, again := reply.Rest.Read(make([]byte, 1)); !errors.Is(again, io.EOF) {
+				t.Errorf("%d bytes: %v after the end", size, again)
+			}
 			if err = errors.Join(err, reply.Rest.Close()); err != nil {
 				t.Errorf("%d bytes: %v", size, err)
 			}
