--- a/internal/adapter/httpstrict/adapters_test.go
+++ b/internal/adapter/httpstrict/adapters_test.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -192,3 +195,30 @@
 	expectNoReply(t, rawserver.InvalidFramings, false)
 	expectNoReply(t, rawserver.InvalidChunks, true)
 }
+
+// Guards against a connection that is used again after an invalid response, where more of it may arrive.
+func TestConnectionOfInvalidReplyIsNotUsedAgain(t *testing.T) {
+	for _, call := range httpCalls() {
+		t.Run(call.name, func(t *testing.T) {
+			t.Parallel()
+			replies := []rawserver.Response{rawserver.Sound, rawserver.InvalidFields[0], rawserver.Sound}
+			var calls atomic.Int64
+			var peers sync.Map
+			address := rawserver.Serve(t, func(conn *net.TCPConn, r *http.Request) bool {
+				n, peer := int(calls.Add(1)), conn.RemoteAddr().String()
+				if _, used := peers.LoadOrStore(peer, n); used && n == len(replies) {
+					t.Errorf("%s is used after an invalid response", peer)
+				}
+				_, _ = io.Copy(io.Discard, r.Body)
+				named := router.HeaderRequestID + ": " + r.Header.Get(router.HeaderRequestID) + "\r\n"
+				_, err := io.WriteString(conn, replies[n-1].With(named, call.body))
+				return err == nil
+			})
+			for i, reply := range replies {
+				if err := call.do(t.Context(), address); (err == nil) != (reply == rawserver.Sound) {
+					t.Errorf("reply %d: %v", i, err)
+				}
+			}
+		})
+	}
+}
