httpstrict, ctl: tests play all responses of a call at one address; the test of closed connections with an empty body

Change: a server whose answer is set for each response. What is played and asked stays. The invalid response of the other test has an empty body.

--- a/internal/adapter/httpstrict/adapters_test.go
+++ b/internal/adapter/httpstrict/adapters_test.go
@@ -142,12 +142,15 @@
 		}
 		t.Run(call.name, func(t *testing.T) {
 			t.Parallel()
-			if err := call.do(t.Context(), rawserver.Serve(t, rawserver.Text(rawserver.Sound.With("", call.body)))); err != nil {
+			server := rawserver.Start(t)
+			server.Set(rawserver.Text(rawserver.Sound.With("Connection: close\r\n", call.body)))
+			if err := call.do(t.Context(), server.Address); err != nil {
 				t.Fatalf("a sound response: %v", err)
 			}
 			for _, response := range responses {
 				text := response.With("", call.body)
-				if err := call.do(t.Context(), rawserver.Serve(t, rawserver.Text(text))); err == nil {
+				server.Set(rawserver.Text(text))
+				if err := call.do(t.Context(), server.Address); err == nil {
 					t.Errorf("%q is a response", text)
 				}
 			}
@@ -160,9 +163,11 @@
 	for _, call := range httpCalls() {
 		t.Run(call.name, func(t *testing.T) {
 			t.Parallel()
+			server := rawserver.Start(t)
 			for _, head := range rawserver.CutHeads("", 8, 5) {
 				for end, answer := range map[string]func(string) rawserver.Answer{"closed": rawserver.Text, "reset": rawserver.Reset} {
-					if err := call.do(t.Context(), rawserver.Serve(t, answer(head))); err == nil {
+					server.Set(answer(head))
+					if err := call.do(t.Context(), server.Address); err == nil {
 						t.Errorf("%q, %s, is a response", head, end)
 					}
 				}
@@ -211,7 +216,12 @@
 				}
 				_, _ = io.Copy(io.Discard, r.Body)
 				named := router.HeaderRequestID + ": " + r.Header.Get(router.HeaderRequestID) + "\r\n"
-				_, err := io.WriteString(conn, replies[n-1].With(named, call.body))
+				body := call.body
+				if replies[n-1] != rawserver.Sound {
+					// net/http closes the connection of a body that isn't read.
+					body = ""
+				}
+				_, err := io.WriteString(conn, replies[n-1].With(named, body))
 				return err == nil
 			})
 			for i, reply := range replies {
--- a/internal/ctl/brokenreplies_test.go
+++ b/internal/ctl/brokenreplies_test.go
@@ -22,10 +22,11 @@
 
 // Guards against a change that counts as made, or as refused, by a reply that isn't valid.
 func TestInvalidReplyIsNoReply(t *testing.T) {
+	server := rawserver.Start(t)
+	ctl := newClient(&Connection{Keepers: []string{server.Address}, Timeout: 10 * time.Second})
 	for _, response := range slices.Concat(rawserver.InvalidFields, rawserver.InvalidTrailers, rawserver.InvalidStatuses,
 		rawserver.InvalidStatusLines, rawserver.InvalidFramings, rawserver.InvalidChunks) {
-		address := rawserver.Serve(t, rawserver.Text(response.With("", "{}")))
-		ctl := newClient(&Connection{Keepers: []string{address}, Timeout: 10 * time.Second})
+		server.Set(rawserver.Text(response.With("", "{}")))
 		if got, err := ctl.callKeeper(t.Context(), &request{method: http.MethodPut, path: "/"}); !errors.Is(err, ErrUnknown) {
 			t.Errorf("%q: got %+v, %v, want ErrUnknown", response, got, err)
 		}
--- a/internal/testkit/rawserver/rawserver.go
+++ b/internal/testkit/rawserver/rawserver.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -49,6 +50,24 @@
 	}
 }
 
+// Server is a server that answers each request with the Answer set last, so that many responses
+// can be played at one address.
+type Server struct {
+	Address string
+	answer  atomic.Value
+}
+
+// Start starts a server, for which Set must be called before the first request.
+func Start(t testing.TB) *Server {
+	t.Helper()
+	s := &Server{}
+	s.Address = Serve(t, func(conn *net.TCPConn, r *http.Request) bool { return s.answer.Load().(Answer)(conn, r) })
+	return s
+}
+
+// Set sets the answer to the next requests.
+func (s *Server) Set(answer Answer) { s.answer.Store(answer) }
+
 // Text returns an Answer that reads the request and sends the response, which ends with its
 // connection.
 func Text(response string) Answer {
