oncehttp, testkit: the order of a failed write and a read without sleeps; one loop that accepts connections

Cause: a test delayed what the client learns of a failed write by 100 ms, and a stand-in its reading by as much, so that on a slow machine they showed less than they ask; latereply and rawserver accepted connections in the same lines. Change: the write reports its failure, and the stand-in reads on, once a read has ended. latereply uses rawserver's loop.

--- a/internal/adapter/oncehttp/unframed_test.go
+++ b/internal/adapter/oncehttp/unframed_test.go
@@ -17,18 +17,32 @@
 
 const unframedHead = "HTTP/1.1 200 OK\r\n\r\n"
 
-// writeOrder delays what the client learns of its writes.
+// writeOrder is a connection on which a failed write is reported only once a read has ended.
 type writeOrder struct {
 	*net.TCPConn
-	// failed is closed once a write has failed, before the client learns it.
+	// failed is closed once a write has got a reset, before the client learns it.
 	failed chan struct{}
+	// ended is closed once a read has ended.
+	ended chan struct{}
 	// hold blocks all writes after the first one until it is closed; nil for none.
 	hold   chan struct{}
 	writes int
 }
 
-// failureDelay is the time between the failure of a write and its report to the client.
-const failureDelay = 100 * time.Millisecond
+func newWriteOrder() *writeOrder {
+	return &writeOrder{failed: make(chan struct{}), ended: make(chan struct{})}
+}
+
+// idleTime is the time without new bytes after which a server has read all that was sent.
+const idleTime = 100 * time.Millisecond
+
+func (c *writeOrder) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if err != nil {
+		close(c.ended)
+	}
+	return n, err
+}
 
 func (c *writeOrder) Write(p []byte) (int, error) {
 	if c.writes++; c.hold != nil && c.writes > 1 {
@@ -39,7 +53,7 @@
 		if errors.Is(err, syscall.ECONNRESET) {
 			close(c.failed)
 		}
-		time.Sleep(failureDelay)
+		<-c.ended
 	}
 	return n, err
 }
@@ -85,7 +99,7 @@
 
 // Guards against a part that counts as a whole body because a write got the connection's reset, so that reading ended without an error.
 func TestUnframedBodyIsNotWholeAfterResetThatAWriteGot(t *testing.T) {
-	order := &writeOrder{failed: make(chan struct{})}
+	order := newWriteOrder()
 	begun := make(chan struct{})
 	c := unframedCase{
 		client: order, size: rawserver.UploadBytes,
@@ -104,13 +118,14 @@
 
 // Guards against a part that counts as a whole body because its server closed the connection while more of the request was to be written.
 func TestUnframedBodyIsNotWholeBeforeItsRequestIsWritten(t *testing.T) {
-	order := &writeOrder{failed: make(chan struct{}), hold: make(chan struct{})}
+	order := newWriteOrder()
+	order.hold = make(chan struct{})
 	c := unframedCase{
 		client: order, size: rawserver.UploadBytes,
 		answer: func(conn *net.TCPConn, _ *http.Request) bool {
 			_, _ = io.WriteString(conn, unframedHead+"part")
 			// Closing the connection doesn't reset it if all that was sent is read.
-			_ = conn.SetReadDeadline(time.Now().Add(failureDelay))
+			_ = conn.SetReadDeadline(time.Now().Add(idleTime))
 			_, _ = io.Copy(io.Discard, conn)
 			_ = conn.Close()
 			close(order.hold)
@@ -132,18 +147,18 @@
 
 // Guards against whole bodies that are dropped because their server answers before it has read the request.
 func TestUnframedBodyIsWholeOnceItsRequestIsReceived(t *testing.T) {
-	for name, answer := range map[string]rawserver.Answer{
-		"read before": rawserver.Text(unframedHead + "whole"),
-		"read after": func(conn *net.TCPConn, r *http.Request) bool {
-			_, _ = io.WriteString(conn, unframedHead+"whole")
-			_ = conn.CloseWrite()
-			time.Sleep(failureDelay)
-			_, _ = io.Copy(io.Discard, r.Body)
-			return false
-		},
-	} {
-		for _, size := range []int{0, 10, 5000, rawserver.UploadBytes} {
-			c := unframedCase{size: size, answer: answer}
+	for _, size := range []int{0, 10, 5000, rawserver.UploadBytes} {
+		order := newWriteOrder()
+		for name, c := range map[string]unframedCase{
+			"read before": {size: size, answer: rawserver.Text(unframedHead + "whole")},
+			"read after": {size: size, client: order, answer: func(conn *net.TCPConn, r *http.Request) bool {
+				_, _ = io.WriteString(conn, unframedHead+"whole")
+				_ = conn.CloseWrite()
+				<-order.ended
+				_, _ = io.Copy(io.Discard, r.Body)
+				return false
+			}},
+		} {
 			if body, err := c.read(t); err != nil || body != "whole" {
 				t.Errorf("%s, %d bytes: %q, %v", name, size, body, err)
 			}
--- a/internal/testkit/latereply/latereply.go
+++ b/internal/testkit/latereply/latereply.go
@@ -8,6 +8,8 @@
 	"net"
 	"net/http"
 	"testing"
+
+	"github.com/dragonflyrail/dragonflyrail/internal/testkit/rawserver"
 )
 
 // Serve starts an endpoint that sends each response a second time on its connection, before
@@ -15,21 +17,7 @@
 // returns the endpoint's address.
 func Serve(t *testing.T, answer func(r *http.Request) string) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serveConnection(c, answer)
-		}
-	}()
-	return l.Addr().String()
+	return rawserver.Listen(t, func(c *net.TCPConn) { serveConnection(c, answer) })
 }
 
 func serveConnection(c net.Conn, answer func(r *http.Request) string) {
--- a/internal/testkit/rawserver/rawserver.go
+++ b/internal/testkit/rawserver/rawserver.go
@@ -21,6 +21,12 @@
 
 // Serve starts a server and returns its address.
 func Serve(t testing.TB, answer Answer) string {
+	t.Helper()
+	return Listen(t, func(conn *net.TCPConn) { serveConnection(conn, answer) })
+}
+
+// Listen starts a server that handles each connection as it wants, and returns its address.
+func Listen(t testing.TB, handle func(conn *net.TCPConn)) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -33,7 +39,7 @@
 			if err != nil {
 				return
 			}
-			go serveConnection(conn.(*net.TCPConn), answer)
+			go handle(conn.(*net.TCPConn))
 		}
 	}()
 	return l.Addr().String()
