quarantine: a crash keeps the earliest time of all its reports

Cause: the time of a crash goes over the wire as an age, which doesn't include the time that a message waits to be read. A daemon that was stopped reads the reports of two seconds at once, each as late as it waited; it kept the first time it had read of each crash, so crashes within milliseconds of each other counted as independent ones. Daemons with the same table so came to different verdicts. Change: of two reports of a crash the earlier time is kept, beside the youngest attempt. A report can be late, never early, and each message about a part has all its crashes, so the newest one puts them at their true distances. Result: TestDelayedReportsKeepCrashesTogether failed before (the daemon that was stopped refuses) and passes.

--- a/internal/core/quarantine/partregister_test.go
+++ b/internal/core/quarantine/partregister_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/dragonflyrail/dragonflyrail/internal/core/quarantine"
+	"github.com/dragonflyrail/dragonflyrail/internal/core/spread/node"
 )
 
 // Parts of prompts: crashing crashes the endpoints that run it.
@@ -104,6 +105,44 @@
 	}
 }
 
+// Guards against counting the failure of a rack as several crashes, because a daemon that was stopped reads the reports of it all at once.
+func TestDelayedReportsKeepCrashesTogether(t *testing.T) {
+	d := newDaemons(2)
+	began := d.now
+	d.registers[0].Completed(began, prompt("o", shared))
+	d.converge()
+	type report struct {
+		message node.Message
+		sentAt  time.Time
+	}
+	var buffered []report
+	for n, found := range []time.Duration{600, 900, 1200, 1500, 1800, 2100} {
+		at := began.Add(time.Duration(n/2)*time.Second + time.Duration(n%2)*50*time.Millisecond)
+		d.now = at.Add(found * time.Millisecond)
+		d.crashes++
+		d.registers[0].Crashed(d.now, quarantine.CrashID(d.crashes), lossesOfPrompts(at.Add(time.Millisecond), prompt("o", shared)))
+		buffered = append(buffered, report{message: d.links[0][0].Next(), sentAt: d.now})
+	}
+	d.now = d.now.Add(time.Second)
+	for _, r := range buffered {
+		for i := range r.message.PartSuspects.Entries {
+			s := &r.message.PartSuspects.Entries[i]
+			s.Crashes = slices.Clone(s.Crashes)
+			for c := range s.Crashes {
+				// Ages on the wire don't include the time that a message waits to be read.
+				s.Crashes[c].At = s.Crashes[c].At.Add(d.now.Sub(r.sentAt))
+			}
+		}
+		d.links[0][1].Receive(&r.message)
+	}
+	d.registers[1].Refresh(d.now)
+	for at := range d.registers {
+		if d.refusesPrompt(at, "o", shared) {
+			t.Errorf("daemon %d refuses: %v", at, d.changes[at])
+		}
+	}
+}
+
 // Guards against quarantining a part that completed lately after three crashes, because the daemon that knows is out of reach.
 func TestClearedPartIsKnownToHaveCompleted(t *testing.T) {
 	d := newDaemons(2)
--- a/internal/core/quarantine/partsuspect.go
+++ b/internal/core/quarantine/partsuspect.go
@@ -39,8 +39,8 @@
 	// Ran is how long that attempt had lasted, in whole milliseconds.
 	Request uint64
 	Ran     time.Duration
-	// At is when the crash happened, by this daemon's monotonic clock. It is not part of
-	// the replicated state.
+	// At is when the crash happened, by this daemon's monotonic clock: the earliest time of
+	// all reports, as a report can only be late. It is not part of the replicated state.
 	At time.Time
 }
 
@@ -77,14 +77,22 @@
 }
 
 // UniteCrashes merges two lists of crashes. Like Union it keeps the smallest ids, and
-// of two reports of one crash that of the youngest attempt.
+// of two reports of one crash the youngest attempt and the earlier time.
 func UniteCrashes(a, b []PartCrash) []PartCrash {
 	all := slices.Concat(a, b)
 	slices.SortStableFunc(all, func(x, y PartCrash) int {
 		return cmp.Or(cmp.Compare(x.ID, y.ID), cmp.Compare(x.Ran, y.Ran), cmp.Compare(x.Request, y.Request))
 	})
-	all = slices.CompactFunc(all, func(x, y PartCrash) bool { return x.ID == y.ID })
-	return all[:min(len(all), maxCrashes)]
+	united := all[:0]
+	for _, c := range all {
+		last := len(united) - 1
+		if last < 0 || united[last].ID != c.ID {
+			united = append(united, c)
+		} else if c.At.Before(united[last].At) {
+			united[last].At = c.At
+		}
+	}
+	return united[:min(len(united), maxCrashes)]
 }
 
 // intersect returns the values that two ascending lists have in common.
