peers: ages of crashes include the time that their message waited

Cause: an age on the wire is that at the time of sending. The last message that waits for a stopped daemon is late itself, so that all crashes in it are dated late by one amount, beside the daemon's own losses, which are exact. Change: heartbeats and updates have the time by the sender's steady clock. The receiver compares it with its own, and adds to the ages of suspects what a message took longer than the fastest one of the stream in the last one to two minutes; in so short a time the drift of two clocks is some milliseconds. Peers of an earlier build send no time, and are read as before.

--- a/internal/adapter/grpcpeer/convert.go
+++ b/internal/adapter/grpcpeer/convert.go
@@ -172,17 +172,19 @@
 		Sync:      syncToWire(m),
 
 		PartSuspects: partSuspectsToWire(m.PartSuspects.Entries),
+		SentMicros:   sentMicros(),
 	}
 }
 
-// messageFromWire returns the message of an update or a heartbeat.
-func messageFromWire(s *peerv1.Sync, rs []*peerv1.Record, es []*peerv1.Endpoint, ms []*peerv1.Member, ss []*peerv1.Suspect, ps []*peerv1.PartSuspect) node.Message {
+// messageFromWire returns the message of an update or a heartbeat. sentAt is when it was
+// sent, by this daemon's clock.
+func messageFromWire(sentAt time.Time, s *peerv1.Sync, rs []*peerv1.Record, es []*peerv1.Endpoint, ms []*peerv1.Member, ss []*peerv1.Suspect, ps []*peerv1.PartSuspect) node.Message {
 	return node.Message{
 		Records:        stepFromWire(s.GetRecords(), mapSlice(rs, revisionFromWire)),
 		Endpoints:      stepFromWire(s.GetEndpoints(), mapSlice(es, endpointFromWire)),
 		Members:        stepFromWire(s.GetMembers(), mapSlice(ms, memberFromWire)),
-		Suspects:       stepFromWire(s.GetSuspects(), suspectsFromWire(ss)),
-		PartSuspects:   stepFromWire(s.GetPartSuspects(), partSuspectsFromWire(ps)),
+		Suspects:       stepFromWire(s.GetSuspects(), suspectsFromWire(sentAt, ss)),
+		PartSuspects:   stepFromWire(s.GetPartSuspects(), partSuspectsFromWire(sentAt, ps)),
 		HighestVersion: s.GetHighestVersion(),
 		Complete:       s.GetComplete(),
 		Parts:          s.GetParts(),
@@ -192,8 +194,8 @@
 	}
 }
 
-func updateFromWire(u *peerv1.Update) node.Message {
-	return messageFromWire(u.GetSync(), u.GetRecords(), u.GetEndpoints(), u.GetMembers(), u.GetSuspects(), u.GetPartSuspects())
+func updateFromWire(sentAt time.Time, u *peerv1.Update) node.Message {
+	return messageFromWire(sentAt, u.GetSync(), u.GetRecords(), u.GetEndpoints(), u.GetMembers(), u.GetSuspects(), u.GetPartSuspects())
 }
 
 func heartbeatToWire(m *node.Message) *peerv1.Heartbeat {
@@ -204,11 +206,12 @@
 		Suspects:          suspectsToWire(m.Suspects.Entries),
 		PartSuspects:      partSuspectsToWire(m.PartSuspects.Entries),
 		Sync:              syncToWire(m),
+		SentMicros:        sentMicros(),
 	}
 }
 
-func heartbeatFromWire(h *peerv1.Heartbeat) node.Message {
-	return messageFromWire(h.GetSync(), h.GetRecords(), h.GetObservedEndpoints(), h.GetKnownMembers(), h.GetSuspects(), h.GetPartSuspects())
+func heartbeatFromWire(sentAt time.Time, h *peerv1.Heartbeat) node.Message {
+	return messageFromWire(sentAt, h.GetSync(), h.GetRecords(), h.GetObservedEndpoints(), h.GetKnownMembers(), h.GetSuspects(), h.GetPartSuspects())
 }
 
 // coldFromWire limits a received cold time to the range from zero to
--- a/internal/adapter/grpcpeer/keeper.go
+++ b/internal/adapter/grpcpeer/keeper.go
@@ -134,6 +134,7 @@
 	member   membership.Member
 	lastBeat membership.Heartbeat
 	started  bool
+	arrivals transit
 	// relay is nil if the member is not a keeper.
 	relay PlatformRelay
 }
@@ -159,7 +160,7 @@
 		// changes.
 		s.link.PauseEndpoints(!s.listener.SendsEndpoints(&s.member))
 	}
-	m := heartbeatFromWire(h)
+	m := heartbeatFromWire(s.arrivals.sentAt(time.Now(), h.GetSentMicros()), h)
 	s.link.Receive(&m)
 	if s.relay != nil {
 		s.relay.ReceiveStatus(statusFromWire(time.Now(), h.GetPlatformAgeMillis(), h.GetPlatformTry()))
--- a/internal/adapter/grpcpeer/subscriber.go
+++ b/internal/adapter/grpcpeer/subscriber.go
@@ -124,13 +124,14 @@
 }
 
 func (s *Subscriber) receive(stream peerv1.Keeper_SubscribeClient, link *node.Link, onMessage func()) error {
+	var arrivals transit
 	for {
 		update, err := stream.Recv()
 		if err != nil {
 			return err
 		}
 		onMessage()
-		m := updateFromWire(update)
+		m := updateFromWire(arrivals.sentAt(time.Now(), update.GetSentMicros()), update)
 		link.Receive(&m)
 		if s.Relay != nil {
 			s.Relay.ReceiveStatus(statusFromWire(time.Now(), update.GetPlatformAgeMillis(), update.GetPlatformTry()))
--- a/internal/adapter/grpcpeer/suspects.go
+++ b/internal/adapter/grpcpeer/suspects.go
@@ -22,9 +22,8 @@
 }
 
 // suspectsFromWire skips suspects that the sender is about to delete, and those with
-// an invalid fingerprint.
-func suspectsFromWire(ss []*peerv1.Suspect) []quarantine.Suspect {
-	now := time.Now()
+// an invalid fingerprint. sentAt is when the message was sent, by this daemon's clock.
+func suspectsFromWire(sentAt time.Time, ss []*peerv1.Suspect) []quarantine.Suspect {
 	var out []quarantine.Suspect
 	for _, s := range ss {
 		age := durationFromWire(s.GetHeardAgeMillis())
@@ -35,7 +34,7 @@
 		out = append(out, quarantine.Suspect{
 			Fingerprint: f, Cleared: s.GetCleared(), Renewals: s.GetRenewals(),
 			Crashes:   quarantine.Union(mapSlice(s.GetCrashes(), func(c uint64) quarantine.CrashID { return quarantine.CrashID(c) }), nil),
-			UpdatedAt: now.Add(-age),
+			UpdatedAt: sentAt.Add(-age),
 		})
 	}
 	return out
@@ -60,8 +59,7 @@
 }
 
 // partSuspectsFromWire skips what suspectsFromWire skips.
-func partSuspectsFromWire(ss []*peerv1.PartSuspect) []quarantine.PartSuspect {
-	now := time.Now()
+func partSuspectsFromWire(sentAt time.Time, ss []*peerv1.PartSuspect) []quarantine.PartSuspect {
 	var out []quarantine.PartSuspect
 	for _, s := range ss {
 		age := durationFromWire(s.GetHeardAgeMillis())
@@ -75,10 +73,10 @@
 			Crashes: quarantine.UniteCrashes(mapSlice(s.GetCrashes(), func(c *peerv1.PartCrash) quarantine.PartCrash {
 				return quarantine.PartCrash{
 					ID: quarantine.CrashID(c.GetId()), Request: c.GetRequest(), Ran: durationFromWire(int64(c.GetRanMillis())),
-					At: now.Add(-durationFromWire(c.GetAgeMillis())),
+					At: sentAt.Add(-durationFromWire(c.GetAgeMillis())),
 				}
 			}), nil),
-			UpdatedAt: now.Add(-age),
+			UpdatedAt: sentAt.Add(-age),
 		})
 	}
 	return out
--- a/internal/core/quarantine/partregister_test.go
+++ b/internal/core/quarantine/partregister_test.go
@@ -129,7 +129,7 @@
 			s := &r.message.PartSuspects.Entries[i]
 			s.Crashes = slices.Clone(s.Crashes)
 			for c := range s.Crashes {
-				// Ages on the wire don't include the time that a message waits to be read.
+				// Peers of earlier builds don't state when a message was sent.
 				s.Crashes[c].At = s.Crashes[c].At.Add(d.now.Sub(r.sentAt))
 			}
 		}
