--- a/internal/adapter/grpcpeer/transit_test.go
+++ b/internal/adapter/grpcpeer/transit_test.go
@@ -6,7 +6,7 @@
 )
 
 // Guards against ages that leave out the wait of a message after a stop of any length, or that grow as two clocks drift apart.
-func TestTransit(t *testing.T) {
+func TestWaitOfMessageCountsAfterStopsAndNotForDrift(t *testing.T) {
 	const (
 		way   = 3 * time.Millisecond
 		ppm   = 100
